--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+GO ?= go
+LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.14.0
+SEED ?= 1
+DURATION ?= 60s
+
+.PHONY: build demo test check lint format soak experiment bench generate fuzz
+
+build: ## Build both binaries into bin/.
+	$(GO) build -o bin/ ./cmd/...
+
+test: format lint check ## Formatter, linter and tests.
+
+format:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	$(LINT) run ./...
+
+check:
+	$(GO) build ./...
+	$(GO) test -json ./... | $(GO) run ./cmd/verdict
+
+generate: ## Regenerate the composition code.
+	$(GO) run github.com/google/wire/cmd/wire ./internal/entry
+
+demo: build ## Start everything, drive callers, kill a primary, report.
+	./bin/stand demo
+
+soak: build ## Random faults: make soak SEED=7 DURATION=10m
+	./bin/stand soak --seed $(SEED) --duration $(DURATION)
+
+experiment: build ## Measure the policies against the naive versions.
+	./bin/stand experiment --seed $(SEED)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/token
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/envdoc
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/peer
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,96 @@
+// Package peer carries messages between the instances of an environment, over
+// one WebSocket with CBOR for each pair. The messages are typed; unknown types
+// are skipped, sizes are bounded, and durations are sent in place of clock
+// times.
+package peer
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Message is one of the types below.
+type Message interface{ message() }
+
+// Hello opens a connection in both directions.
+type Hello struct {
+	Instance    ident.Instance
+	Environment ident.Environment
+	Protocol    int // highest protocol version the sender speaks
+	Start       uint64
+	Stamp       event.Stamp
+}
+
+// Head tells the sender's document version and how old its evidence is that
+// no later one was in force: the time since it, or the peer it heard from,
+// began a successful read of the store.
+type Head struct {
+	Version     ident.Version
+	EvidenceAge time.Duration
+	Known       bool // false before the sender has any evidence
+	Stamp       event.Stamp
+}
+
+// DocumentAsk asks for the text of a version.
+type DocumentAsk struct{ Version ident.Version }
+
+// Document carries the text of an accepted document.
+type Document struct {
+	Version ident.Version
+	Text    []byte
+}
+
+// GroupState tells who is the primary of a group.
+type GroupState struct {
+	Group   ident.Group
+	Term    ident.Term
+	Primary ident.Endpoint
+	Stamp   event.Stamp
+	Cause   event.Ref
+}
+
+// TokenAsk asks the holder of a part for tokens. Nonce tells repeats apart.
+type TokenAsk struct {
+	Account ident.Account
+	Count   ident.Tokens
+	Nonce   uint64
+}
+
+// TokenGive answers a TokenAsk. Count tokens may be spent until EndsIn after
+// the asker sent the question.
+type TokenGive struct {
+	Account ident.Account
+	Part    ident.Part
+	Count   ident.Tokens
+	EndsIn  time.Duration
+	Nonce   uint64
+}
+
+// Leaving tells that the sender stops and takes no more asks.
+type Leaving struct{}
+
+func (Hello) message()       {}
+func (Head) message()        {}
+func (DocumentAsk) message() {}
+func (Document) message()    {}
+func (GroupState) message()  {}
+func (TokenAsk) message()    {}
+func (TokenGive) message()   {}
+func (Leaving) message()     {}
+
+// Handler takes what arrives. It is called from one goroutine for each peer
+// and must not block.
+type Handler interface {
+	Receive(from ident.Instance, message Message, now time.Time)
+}
+
+// Sender sends without blocking; a message to a peer that is gone or slow is
+// dropped and counted.
+type Sender interface {
+	Send(to ident.Instance, message Message)
+	Broadcast(message Message)
+	// Connected returns the peers with an open connection.
+	Connected() []ident.Instance
+}
--- /dev/null
+++ b/internal/tasks/tasks.go
@@ -0,0 +1,40 @@
+// Package tasks starts goroutines that belong to an owner. The owner's Close
+// cancels them and waits for the last one.
+package tasks
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Group owns a set of goroutines and the context that stops them.
+type Group struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  errgroup.Group
+}
+
+// New returns a group whose context ends with parent or with Close.
+func New(parent context.Context) *Group {
+	ctx, cancel := context.WithCancel(parent)
+	return &Group{ctx: ctx, cancel: cancel}
+}
+
+// Context returns the context that Close cancels.
+func (g *Group) Context() context.Context { return g.ctx }
+
+// Go runs f in a goroutine of the group. The first error is returned by Wait
+// and Close; it does not stop the other goroutines.
+func (g *Group) Go(f func(ctx context.Context) error) {
+	g.group.Go(func() error { return f(g.ctx) })
+}
+
+// Wait blocks until every goroutine has returned.
+func (g *Group) Wait() error { return g.group.Wait() }
+
+// Close cancels the group's context and waits for every goroutine.
+func (g *Group) Close() error {
+	g.cancel()
+	return g.group.Wait()
+}
