--- /dev/null
+++ b/internal/acct/gate.go
@@ -0,0 +1,38 @@
+// Package acct decides about client accounts: whether a key is in force,
+// whether a request is inside the account's rate and burst, and in which order
+// the requests of several accounts are served. The deciding types are pure:
+// they take the present time and an input and return outputs.
+package acct
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Badge is what a caller proved when it connected. It holds the hash of the
+// key, never the key itself.
+type Badge struct {
+	Route   ident.Route
+	Account ident.Account // empty on an open route
+	Hash    envdoc.KeyHash
+}
+
+// Gate is what the request path asks about client accounts. Its methods are
+// called for each statement: they take no process-wide lock, do not block and
+// do not allocate when they allow. A refusal is a *fault.Error with outcome
+// NotRun.
+type Gate interface {
+	// Login checks the key that a caller shows when it connects.
+	Login(route ident.Route, account ident.Account, key string, now time.Time) (Badge, error)
+	// Check tells whether the badge is still good by the document in force.
+	Check(badge *Badge, now time.Time) error
+	// Spend takes one token of the account's quota. Badges of open routes
+	// spend nothing.
+	Spend(badge *Badge, now time.Time) error
+	// Return gives back the token of a request that ended not run.
+	Return(badge *Badge, now time.Time)
+	// Weight returns the account's weight, 1 for callers of open routes.
+	Weight(badge *Badge) int
+}
