Add the request path: callers, batches, endpoint connections

Front collects a caller's messages up to a Sync, chooses an endpoint, and runs the batch there behind the checks of a prelude.

--- /dev/null
+++ b/internal/back/alive_unix.go
@@ -0,0 +1,30 @@
+//go:build unix
+
+package back
+
+import (
+	"syscall"
+)
+
+// Alive reports whether an idle connection is still open, without waiting:
+// the endpoint has neither closed it nor sent anything unasked.
+func (c *Conn) Alive() bool {
+	if c.broken || c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var quiet bool
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = rerr == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/back/prelude.go
@@ -0,0 +1,101 @@
+package back
+
+import (
+	"strconv"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Prelude is what the endpoint checks in the same exchange, ahead of the
+// statements of a batch. When a check fails, nothing of the batch runs.
+type Prelude struct {
+	Lead     ident.Term // require the primary of this term; zero for none
+	Floor    ident.Mark // require this mark; zero for none
+	MaxAgeMS int64      // with a Floor or alone: require data this fresh; zero for any
+	Once     stmt.RequestID
+	Digest   string
+	// ReadOnly makes the transaction read-only on the endpoint.
+	ReadOnly bool
+	// LastWrite asks for the mark of the connection's last write afterwards.
+	LastWrite bool
+}
+
+// call is one function call of a prelude.
+type call struct {
+	name string // of the prepared statement
+	sql  string
+	args [3]string
+	n    int
+}
+
+const (
+	nameLead    = "mr_lead"
+	nameRequire = "mr_require"
+	nameOnce    = "mr_once"
+	nameLast    = "mr_last"
+	nameReader  = "mr_reader"
+)
+
+const lastWriteSQL = "SELECT * FROM " + group.FnLastWrite
+
+// calls appends the calls of the prelude to list, in order.
+func (p *Prelude) calls(list []call) []call {
+	if p.ReadOnly {
+		list = append(list, call{name: nameReader, sql: "SET TRANSACTION READ ONLY"})
+	}
+	if p.Lead != 0 {
+		list = append(list, call{name: nameLead, sql: "SELECT " + group.FnLead + "($1)", args: [3]string{strconv.FormatInt(int64(p.Lead), 10)}, n: 1})
+	}
+	if !p.Floor.Zero() || p.MaxAgeMS > 0 {
+		list = append(list, call{name: nameRequire, sql: "SELECT " + group.FnRequire + "($1, $2, $3)", args: [3]string{
+			strconv.FormatInt(int64(p.Floor.Term), 10),
+			strconv.FormatInt(int64(p.Floor.Position), 10),
+			strconv.FormatInt(p.MaxAgeMS, 10),
+		}, n: 3})
+	}
+	if p.Once != "" {
+		list = append(list, call{name: nameOnce, sql: "SELECT " + group.FnOnce + "($1, $2)", args: [3]string{string(p.Once), p.Digest}, n: 2})
+	}
+	return list
+}
+
+// text prints the call as a statement of a simple query.
+func (c *call) text(buf []byte) []byte {
+	if c.n == 0 {
+		buf = append(buf, c.sql...)
+		return append(buf, "; "...)
+	}
+	open := len(c.sql)
+	for i := range len(c.sql) {
+		if c.sql[i] == '(' {
+			open = i
+			break
+		}
+	}
+	buf = append(buf, c.sql[:open+1]...)
+	for i := range c.n {
+		if i > 0 {
+			buf = append(buf, ", "...)
+		}
+		buf = appendLiteral(buf, c.args[i])
+	}
+	return append(buf, "); "...)
+}
+
+// appendLiteral adds s as an SQL literal. The E form keeps its meaning for
+// every setting of standard_conforming_strings.
+func appendLiteral(buf []byte, s string) []byte {
+	if _, err := strconv.ParseInt(s, 10, 64); err == nil {
+		return append(buf, s...)
+	}
+	buf = append(buf, "E'"...)
+	for i := range len(s) {
+		if s[i] == '\'' || s[i] == '\\' {
+			buf = append(buf, s[i])
+		}
+		buf = append(buf, s[i])
+	}
+	return append(buf, '\'')
+}
--- /dev/null
+++ b/internal/front/login.go
@@ -0,0 +1,187 @@
+package front
+
+import (
+	"crypto/tls"
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/frame"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+	"github.com/marjoramrudder/marjoramrudder/pkg/token"
+)
+
+// Codes of the first message of a caller.
+const (
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+	codeCancel = 80877102
+	codeV3     = 3 << 16
+)
+
+// tokenSetting is the setting that carries the session token.
+const tokenSetting = "marjoram.session_token"
+
+// errGone ends a session whose caller left or was told to leave.
+var errGone = errors.New("caller is gone")
+
+// login reads the startup of a caller, checks its key and greets it.
+func (s *session) login() error {
+	_ = s.socket.SetDeadline(time.Now().Add(s.server.options.LoginTimeout))
+	startup, err := s.startup()
+	if err != nil {
+		return err
+	}
+	if err := s.admit(startup); err != nil {
+		return s.fatal(err)
+	}
+	_ = s.socket.SetDeadline(time.Time{})
+	return s.greet()
+}
+
+// startup answers requests for encryption until the startup message itself.
+func (s *session) startup() (*pgproto3.StartupMessage, error) {
+	for {
+		body, err := s.reader.Startup()
+		if err != nil {
+			return nil, errors.Wrap(err, "read startup")
+		}
+		switch code := binary.BigEndian.Uint32(body); {
+		case code == codeSSL:
+			err = s.encrypt()
+		case code == codeGSS:
+			_, err = s.socket.Write([]byte{'N'})
+		case code == codeCancel:
+			s.server.cancel(body)
+			return nil, errGone
+		case code>>16 == codeV3>>16:
+			return s.decodeStartup(body)
+		default:
+			return nil, s.fatal(fault.Refuse(fault.Protocol, 0, "protocol %d.%d is not offered", code>>16, code&0xffff))
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "answer encryption request")
+		}
+	}
+}
+
+func (s *session) decodeStartup(body []byte) (*pgproto3.StartupMessage, error) {
+	binary.BigEndian.PutUint32(body, codeV3) // minor versions are served as 3.0
+	var m pgproto3.StartupMessage
+	if err := m.Decode(body); err != nil {
+		return nil, s.fatal(fault.Refuse(fault.Protocol, 0, "malformed startup message"))
+	}
+	if !s.encrypted && !s.server.options.AllowPlain {
+		return nil, s.fatal(fault.Refuse("28000", 0, "connect with TLS"))
+	}
+	return &m, nil
+}
+
+func (s *session) encrypt() error {
+	if s.server.options.TLS == nil || s.encrypted {
+		_, err := s.socket.Write([]byte{'N'})
+		return err
+	}
+	if s.reader.Buffered() > 0 {
+		return errors.Wrap(errGone, "bytes sent ahead of encryption")
+	}
+	if _, err := s.socket.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	encrypted := tls.Server(s.socket, s.server.options.TLS)
+	if err := encrypted.Handshake(); err != nil {
+		return errors.Wrap(err, "TLS handshake")
+	}
+	s.mu.Lock()
+	s.socket = encrypted
+	s.mu.Unlock()
+	s.reader = frame.NewReader(encrypted, s.server.options.MaxFrame)
+	s.encrypted = true
+	return nil
+}
+
+// admit checks route, key and token.
+func (s *session) admit(m *pgproto3.StartupMessage) error {
+	name := ident.Route(m.Parameters["database"])
+	route := s.server.table.Get(name)
+	if route == nil {
+		return fault.Refuse(fault.NoRoute, 0, "no route %q", name)
+	}
+	var key string
+	if route.Access == envdoc.Keyed {
+		var err error
+		if key, err = s.askKey(); err != nil {
+			return err
+		}
+	}
+	badge, err := s.server.gate.Login(name, ident.Account(m.Parameters["user"]), key, time.Now())
+	if err != nil {
+		return err
+	}
+	s.badge = badge
+	return s.adopt(m.Parameters[tokenSetting])
+}
+
+// adopt takes the session token that a caller shows.
+func (s *session) adopt(text string) error {
+	t, err := token.Parse(text)
+	if err != nil {
+		return fault.Refuse(fault.BadToken, 0, "malformed session token").Because(err)
+	}
+	s.token = s.token.Merge(t)
+	s.shown = s.shown || text != ""
+	return nil
+}
+
+func (s *session) askKey() (string, error) {
+	if err := s.send(&pgproto3.AuthenticationCleartextPassword{}); err != nil {
+		return "", err
+	}
+	if err := s.flush(); err != nil {
+		return "", err
+	}
+	kind, body, err := s.reader.Next()
+	if err != nil {
+		return "", errors.Wrap(err, "read key")
+	}
+	var m pgproto3.PasswordMessage
+	if kind != 'p' || m.Decode(body) != nil {
+		return "", fault.Refuse(fault.Protocol, 0, "expected a password message")
+	}
+	return m.Password, nil
+}
+
+// greeting lists the settings that drivers expect to be told.
+var greeting = []pgproto3.ParameterStatus{
+	{Name: "server_version", Value: "16.0"},
+	{Name: "server_encoding", Value: "UTF8"},
+	{Name: "client_encoding", Value: "UTF8"},
+	{Name: "DateStyle", Value: "ISO, MDY"},
+	{Name: "IntervalStyle", Value: "postgres"},
+	{Name: "TimeZone", Value: "UTC"},
+	{Name: "integer_datetimes", Value: "on"},
+	{Name: "standard_conforming_strings", Value: "on"},
+}
+
+func (s *session) greet() error {
+	s.server.register(s)
+	messages := []pgproto3.BackendMessage{&pgproto3.AuthenticationOk{}}
+	for i := range greeting {
+		messages = append(messages, &greeting[i])
+	}
+	messages = append(messages,
+		&pgproto3.ParameterStatus{Name: tokenSetting, Value: s.token.String()},
+		&pgproto3.BackendKeyData{ProcessID: s.id, SecretKey: binary.BigEndian.AppendUint32(nil, s.secret)},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'},
+	)
+	for _, m := range messages {
+		if err := s.send(m); err != nil {
+			return err
+		}
+	}
+	return s.flush()
+}
--- /dev/null
+++ b/internal/front/out.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/frame"
+)
+
+const (
+	flushBytes = 64 << 10
+	// callerWrite bounds how long a caller may take to read its answer.
+	callerWrite = 30 * time.Second
+)
+
+// Relay takes one frame of an endpoint for the caller. Frames are held back
+// from the first CommandComplete of a batch that may have written, until the
+// write is confirmed.
+func (s *session) Relay(kind byte, body []byte) error {
+	s.out = frame.Append(s.out, kind, body)
+	if s.careful && (kind == 'C' || kind == 's') {
+		s.hold = true
+	}
+	if s.hold || len(s.out) < flushBytes {
+		return nil
+	}
+	s.relayed = true
+	return s.flush()
+}
+
+func (s *session) send(m pgproto3.BackendMessage) error {
+	var err error
+	s.out, err = m.Encode(s.out)
+	return errors.Wrap(err, "encode message")
+}
+
+func (s *session) flush() error {
+	if len(s.out) == 0 {
+		return nil
+	}
+	_ = s.socket.SetWriteDeadline(time.Now().Add(callerWrite))
+	_, err := s.socket.Write(s.out)
+	if cap(s.out) > 4*flushBytes {
+		s.out = nil
+	}
+	s.out = s.out[:0]
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "write to caller"), errGone)
+	}
+	return nil
+}
+
+// ready ends the answer to a batch.
+func (s *session) ready() error {
+	if err := s.send(&pgproto3.ReadyForQuery{TxStatus: s.status}); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+// refuse drops what is held back of an answer and gives err in its place.
+func (s *session) refuse(err error) error {
+	s.out = s.out[:0]
+	e := fault.Of(err)
+	countRefusal(e)
+	return s.send(response("ERROR", e))
+}
+
+// fatal gives err and ends the session.
+func (s *session) fatal(err error) error {
+	s.out = s.out[:0]
+	if errors.Is(err, errGone) {
+		return err
+	}
+	e := fault.Of(err)
+	countRefusal(e)
+	_ = s.send(response("FATAL", e))
+	_ = s.flush()
+	return errors.Mark(err, errGone)
+}
+
+func response(severity string, e *fault.Error) *pgproto3.ErrorResponse {
+	r := &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                string(e.Code),
+		Message:             e.Message,
+		Detail:              fmt.Sprintf("Outcome: %s.", e.Outcome),
+	}
+	if e.RetryIn > 0 {
+		r.Hint = fmt.Sprintf("Come back in %d ms.", e.RetryIn.Milliseconds())
+	}
+	return r
+}
