--- /dev/null
+++ b/internal/group/attempt.go
@@ -0,0 +1,202 @@
+package group
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// attempt is one try to seal a term at a majority and to promote a server.
+type attempt struct {
+	term     ident.Term
+	reason   reason
+	begun    time.Time
+	asked    int
+	replies  int
+	majority time.Time // when enough servers had sealed
+	sealed   []sealedServer
+	target   ident.Endpoint // set once Promote is out
+}
+
+type sealedServer struct {
+	member *member
+	status Status
+}
+
+// advance begins, continues or gives up an attempt.
+func (w *Watch) advance() {
+	if w.attempt != nil {
+		w.proceed()
+		return
+	}
+	if w.now.Before(w.retryAt) {
+		return
+	}
+	if r := w.cause(); r != noReason {
+		w.begin(r)
+	}
+}
+
+func (w *Watch) begin(r reason) {
+	term := w.propose()
+	w.highest = max(w.highest, term)
+	w.attempt = &attempt{term: term, reason: r, begun: w.now, asked: len(w.members)}
+	kind := r.kind()
+	w.emit(kind, w.primary, "", fmt.Sprintf("%s, %d of %d servers miss the primary", w.note(w.term), w.votes(), len(w.members)))
+	w.emit(SealAsked, "", kind, w.note(term))
+	for _, m := range w.members {
+		w.put(Seal{Endpoint: m.endpoint.Name, Term: term})
+	}
+}
+
+func (w *Watch) propose() ident.Term {
+	if w.rules.uniqueTerms {
+		return ident.NextTerm(w.highest, w.self)
+	}
+	return ident.NextTerm(w.highest, "")
+}
+
+// proceed promotes once enough servers have sealed the term.
+func (w *Watch) proceed() {
+	a := w.attempt
+	if a.target != "" {
+		w.expire(2 * w.bounds.CallTimeout)
+		return
+	}
+	enough := w.majority()
+	if !w.rules.sealMajority {
+		enough = 1
+	}
+	if len(a.sealed) < enough {
+		w.expire(w.bounds.CallTimeout)
+		return
+	}
+	if a.majority.IsZero() {
+		a.majority = w.now
+		w.emit(Sealed, "", SealAsked, fmt.Sprintf("%s at %d of %d servers", w.note(a.term), len(a.sealed), len(w.members)))
+	}
+	// Any sealed majority is safe. A planned change waits a little for the
+	// rest, to find a server that both stays and lacks nothing.
+	if a.reason != primaryLost && a.replies < a.asked && w.now.Sub(a.majority) < w.bounds.SealGrace {
+		return
+	}
+	w.promote(w.choose(a.sealed).member)
+}
+
+func (w *Watch) promote(m *member) {
+	a := w.attempt
+	assert.That(a.target == "", "GroupOnePromotionInATerm", "group %s term %d: %s and %s", w.group, a.term, a.target, m.endpoint.Name)
+	a.target = m.endpoint.Name
+	w.put(Promote{Endpoint: a.target, Term: a.term})
+}
+
+// choose returns the sealed server with the highest mark. Among equals one
+// that stays goes before one that leaves, then the present primary first.
+func (w *Watch) choose(sealed []sealedServer) sealedServer {
+	best := sealed[0]
+	for _, s := range sealed[1:] {
+		if w.better(s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (w *Watch) better(s, than sealedServer) bool {
+	if !w.rules.mostAdvanced {
+		return false
+	}
+	if s.status.Last != than.status.Last {
+		return s.status.Last.Covers(than.status.Last)
+	}
+	if s.member.leaving != than.member.leaving {
+		return !s.member.leaving
+	}
+	return s.member.endpoint.Name == w.primary
+}
+
+func (w *Watch) sealDone(d SealDone) {
+	a := w.attempt
+	m := w.find(d.Endpoint)
+	if m == nil {
+		return
+	}
+	if d.Err == nil {
+		m.answered, m.failed = w.now, 0
+		m.status.Sealed = max(m.status.Sealed, d.Term)
+	}
+	if a == nil || a.term != d.Term {
+		return
+	}
+	a.replies++
+	switch {
+	case d.Err == nil:
+		a.sealed = append(a.sealed, sealedServer{member: m, status: d.Status})
+	case errors.Is(d.Err, ErrSealed):
+		m.hurry = true
+		if a.target == "" {
+			w.emit(SealRefused, d.Endpoint, SealAsked, w.note(d.Term))
+			w.giveUp()
+		}
+	}
+}
+
+func (w *Watch) promoteDone(d PromoteDone) {
+	m := w.find(d.Endpoint)
+	if m == nil {
+		return
+	}
+	m.hurry = true
+	if d.Err != nil {
+		w.emit(PromoteFailed, d.Endpoint, Sealed, d.Err.Error())
+		if w.attempt != nil && w.attempt.term == d.Term {
+			w.giveUp()
+		}
+		return
+	}
+	m.take(d.Status, w.now, w.now)
+	w.dirty = true
+	w.emit(Promoted, d.Endpoint, Sealed, w.note(d.Term))
+	if d.Term <= w.term {
+		return
+	}
+	w.adopt(d.Term, d.Endpoint)
+	w.emit(PrimaryChanged, d.Endpoint, Promoted, w.note(d.Term))
+	w.put(Announce{Term: d.Term, Primary: d.Endpoint})
+	for _, o := range w.members {
+		if o != m {
+			w.follow(o)
+		}
+	}
+}
+
+// expire gives up an attempt that has run for longer than bound.
+func (w *Watch) expire(bound time.Duration) {
+	if w.now.Sub(w.attempt.begun) > bound {
+		w.giveUp()
+	}
+}
+
+// giveUp ends the attempt. The next one waits longer each time, by a spread
+// that differs between instances, so that two do not outbid each other for
+// long.
+func (w *Watch) giveUp() {
+	wait := min(w.bounds.Backoff<<min(w.retries, 10), w.bounds.MaxBackoff)
+	wait += time.Duration(float64(wait) * w.spread())
+	w.retries++
+	w.retryAt = w.now.Add(wait)
+	w.attempt = nil
+}
+
+// spread returns a number in [0, 1) that depends on the instance and its
+// latest term.
+func (w *Watch) spread() float64 {
+	h := fnv.New32a()
+	_, _ = fmt.Fprintf(h, "%s/%d", w.self, w.highest)
+	return float64(h.Sum32()) / (1 << 32)
+}
--- /dev/null
+++ b/internal/group/command.go
@@ -0,0 +1,73 @@
+package group
+
+import (
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Cmd is one of the outputs of Watch below. The runner answers each Probe,
+// Seal, Promote and Follow with exactly one message, within the call timeout.
+type Cmd interface{ cmd() }
+
+// Probe asks an endpoint for its status.
+type Probe struct{ Endpoint ident.Endpoint }
+
+// Seal asks an endpoint to refuse lower terms.
+type Seal struct {
+	Endpoint ident.Endpoint
+	Term     ident.Term
+}
+
+// Promote asks an endpoint that sealed the term to become its primary.
+type Promote struct {
+	Endpoint ident.Endpoint
+	Term     ident.Term
+}
+
+// Follow asks an endpoint to replicate from the primary of the term.
+type Follow struct {
+	Endpoint ident.Endpoint
+	Term     ident.Term
+	Address  string
+}
+
+// Announce tells the peers who the primary is.
+type Announce struct {
+	Term    ident.Term
+	Primary ident.Endpoint
+}
+
+// Publish puts a new View in force.
+type Publish struct{ View *View }
+
+// Emit records an event. Its cause is Cause, or else the latest event of kind
+// After that the same Watch emitted.
+type Emit struct {
+	Kind     event.Kind
+	Endpoint ident.Endpoint
+	Note     string
+	After    event.Kind
+	Cause    event.Ref
+}
+
+// The kinds of events that tell the course of a change of primary.
+const (
+	PrimaryLost     event.Kind = "PrimaryLost"
+	HandOverBegun   event.Kind = "HandOverBegun"
+	SealAsked       event.Kind = "SealAsked"
+	SealRefused     event.Kind = "SealRefused"
+	Sealed          event.Kind = "Sealed"
+	Promoted        event.Kind = "Promoted"
+	PromoteFailed   event.Kind = "PromoteFailed"
+	Followed        event.Kind = "Followed"
+	PrimaryChanged  event.Kind = "PrimaryChanged"
+	SealedTermStuck event.Kind = "SealedTermStuck"
+)
+
+func (Probe) cmd()    {}
+func (Seal) cmd()     {}
+func (Promote) cmd()  {}
+func (Follow) cmd()   {}
+func (Announce) cmd() {}
+func (Publish) cmd()  {}
+func (Emit) cmd()     {}
--- /dev/null
+++ b/internal/group/guide.go
@@ -0,0 +1,44 @@
+package group
+
+// guide tells servers that work for no or a lower term to follow the primary.
+func (w *Watch) guide() {
+	if !w.rules.guideFollowers || w.place >= w.bounds.Watchers || !w.healthy() {
+		return
+	}
+	for _, m := range w.members {
+		if m.endpoint.Name != w.primary && m.fresh(w.now, &w.bounds) && w.strays(m) {
+			w.follow(m)
+		}
+	}
+}
+
+// strays reports whether the endpoint's latest answer shows that it does not
+// replicate from the present primary.
+func (w *Watch) strays(m *member) bool {
+	if m.began.Before(w.adoptedAt) || m.status.Sealed > w.term {
+		return false
+	}
+	return m.status.Term < w.term || m.status.PrimaryHeard >= w.bounds.Unheard
+}
+
+func (w *Watch) follow(m *member) {
+	p := w.find(w.primary)
+	if p == nil || m.following || w.now.Before(m.followAt) {
+		return
+	}
+	m.following = true
+	m.followAt = w.now.Add(w.bounds.FollowEvery)
+	w.put(Follow{Endpoint: m.endpoint.Name, Term: w.term, Address: p.endpoint.Address})
+}
+
+func (w *Watch) followDone(d FollowDone) {
+	m := w.find(d.Endpoint)
+	if m == nil {
+		return
+	}
+	m.following = false
+	m.hurry = true
+	if d.Err == nil {
+		w.emit(Followed, d.Endpoint, PrimaryChanged, w.note(d.Term))
+	}
+}
--- /dev/null
+++ b/internal/group/member.go
@@ -0,0 +1,77 @@
+package group
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// member is what Watch knows of one endpoint.
+type member struct {
+	endpoint envdoc.Endpoint
+	leaving  bool
+	// status is the latest answer, to a probe that began at began.
+	status Status
+	began  time.Time
+	// answered is when the endpoint last answered anything.
+	answered time.Time
+	// failed counts the probes that failed since.
+	failed int
+	// probing is true while a Probe is under way; the latest began at
+	// probedAt. hurry asks for the next one at once.
+	probing  bool
+	probedAt time.Time
+	hurry    bool
+	// following is true while a Follow is under way.
+	following bool
+	followAt  time.Time
+}
+
+func (m *member) known() bool { return !m.answered.IsZero() }
+
+// fresh reports whether the latest answer still counts as evidence.
+func (m *member) fresh(now time.Time, bounds *Bounds) bool {
+	return m.known() && m.failed == 0 && now.Sub(m.began) <= bounds.VoteFresh
+}
+
+// missed reports whether this instance misses the endpoint: by time and by
+// count, so that neither one lost probe nor a pause of the process suffices.
+func (m *member) missed(now time.Time, bounds *Bounds) bool {
+	return m.failed >= bounds.LostCount && now.Sub(m.answered) >= bounds.LostAfter
+}
+
+// take notes the answer to a probe. Answers that overtook one another are
+// told apart by the start of their probes.
+func (m *member) take(status Status, began, now time.Time) bool {
+	m.answered, m.failed = now, 0
+	if began.Before(m.began) {
+		return false
+	}
+	m.status, m.began = status, began
+	return true
+}
+
+// observe merges what came along with other work. It proves that the endpoint
+// lives and may only raise what is known.
+func (m *member) observe(status Status, now time.Time) {
+	if status.Term < m.status.Term {
+		return
+	}
+	m.answered, m.failed = now, 0
+	if status.Term > m.status.Term {
+		m.status = status
+		return
+	}
+	if status.Last.Covers(m.status.Last) {
+		m.status.Last = status.Last
+	}
+	m.status.Confirmed = max(m.status.Confirmed, status.Confirmed)
+	m.status.Sealed = max(m.status.Sealed, status.Sealed)
+}
+
+// leads reports whether the endpoint said that it is the primary of term and
+// that no higher term is sealed on it.
+func (m *member) leads(term ident.Term) bool {
+	return m.status.Role == PrimaryRole && m.status.Term == term && m.status.Sealed <= term
+}
--- /dev/null
+++ b/internal/group/probe.go
@@ -0,0 +1,42 @@
+package group
+
+import "time"
+
+// hurryGap is the shortest time between two probes of an endpoint.
+const hurryGap = 5 * time.Millisecond
+
+// probe asks for the statuses that are due.
+func (w *Watch) probe() {
+	every := w.interval()
+	for _, m := range w.members {
+		if m.probing || w.now.Before(m.probedAt.Add(m.gap(every))) {
+			continue
+		}
+		m.probing, m.hurry = true, false
+		m.probedAt = w.now
+		w.put(Probe{Endpoint: m.endpoint.Name})
+	}
+}
+
+// gap returns the time from the latest probe to the next, shorter in a hurry.
+func (m *member) gap(every time.Duration) time.Duration {
+	if m.hurry {
+		return min(every, hurryGap)
+	}
+	return every
+}
+
+// interval returns the time from one probe of an endpoint to the next. Only
+// the first in rank probe often; the others do while something is wrong.
+func (w *Watch) interval() time.Duration {
+	if w.place < w.bounds.Watchers || w.now.Before(w.hurryUntil) || w.attempt != nil || w.troubled() {
+		return w.bounds.ProbeEvery
+	}
+	return w.bounds.ProbeSlowly
+}
+
+// troubled reports whether the primary seems to be missing.
+func (w *Watch) troubled() bool {
+	p := w.find(w.primary)
+	return p == nil || p.failed > 0 || !w.healthy()
+}
--- /dev/null
+++ b/internal/group/view.go
@@ -0,0 +1,69 @@
+package group
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// NoEndpoint is the index that stands for no endpoint.
+const NoEndpoint = -1
+
+// MaxEndpoints bounds the endpoints of a group, so that a Mask holds them all.
+const MaxEndpoints = 64
+
+// Mask is a set of endpoint indexes of one View.
+type Mask uint64
+
+// With returns the set with index added.
+func (m Mask) With(index int) Mask { return m | 1<<uint(index) }
+
+// Has reports whether the set holds index.
+func (m Mask) Has(index int) bool { return m&(1<<uint(index)) != 0 }
+
+// Seen is one endpoint as an instance last saw it.
+type Seen struct {
+	Endpoint envdoc.Endpoint
+	// Status is the endpoint's last answer. It may be old: it serves to
+	// choose, never to prove.
+	Status Status
+	// At is when Status arrived; zero before the first answer.
+	At time.Time
+	// Reachable is false while the latest probe failed.
+	Reachable bool
+	// Leaving is true for an endpoint that is listed as leaving. It gets no
+	// new work.
+	Leaving bool
+}
+
+// View is a snapshot of one group as one instance knows it. It is never
+// changed after it was published, so requests read it without a lock.
+type View struct {
+	Group ident.Group
+	// Term is the highest term known. It never goes back from one View to
+	// the next.
+	Term ident.Term
+	// Primary is the index of the primary of Term, or NoEndpoint.
+	Primary int
+	// Endpoints has the order of the document.
+	Endpoints []Seen
+}
+
+// Index returns the index of the named endpoint, or NoEndpoint.
+func (v *View) Index(name ident.Endpoint) int {
+	for i := range v.Endpoints {
+		if v.Endpoints[i].Endpoint.Name == name {
+			return i
+		}
+	}
+	return NoEndpoint
+}
+
+// PrimaryName returns the name of the primary, empty when none is known.
+func (v *View) PrimaryName() ident.Endpoint {
+	if v.Primary == NoEndpoint {
+		return ""
+	}
+	return v.Endpoints[v.Primary].Endpoint.Name
+}
