--- /dev/null
+++ b/internal/conf/load.go
@@ -0,0 +1,84 @@
+package conf
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/strict"
+)
+
+// MaxBytes bounds the text of a settings file.
+const MaxBytes = 64 << 10
+
+// The values of fields that a file leaves out.
+const (
+	DefaultRegion         = "local"
+	DefaultTable          = "marjoramrudder"
+	DefaultBucket         = "marjoramrudder"
+	DefaultCallers        = 10_000
+	DefaultQueueWait      = envdoc.Duration(500 * time.Millisecond)
+	DefaultRequestTimeout = envdoc.Duration(10 * time.Second)
+	DefaultDrainTimeout   = envdoc.Duration(30 * time.Second)
+	DefaultLeaseLength    = envdoc.Duration(10 * time.Second)
+)
+
+// Load reads and checks the settings of a proxy. Its error is a
+// strict.Problems that names every problem of the file at once.
+func Load(path string) (*Settings, error) {
+	return load(path, checkSettings)
+}
+
+// LoadOperator reads the settings of an operator's command: the same file,
+// of which only Environment, Platform and Peers are required.
+func LoadOperator(path string) (*Settings, error) {
+	return load(path, checkOperator)
+}
+
+// Parse checks the text of a settings file. Problems name path as their file.
+func Parse(path string, text []byte) (*Settings, error) {
+	return parse(path, text, checkSettings)
+}
+
+func load(path string, check checkFunc) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return parse(path, text, check)
+}
+
+func parse(path string, text []byte, check checkFunc) (*Settings, error) {
+	var s Settings
+	sheet := strict.Read(text, MaxBytes, &s)
+	if !sheet.Broken() {
+		s.fillDefaults(sheet.Has)
+		check(&s, sheet.Report)
+	}
+	var problems strict.Problems
+	if errors.As(sheet.Err(), &problems) {
+		return nil, problems.InFile(path)
+	}
+	return &s, nil
+}
+
+// fillDefaults sets the fields that the text leaves out. A field that the
+// text sets keeps its value, also when that is zero.
+func (s *Settings) fillDefaults(has func(field string) bool) {
+	fallback(has, "Platform.Region", &s.Platform.Region, DefaultRegion)
+	fallback(has, "Platform.Table", &s.Platform.Table, DefaultTable)
+	fallback(has, "Platform.Bucket", &s.Platform.Bucket, DefaultBucket)
+	fallback(has, "Limits.Callers", &s.Limits.Callers, DefaultCallers)
+	fallback(has, "Limits.QueueWait", &s.Limits.QueueWait, DefaultQueueWait)
+	fallback(has, "Limits.RequestTimeout", &s.Limits.RequestTimeout, DefaultRequestTimeout)
+	fallback(has, "Limits.DrainTimeout", &s.Limits.DrainTimeout, DefaultDrainTimeout)
+	fallback(has, "Limits.LeaseLength", &s.Limits.LeaseLength, DefaultLeaseLength)
+}
+
+func fallback[T any](has func(field string) bool, field string, target *T, value T) {
+	if !has(field) {
+		*target = value
+	}
+}
--- /dev/null
+++ b/pkg/envdoc/keyring.go
@@ -0,0 +1,69 @@
+package envdoc
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// The refusals of GiveKey and WithdrawKey.
+var (
+	ErrNoAccount   = errors.New("no such account")
+	ErrKeyExists   = errors.New("key is in force already")
+	ErrNoKey       = errors.New("no such key")
+	ErrTooManyKeys = errors.New("too many keys")
+	ErrBadHash     = errors.New("not a key hash")
+)
+
+// GiveKey returns a copy of the document in which the key with hash is in
+// force for account. A key belongs to one account only.
+func (d *Document) GiveKey(account ident.Account, hash KeyHash) (*Document, error) {
+	if !hash.Valid() {
+		return nil, ErrBadHash
+	}
+	for _, a := range d.Accounts {
+		if a.holds(hash) {
+			return nil, errors.Wrapf(ErrKeyExists, "account %q", a.Name)
+		}
+	}
+	return d.withAccount(account, func(a *Account) error {
+		if len(a.Keys) >= MaxKeys {
+			return errors.Wrapf(ErrTooManyKeys, "%d, at most %d allowed", len(a.Keys)+1, MaxKeys)
+		}
+		a.Keys = append(slices.Clone(a.Keys), hash)
+		return nil
+	})
+}
+
+// WithdrawKey returns a copy of the document in which the key with hash is no
+// longer in force for account.
+func (d *Document) WithdrawKey(account ident.Account, hash KeyHash) (*Document, error) {
+	return d.withAccount(account, func(a *Account) error {
+		if !a.holds(hash) {
+			return ErrNoKey
+		}
+		a.Keys = slices.DeleteFunc(slices.Clone(a.Keys), hash.Equal)
+		if len(a.Keys) == 0 {
+			a.Keys = nil
+		}
+		return nil
+	})
+}
+
+// withAccount returns a copy of the document with one account changed.
+func (d *Document) withAccount(name ident.Account, change func(a *Account) error) (*Document, error) {
+	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.Name == name })
+	if i < 0 {
+		return nil, errors.Wrapf(ErrNoAccount, "account %q", name)
+	}
+	fresh := *d
+	fresh.Accounts = slices.Clone(d.Accounts)
+	if err := change(&fresh.Accounts[i]); err != nil {
+		return nil, errors.Wrapf(err, "account %q", name)
+	}
+	return &fresh, nil
+}
+
+func (a *Account) holds(hash KeyHash) bool { return slices.ContainsFunc(a.Keys, hash.Equal) }
--- /dev/null
+++ b/pkg/strict/fill.go
@@ -0,0 +1,138 @@
+package strict
+
+import (
+	"encoding"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// fill stores a decoded value and reports what does not fit. A value that
+// does not fit leaves its target zero.
+func (s *Sheet) fill(v reflect.Value, raw any, field string) {
+	if target, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		s.fillText(target, raw, field)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		s.fillStruct(v, raw, field)
+	case reflect.Slice:
+		s.fillSlice(v, raw, field)
+	case reflect.String:
+		s.fillString(v, raw, field)
+	case reflect.Bool:
+		s.fillBool(v, raw, field)
+	default:
+		s.fillInt(v, raw, field)
+	}
+}
+
+func (s *Sheet) fillStruct(v reflect.Value, raw any, field string) {
+	table, ok := raw.(map[string]any)
+	if !ok {
+		s.wrongType(field, raw, "a table")
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(table)) {
+		path := join(field, name)
+		f, ok := v.Type().FieldByName(name)
+		if !ok || !f.IsExported() {
+			s.Report(path, "unknown field", strings.Join(fieldNames(v.Type()), ", "))
+			continue
+		}
+		s.fill(v.FieldByIndex(f.Index), table[name], path)
+	}
+}
+
+func (s *Sheet) fillSlice(v reflect.Value, raw any, field string) {
+	list, ok := raw.([]any)
+	if !ok {
+		s.wrongType(field, raw, "an array")
+		return
+	}
+	if len(list) == 0 {
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(list), len(list)))
+	for i, one := range list {
+		s.fill(v.Index(i), one, elementPath(field, i))
+	}
+}
+
+func (s *Sheet) fillString(v reflect.Value, raw any, field string) {
+	text, ok := raw.(string)
+	if !ok {
+		s.wrongType(field, raw, "a string")
+		return
+	}
+	v.SetString(text)
+}
+
+func (s *Sheet) fillBool(v reflect.Value, raw any, field string) {
+	b, ok := raw.(bool)
+	if !ok {
+		s.wrongType(field, raw, "true or false")
+		return
+	}
+	v.SetBool(b)
+}
+
+func (s *Sheet) fillInt(v reflect.Value, raw any, field string) {
+	n, ok := raw.(int64)
+	if !ok {
+		s.wrongType(field, raw, "an integer")
+		return
+	}
+	if !v.CanInt() || v.OverflowInt(n) {
+		s.Report(field, fmt.Sprintf("the value %d does not fit", n), "a smaller integer")
+		return
+	}
+	v.SetInt(n)
+}
+
+func (s *Sheet) fillText(target encoding.TextUnmarshaler, raw any, field string) {
+	text, ok := raw.(string)
+	if !ok {
+		s.wrongType(field, raw, "a string")
+		return
+	}
+	if err := target.UnmarshalText([]byte(text)); err != nil {
+		s.Report(field, fmt.Sprintf("%q is not a time span", text), `text such as "250ms" or "2s"`)
+	}
+}
+
+func (s *Sheet) wrongType(field string, raw any, allowed string) {
+	s.Report(field, "wrong type: "+describe(raw), allowed)
+	s.unread[field] = true
+}
+
+func describe(raw any) string {
+	switch raw.(type) {
+	case string:
+		return "a string"
+	case int64:
+		return "an integer"
+	case float64:
+		return "a float"
+	case bool:
+		return "a boolean"
+	case []any:
+		return "an array"
+	case map[string]any:
+		return "a table"
+	}
+	return "a date or time"
+}
+
+func fieldNames(t reflect.Type) []string {
+	var names []string
+	for _, f := range reflect.VisibleFields(t) {
+		if f.IsExported() {
+			names = append(names, f.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/strict/sheet.go
@@ -0,0 +1,117 @@
+package strict
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Sheet is a text that was read, with the places of its fields. Its owner
+// adds the problems that its own rules find.
+type Sheet struct {
+	text     []byte
+	offsets  map[string]int
+	reported map[string]bool
+	unread   map[string]bool // fields of a wrong type, whose parts are unknown
+	problems Problems
+	broken   bool
+}
+
+// Read reads text into the struct that into points to. The sheet holds a
+// problem for each unknown field, wrong type and value out of range.
+func Read(text []byte, maxBytes int, into any) *Sheet {
+	s := &Sheet{text: text, offsets: map[string]int{}, reported: map[string]bool{}, unread: map[string]bool{}}
+	if len(text) > maxBytes {
+		s.refuse(Problem{Wrong: fmt.Sprintf("the text has %d bytes", len(text)), Allowed: fmt.Sprintf("at most %d bytes", maxBytes)})
+		return s
+	}
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		s.refuse(syntaxProblem(err))
+		return s
+	}
+	s.offsets = index(text)
+	s.fill(reflect.ValueOf(into).Elem(), tree, "")
+	return s
+}
+
+// Broken reports whether the text could not be read at all, so that checks of
+// its fields would only repeat the one problem.
+func (s *Sheet) Broken() bool { return s.broken }
+
+// Has reports whether the text sets the field.
+func (s *Sheet) Has(field string) bool {
+	_, ok := s.offsets[field]
+	return ok
+}
+
+// Report adds a problem of a field. A field has one problem at most; the
+// first one stays. Parts of a field of the wrong type have none.
+func (s *Sheet) Report(field, wrong, allowed string) {
+	if s.reported[field] || s.insideUnread(field) {
+		return
+	}
+	s.reported[field] = true
+	s.problems = append(s.problems, Problem{Place: s.place(field), Field: field, Wrong: wrong, Allowed: allowed})
+}
+
+func (s *Sheet) insideUnread(field string) bool {
+	for field != "" {
+		field = parent(field)
+		if s.unread[field] {
+			return true
+		}
+	}
+	return false
+}
+
+// Err returns the problems as a Problems error, or nil when there are none.
+func (s *Sheet) Err() error {
+	if len(s.problems) == 0 {
+		return nil
+	}
+	s.problems.sort()
+	return s.problems
+}
+
+func (s *Sheet) refuse(p Problem) {
+	s.broken = true
+	s.problems = append(s.problems, p)
+}
+
+// place returns where the field stands, or its nearest parent that the text
+// has when the field is missing.
+func (s *Sheet) place(field string) Place {
+	for field != "" {
+		if offset, ok := s.offsets[field]; ok {
+			return placeAt(s.text, offset)
+		}
+		field = parent(field)
+	}
+	return Place{}
+}
+
+func parent(field string) string {
+	cut := strings.LastIndexAny(field, ".[")
+	if cut < 0 {
+		return ""
+	}
+	return field[:cut]
+}
+
+func syntaxProblem(err error) Problem {
+	var d *toml.DecodeError
+	if !errors.As(err, &d) {
+		return Problem{Wrong: err.Error(), Allowed: "TOML 1.0"}
+	}
+	line, column := d.Position()
+	return Problem{
+		Place:   Place{Line: line, Column: column},
+		Field:   strings.Join(d.Key(), "."),
+		Wrong:   strings.TrimPrefix(d.Error(), "toml: "),
+		Allowed: "TOML 1.0",
+	}
+}
