--- /dev/null
+++ b/internal/fleet/rank.go
@@ -0,0 +1,77 @@
+// Package fleet decides what one instance knows about the others and about
+// the environment document: which instances are live, which version is in
+// force, and whether the instance's evidence is fresh enough to honour keys.
+// The deciding types Members and Spread are pure; the runner Fleet reaches
+// the store and the peers for them. It asserts that an applied version never
+// goes back.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+type ranked struct {
+	instance ident.Instance
+	score    uint64
+}
+
+// Rank orders instances by preference for key, the best first. All instances
+// with the same list agree on the order without talking, and a change of the
+// list moves only the keys of the instances that came or went. It is
+// rendezvous hashing after Thaler and Ravishankar, "Using Name-Based Mappings
+// to Increase Hit Rates", IEEE/ACM Transactions on Networking, 1998.
+func Rank(key string, instances []ident.Instance) []ident.Instance {
+	all := make([]ranked, len(instances))
+	for i, n := range instances {
+		all[i] = ranked{instance: n, score: score(key, n)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.instance, b.instance))
+	})
+	order := make([]ident.Instance, len(all))
+	for i, r := range all {
+		order[i] = r.instance
+	}
+	return order
+}
+
+// Place returns the place of self in Rank's order, from 0, or -1 when self is
+// not in the list. It does not allocate.
+func Place(key string, instances []ident.Instance, self ident.Instance) int {
+	if !slices.Contains(instances, self) {
+		return -1
+	}
+	own := score(key, self)
+	place := 0
+	for _, n := range instances {
+		s := score(key, n)
+		if s > own || s == own && n < self {
+			place++
+		}
+	}
+	return place
+}
+
+// score hashes key and instance by FNV-1a and spreads the bits by the
+// finaliser of MurmurHash3.
+func score(key string, instance ident.Instance) uint64 {
+	h := uint64(fnvOffset)
+	for i := range len(key) {
+		h = (h ^ uint64(key[i])) * fnvPrime
+	}
+	h = (h ^ 0xff) * fnvPrime // separates key and instance
+	for i := range len(instance) {
+		h = (h ^ uint64(instance[i])) * fnvPrime
+	}
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+func samples() []Message {
+	stamp := event.Stamp{Wall: 7, Logical: 3}
+	return []Message{
+		Hello{Instance: "a", Environment: "trial", Protocol: 1, Start: 4, Stamp: stamp},
+		Head{Version: 3, EvidenceAge: time.Second, Known: true, Stamp: stamp},
+		DocumentAsk{Version: 3},
+		Document{Version: 3, Text: []byte("Environment = 'trial'")},
+		GroupState{Group: "orders", Term: 9, Primary: "p", Stamp: stamp, Cause: event.Ref{Instance: "a", Sequence: 2}},
+		TokenAsk{Account: "acme", Count: 5, Nonce: 8},
+		TokenGive{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
+		Leaving{},
+	}
+}
+
+func TestCodecRoundTrip(t *testing.T) {
+	g := NewWithT(t)
+	for _, m := range samples() {
+		frame, err := Encode(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		got, err := Decode(frame)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(m))
+	}
+}
+
+func TestCodecRefusals(t *testing.T) {
+	g := NewWithT(t)
+	unknown, err := encoder.Marshal(envelope{Version: 2, Kind: 99, Body: []byte{0xa0}})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Decode(unknown)
+	g.Expect(errors.Is(err, ErrUnknownKind)).To(BeTrue())
+
+	_, err = Encode(Document{Version: 1, Text: make([]byte, MaxFrame)})
+	g.Expect(errors.Is(err, ErrTooLarge)).To(BeTrue())
+	_, err = Encode(Hello{Instance: ident.Instance(bytes.Repeat([]byte("x"), maxPlain))})
+	g.Expect(errors.Is(err, ErrTooLarge)).To(BeTrue())
+
+	for _, bad := range [][]byte{nil, {0xff}, {0x83, 1, 2}, {0x83, 0, 2, 0xa0}, {0x9f, 1, 2, 0xa0, 0xff}} {
+		_, err = Decode(bad)
+		g.Expect(errors.Is(err, ErrMalformed)).To(BeTrue(), "%x", bad)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		frame, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := Decode(frame)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrUnknownKind) {
+				t.Fatalf("untyped error: %v", err)
+			}
+			return
+		}
+		again, err := Encode(m)
+		if errors.Is(err, ErrTooLarge) {
+			return
+		}
+		if err != nil {
+			t.Fatalf("decoded message does not encode: %v", err)
+		}
+		back, err := Decode(again)
+		if err != nil || KindOf(back) != KindOf(m) {
+			t.Fatalf("second decoding differs: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/kind.go
@@ -0,0 +1,68 @@
+package peer
+
+import "github.com/marjoramrudder/marjoramrudder/internal/event"
+
+// Kind numbers a message type on the wire. Numbers are never reused.
+type Kind uint16
+
+// The message types of protocol version 1.
+const (
+	HelloKind       Kind = 1
+	HeadKind        Kind = 2
+	DocumentAskKind Kind = 3
+	DocumentKind    Kind = 4
+	GroupStateKind  Kind = 5
+	TokenAskKind    Kind = 6
+	TokenGiveKind   Kind = 7
+	LeavingKind     Kind = 8
+
+	kinds = 9
+)
+
+// String returns the name of the message type, for metrics and errors.
+func (k Kind) String() string {
+	names := [kinds]string{
+		"Unknown", "Hello", "Head", "DocumentAsk", "Document",
+		"GroupState", "TokenAsk", "TokenGive", "Leaving",
+	}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return names[0]
+}
+
+// KindOf returns the kind of a message, zero for one that is not on the wire.
+func KindOf(message Message) Kind {
+	switch message.(type) {
+	case Hello:
+		return HelloKind
+	case Head:
+		return HeadKind
+	case DocumentAsk:
+		return DocumentAskKind
+	case Document:
+		return DocumentKind
+	case GroupState:
+		return GroupStateKind
+	case TokenAsk:
+		return TokenAskKind
+	case TokenGive:
+		return TokenGiveKind
+	case Leaving:
+		return LeavingKind
+	}
+	return 0
+}
+
+// stampOf returns the stamp that a message carries, the zero stamp otherwise.
+func stampOf(message Message) event.Stamp {
+	switch m := message.(type) {
+	case Hello:
+		return m.Stamp
+	case Head:
+		return m.Stamp
+	case GroupState:
+		return m.Stamp
+	}
+	return event.Stamp{}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -25,12 +25,31 @@
 
 // Head tells the sender's document version and how old its evidence is that
 // no later one was in force: the time since it, or the peer it heard from,
-// began a successful read of the store.
+// began a successful read of the store. Heads go out as heartbeats, each with
+// its own sequence number and the latest one heard from the recipient, so that
+// the recipient knows its question to have been answered.
 type Head struct {
 	Version     ident.Version
+	Change      ident.Change
+	Digest      string // SHA-256 of the text, hexadecimal
 	EvidenceAge time.Duration
 	Known       bool // false before the sender has any evidence
-	Stamp       event.Stamp
+	// Announced is the highest version that an instance may be about to
+	// write, and AnnouncedAge is the time since that was last announced.
+	Announced    ident.Version
+	AnnouncedAge time.Duration
+	// Settled is true when the sender remembers every announcement that may
+	// still lead to a write, which it does not shortly after a start.
+	Settled bool
+	// Sequence counts the sender's heads to the recipient. Echo is the
+	// highest sequence that the sender received from the recipient.
+	Sequence uint64
+	Echo     uint64
+	// Start is the sender's start and EchoStart the recipient's start that
+	// Echo refers to.
+	Start     uint64
+	EchoStart uint64
+	Stamp     event.Stamp
 }
 
 // DocumentAsk asks for the text of a version.
