Add the mesh: authenticated connections between instances

The handshake proves knowledge of the secret on both sides over fresh nonces and both greetings; frozen peers are noticed by pings; queues are bounded.

--- /dev/null
+++ b/internal/peer/dialer.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"k8s.io/klog/v2"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const path = "/peer"
+
+// dialer keeps one connection to one peer open.
+type dialer struct {
+	mesh    *Mesh
+	peer    ident.Instance
+	address string
+	cancel  context.CancelFunc
+}
+
+// startDialer is called with the mesh's mutex held and the mesh open.
+func (m *Mesh) startDialer(peer ident.Instance, address string) *dialer {
+	ctx, cancel := context.WithCancel(m.group.Context())
+	d := &dialer{mesh: m, peer: peer, address: address, cancel: cancel}
+	m.group.Go(func(context.Context) error {
+		defer cancel()
+		d.run(ctx)
+		return nil
+	})
+	return d
+}
+
+func (d *dialer) run(ctx context.Context) {
+	o := &d.mesh.options
+	pause := o.backoffMin
+	for ctx.Err() == nil {
+		carried, err := d.once(ctx)
+		if carried {
+			pause = o.backoffMin
+		}
+		klog.V(2).InfoS("Dialling again", "peer", d.peer, "reason", err)
+		wait(ctx, pause/2+rand.N(pause/2+1))
+		pause = min(2*pause, o.backoffMax)
+	}
+}
+
+// once connects and carries the link until it ends. The link outlives ctx long
+// enough to send what is queued.
+func (d *dialer) once(ctx context.Context) (carried bool, err error) {
+	c, hello, err := d.connect(ctx)
+	if err != nil {
+		return false, err
+	}
+	l := d.mesh.newLink(hello, c)
+	stop := context.AfterFunc(ctx, l.finish)
+	defer stop()
+	return true, d.mesh.carry(l)
+}
+
+func (d *dialer) connect(ctx context.Context) (*websocket.Conn, Hello, error) {
+	m := d.mesh
+	ctx, cancel := context.WithTimeout(ctx, m.options.handshakeTimeout)
+	defer cancel()
+	scheme := "ws://"
+	if m.options.clientTLS != nil {
+		scheme = "wss://"
+	}
+	c, _, err := websocket.Dial(ctx, scheme+d.address+path, &websocket.DialOptions{HTTPClient: m.client}) //nolint:bodyclose // closed by the library
+	if err != nil {
+		return nil, Hello{}, errors.Wrapf(err, "dial %s", d.peer)
+	}
+	c.SetReadLimit(maxHandshake)
+	hello, err := greetListener(ctx, c, m.hello(), d.peer, m.secret)
+	if err != nil {
+		_ = c.CloseNow()
+		m.refuse(d.peer, err)
+		return nil, Hello{}, errors.Wrapf(err, "greet %s", d.peer)
+	}
+	return c, hello, nil
+}
+
+// refuse counts and records a peer that failed to prove itself. Other errors,
+// such as a connection that broke, are left to the dialer.
+func (m *Mesh) refuse(peer ident.Instance, err error) {
+	if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrMalformed) {
+		return
+	}
+	m.stats.refused.Inc()
+	m.log.Emit(time.Now(), PeerRefused, event.Subject{Peer: peer}, event.Ref{}, err.Error())
+	klog.ErrorS(err, "Peer refused", "peer", peer)
+}
+
+func newClient(config *tls.Config) *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/peer/mesh.go
@@ -0,0 +1,256 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"k8s.io/klog/v2"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// The kinds of the records that a Mesh leaves on the time line.
+const (
+	PeerConnected event.Kind = "PeerConnected"
+	PeerLost      event.Kind = "PeerLost"
+	PeerRefused   event.Kind = "PeerRefused"
+)
+
+// ErrNoSecret reports a Mesh without a shared secret.
+var ErrNoSecret = errors.New("no peer secret")
+
+type links map[ident.Instance]*link
+
+// Mesh holds one connection to each other instance of the environment. The
+// instance with the smaller name dials. Sending takes no lock.
+type Mesh struct {
+	self     Hello
+	secret   []byte
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+	handler  Handler
+	log      *event.Log
+	options  options
+	stats    *stats
+	group    *tasks.Group
+	admits   chan struct{}
+
+	links atomic.Pointer[links]
+
+	mu      sync.Mutex
+	closed  bool
+	dialers map[ident.Instance]*dialer
+	active  sync.WaitGroup
+}
+
+// NewMesh returns a mesh that accepts peers on listener once it is started.
+// The Stamp of self is ignored. The mesh owns the listener from now on.
+func NewMesh(self Hello, listener net.Listener, secret string, handler Handler, log *event.Log, opts ...Option) (*Mesh, error) {
+	if secret == "" {
+		return nil, ErrNoSecret
+	}
+	self.Protocol = Protocol
+	m := &Mesh{
+		self:     self,
+		secret:   []byte(secret),
+		listener: listener,
+		handler:  handler,
+		log:      log,
+		options:  defaultOptions(),
+		stats:    newStats(),
+		group:    tasks.New(context.Background()),
+		admits:   make(chan struct{}, maxHandshakes),
+		dialers:  make(map[ident.Instance]*dialer),
+	}
+	for _, o := range opts {
+		o(&m.options)
+	}
+	m.links.Store(&links{})
+	m.client = newClient(m.options.clientTLS)
+	m.server = newServer(m)
+	return m, nil
+}
+
+// Start begins to accept peers.
+func (m *Mesh) Start() { m.group.Go(m.serve) }
+
+// Address returns the address of the listener.
+func (m *Mesh) Address() string { return m.listener.Addr().String() }
+
+// Send implements Sender.
+func (m *Mesh) Send(to ident.Instance, message Message) {
+	l := (*m.links.Load())[to]
+	if l == nil {
+		m.stats.dropped.Inc()
+		return
+	}
+	f, ok := m.encode(message)
+	if ok {
+		l.send(f)
+	}
+}
+
+// Broadcast implements Sender.
+func (m *Mesh) Broadcast(message Message) {
+	f, ok := m.encode(message)
+	if !ok {
+		return
+	}
+	for _, l := range *m.links.Load() {
+		l.send(f)
+	}
+}
+
+// Connected implements Sender. The names are in order.
+func (m *Mesh) Connected() []ident.Instance {
+	return slices.Sorted(maps.Keys(*m.links.Load()))
+}
+
+// SetMembers tells the mesh which instances exist, with their addresses. It
+// dials those with greater names and stops dialling those no longer listed.
+func (m *Mesh) SetMembers(members []store.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	wanted := make(map[ident.Instance]string, len(members))
+	for _, n := range members {
+		if n.Instance > m.self.Instance && n.Peer != "" {
+			wanted[n.Instance] = n.Peer
+		}
+	}
+	for n, d := range m.dialers {
+		if wanted[n] != d.address {
+			d.cancel()
+			delete(m.dialers, n)
+		}
+	}
+	for n, address := range wanted {
+		if m.dialers[n] == nil {
+			m.dialers[n] = m.startDialer(n, address)
+		}
+	}
+}
+
+// Close sends what is queued, closes every connection and waits for all
+// goroutines of the mesh.
+func (m *Mesh) Close() error {
+	m.mu.Lock()
+	m.closed = true
+	for _, l := range *m.links.Load() {
+		l.finish()
+	}
+	m.mu.Unlock()
+	_ = m.server.Close()
+	_ = m.listener.Close() // also when the server was never started
+	err := m.group.Close()
+	m.active.Wait()
+	m.client.CloseIdleConnections()
+	return errors.Wrap(err, "close mesh")
+}
+
+// enter counts a goroutine that carries a connection, unless the mesh closes.
+func (m *Mesh) enter() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.active.Add(1)
+	return true
+}
+
+// carry runs an authenticated link until it ends. It replaces an earlier link
+// to the same peer.
+func (m *Mesh) carry(l *link) error {
+	for {
+		old, ok := m.register(l)
+		if !ok {
+			_ = l.conn.CloseNow()
+			return http.ErrServerClosed
+		}
+		if old == nil {
+			break
+		}
+		old.abort()
+	}
+	now := time.Now()
+	m.log.Observe(l.peer.Stamp, now)
+	m.stats.connected.Inc()
+	opened := m.log.Emit(now, PeerConnected, event.Subject{Peer: l.peer.Instance}, event.Ref{}, "")
+	klog.V(1).InfoS("Peer connected", "peer", l.peer.Instance)
+	err := l.run()
+	m.unregister(l)
+	close(l.done)
+	m.stats.connected.Dec()
+	m.log.Emit(time.Now(), PeerLost, event.Subject{Peer: l.peer.Instance}, opened, err.Error())
+	klog.V(1).InfoS("Peer lost", "peer", l.peer.Instance, "reason", err)
+	return err
+}
+
+// register makes l the link of its peer, or returns the link that has to end
+// first.
+func (m *Mesh) register(l *link) (old *link, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil, false
+	}
+	if old = (*m.links.Load())[l.peer.Instance]; old != nil {
+		return old, true
+	}
+	next := maps.Clone(*m.links.Load())
+	next[l.peer.Instance] = l
+	m.links.Store(&next)
+	return nil, true
+}
+
+func (m *Mesh) unregister(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if (*m.links.Load())[l.peer.Instance] != l {
+		return
+	}
+	next := maps.Clone(*m.links.Load())
+	delete(next, l.peer.Instance)
+	m.links.Store(&next)
+}
+
+func (m *Mesh) encode(message Message) (frame, bool) {
+	bytes, err := Encode(message)
+	if err != nil {
+		m.stats.dropped.Inc()
+		klog.ErrorS(err, "Message not sent")
+		return frame{}, false
+	}
+	return frame{kind: KindOf(message), bytes: bytes}, true
+}
+
+func (m *Mesh) hello() Hello {
+	h := m.self
+	h.Stamp = m.log.Now(time.Now())
+	return h
+}
+
+func (m *Mesh) newLink(peer Hello, c *websocket.Conn) *link {
+	return newLink(peer, c, &m.options, m.stats, func(message Message) {
+		now := time.Now()
+		if s := stampOf(message); s != (event.Stamp{}) {
+			m.log.Observe(s, now)
+		}
+		m.handler.Receive(peer.Instance, message, now)
+	})
+}
--- /dev/null
+++ b/internal/peer/option.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"crypto/tls"
+	"time"
+)
+
+const (
+	heartbeatInterval = 250 * time.Millisecond
+	heartbeatTimeout  = 700 * time.Millisecond
+	handshakeTimeout  = 2 * time.Second
+	writeTimeout      = time.Second
+	backoffMin        = 50 * time.Millisecond
+	backoffMax        = 2 * time.Second
+
+	queueMessages = 256
+	queueBytes    = 4 * MaxFrame
+	// maxHandshakes bounds the connections that have not proved themselves.
+	maxHandshakes = 64
+)
+
+type options struct {
+	heartbeatInterval time.Duration
+	heartbeatTimeout  time.Duration
+	handshakeTimeout  time.Duration
+	backoffMin        time.Duration
+	backoffMax        time.Duration
+	queueMessages     int
+	serverTLS         *tls.Config
+	clientTLS         *tls.Config
+}
+
+func defaultOptions() options {
+	return options{
+		heartbeatInterval: heartbeatInterval,
+		heartbeatTimeout:  heartbeatTimeout,
+		handshakeTimeout:  handshakeTimeout,
+		backoffMin:        backoffMin,
+		backoffMax:        backoffMax,
+		queueMessages:     queueMessages,
+	}
+}
+
+// Option changes a default of a Mesh.
+type Option func(*options)
+
+// WithHeartbeat sets how often a peer is pinged and how long it may take to
+// answer. A frozen peer counts as gone after their sum.
+func WithHeartbeat(interval, timeout time.Duration) Option {
+	return func(o *options) { o.heartbeatInterval, o.heartbeatTimeout = interval, timeout }
+}
+
+// WithBackoff sets the shortest and the longest pause between two dials of the
+// same peer.
+func WithBackoff(shortest, longest time.Duration) Option {
+	return func(o *options) { o.backoffMin, o.backoffMax = shortest, longest }
+}
+
+// WithQueue sets how many messages may wait for one peer before further ones
+// are dropped.
+func WithQueue(messages int) Option {
+	return func(o *options) { o.queueMessages = messages }
+}
+
+// WithTLS makes both sides use mutual TLS. The server side must require and
+// verify client certificates, the client side must hold one.
+func WithTLS(server, client *tls.Config) Option {
+	return func(o *options) { o.serverTLS, o.clientTLS = server, client }
+}
