--- a/internal/stmt/kind.go
+++ b/internal/stmt/kind.go
@@ -123,13 +123,15 @@
 	return false
 }
 
+const advisoryPrefix = "PG_ADVISORY"
+
 func dirtyWord(word string) bool {
 	for _, w := range dirtyWords {
-		if strings.EqualFold(word, w) {
+		if len(word) == len(w) && strings.EqualFold(word, w) {
 			return true
 		}
 	}
-	return len(word) > len("PG_ADVISORY") && strings.EqualFold(word[:len("PG_ADVISORY")], "PG_ADVISORY")
+	return len(word) > len(advisoryPrefix) && strings.EqualFold(word[:len(advisoryPrefix)], advisoryPrefix)
 }
 
 // several reports whether text follows the first semicolon. A semicolon in a
--- a/internal/stmt/request.go
+++ b/internal/stmt/request.go
@@ -17,7 +17,8 @@
 
 // cutRequest returns sql without the comment that carries a request
 // identifier, and the identifier. The comment follows the sqlcommenter form:
-// comma-separated key='value' pairs with URL-encoded values.
+// comma-separated key='value' pairs with URL-encoded values. It is read only
+// at the start or the end of the text, where no literal can hold it.
 func cutRequest(sql string) (plain string, id RequestID) {
 	at := strings.Index(sql, requestKey)
 	if at < 0 {
@@ -33,5 +34,9 @@
 	if !found || err != nil || text == "" || len(text) > maxRequestBytes {
 		return sql, ""
 	}
-	return sql[:open] + sql[at+end+len("*/"):], RequestID(text)
+	before, after := sql[:open], sql[at+end+len("*/"):]
+	if strings.TrimSpace(before) != "" && strings.Trim(after, " \t\r\n;") != "" {
+		return sql, ""
+	}
+	return before + after, RequestID(text)
 }
--- /dev/null
+++ b/internal/stmt/scan_test.go
@@ -0,0 +1,45 @@
+package stmt_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
+)
+
+var kindNames = map[stmt.Kind]string{
+	stmt.Empty: "empty", stmt.Read: "read", stmt.Write: "write", stmt.Begin: "begin", stmt.BeginRead: "begin-read",
+	stmt.Commit: "commit", stmt.Rollback: "rollback", stmt.Set: "set", stmt.Unsupported: "unsupported",
+}
+
+func TestScan(t *testing.T) {
+	datadriven.RunTest(t, "testdata/scan", func(_ *testing.T, d *datadriven.TestData) string {
+		s := stmt.Scan(d.Input)
+		return fmt.Sprintf("%s several=%t dirties=%t request=%q sql=%q\n", kindNames[s.Kind], s.Several, s.Dirties, s.Request, s.SQL)
+	})
+}
+
+func TestJudge(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(stmt.Judge(stmt.Loss{Sent: stmt.Nothing})).To(Equal(stmt.Elsewhere))
+	g.Expect(stmt.Judge(stmt.Loss{Sent: stmt.Some})).To(Equal(stmt.Unknown), "a write that may have run is never repeated")
+	g.Expect(stmt.Judge(stmt.Loss{Sent: stmt.Some, Harmless: true})).To(Equal(stmt.Elsewhere))
+	g.Expect(stmt.Judge(stmt.Loss{Sent: stmt.Some, Harmless: true, Relayed: true})).To(Equal(stmt.Unknown))
+	g.Expect(stmt.Judge(stmt.Loss{Sent: stmt.Some, Harmless: true, InTransaction: true})).To(Equal(stmt.NotRun))
+	g.Expect(stmt.Judge(stmt.Loss{Sent: stmt.Some, InTransaction: true})).To(Equal(stmt.Unknown))
+}
+
+func FuzzScan(f *testing.F) {
+	f.Add("/* a /* b */ */ select 1; /*request_id='x'*/")
+	f.Fuzz(func(_ *testing.T, sql string) { stmt.Scan(sql) })
+}
+
+func BenchmarkScan(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		stmt.Scan("SELECT quantity FROM stock WHERE item = $1")
+	}
+}
