Add client accounts: key book, quota leases, token loans, fair queue

The quota of an account is cut into parts that are leased in the table service; instances lend tokens to one another. TokenAsk gains Settled and Unspent, by which a borrower ends a loan before its time.

--- /dev/null
+++ b/internal/acct/admit.go
@@ -0,0 +1,152 @@
+package acct
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	shortestRetry = 5 * time.Millisecond
+	usualSpread   = 20 * time.Millisecond
+	longestRetry  = 5 * time.Second
+	// spendWait is how long SpendWait waits for tokens of other instances.
+	spendWait = 3 * time.Millisecond
+)
+
+// Admission is the Gate of a running instance: Book answers about keys and
+// routes, Limiter about rates and bursts.
+type Admission struct {
+	book    *Book
+	limiter *Limiter
+	wake    func()
+	clock   func() time.Time
+}
+
+var _ Gate = (*Admission)(nil)
+
+// NewAdmission returns the gate. Wake asks for a TokensShort and must not
+// block; clock is read by SpendWait alone, after it has waited.
+func NewAdmission(book *Book, limiter *Limiter, wake func(), clock func() time.Time) *Admission {
+	return &Admission{book: book, limiter: limiter, wake: wake, clock: clock}
+}
+
+// Login implements Gate. It also makes the instance look for tokens of the
+// account before its first request.
+func (a *Admission) Login(route ident.Route, account ident.Account, key string, _ time.Time) (Badge, error) {
+	badge, err := a.book.Login(route, account, key)
+	if l := a.limiter.of(badge.Account); err == nil && l != nil {
+		a.short(l)
+	}
+	return badge, err
+}
+
+// short notes the shortage; only the first one since Quota looked wakes it.
+func (a *Admission) short(l *limit) {
+	if !l.short.Swap(true) {
+		a.wake()
+	}
+}
+
+// Check implements Gate.
+func (a *Admission) Check(badge *Badge, _ time.Time) error { return a.book.Check(badge) }
+
+// Weight implements Gate.
+func (a *Admission) Weight(badge *Badge) int { return a.book.Weight(badge) }
+
+// Spend implements Gate.
+func (a *Admission) Spend(badge *Badge, now time.Time) error {
+	if badge.Account == "" {
+		return nil
+	}
+	l := a.limiter.of(badge.Account)
+	if l == nil {
+		return a.unknown(badge)
+	}
+	l.tried.Add(1)
+	at := a.limiter.at(now)
+	s := l.supply.Load()
+	if s.spend(at) {
+		return nil
+	}
+	a.short(l)
+	return refuse(l, s, at)
+}
+
+// SpendWait is Spend for a caller that can wait a few milliseconds while other
+// instances are asked for tokens. It allocates only when it waits.
+func (a *Admission) SpendWait(ctx context.Context, badge *Badge, now time.Time) error {
+	if badge.Account == "" {
+		return nil
+	}
+	l := a.limiter.of(badge.Account)
+	if l == nil {
+		return a.unknown(badge)
+	}
+	l.tried.Add(1)
+	at := a.limiter.at(now)
+	s := l.supply.Load()
+	if s.spend(at) {
+		return nil
+	}
+	return a.wait(ctx, l, s, badge, now)
+}
+
+func (a *Admission) wait(ctx context.Context, l *limit, s *supply, badge *Badge, now time.Time) error {
+	l.waiting.Add(1)
+	defer l.waiting.Add(-1)
+	a.short(l)
+	deadline := now.Add(spendWait)
+	timer := time.NewTimer(a.pause(s, now, deadline))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return refuse(l, s, a.limiter.at(a.clock()))
+		case <-s.replaced:
+		case <-timer.C:
+		}
+		now = a.clock()
+		s = l.supply.Load()
+		if s.spend(a.limiter.at(now)) {
+			return nil
+		}
+		if !now.Before(deadline) {
+			return refuse(l, s, a.limiter.at(now))
+		}
+		timer.Reset(a.pause(s, now, deadline))
+	}
+}
+
+// pause returns how long to wait at most for the next attempt.
+func (a *Admission) pause(s *supply, now, deadline time.Time) time.Duration {
+	return min(deadline.Sub(now), time.Duration(max(int64(spendWait/10), s.wait(a.limiter.at(now)))))
+}
+
+// Return implements Gate. The request must have been admitted less than
+// returnWindow ago; a token that could add to the account's burst is dropped.
+func (a *Admission) Return(badge *Badge, now time.Time) {
+	if l := a.limiter.of(badge.Account); l != nil {
+		l.supply.Load().giveBack(a.limiter.at(now))
+	}
+}
+
+func (a *Admission) unknown(badge *Badge) error {
+	if a.book.Open(badge.Route) {
+		return nil
+	}
+	return fault.Refuse(fault.BadKey, 0, "the key is not in force for this account")
+}
+
+// refuse tells when to come back: when the next token is due here, and spread
+// so that those refused do not come at once.
+func refuse(l *limit, s *supply, at int64) error {
+	l.refused.Add(1)
+	wait := min(longestRetry, time.Duration(s.wait(at)))
+	spread := max(usualSpread, time.Duration(l.spread.Load()))
+	retry := max(shortestRetry, wait) + rand.N(spread)
+	return fault.Refuse(fault.OverLimit, retry, "the account's rate and burst are used up")
+}
--- /dev/null
+++ b/internal/acct/keeper_test.go
@@ -0,0 +1,111 @@
+package acct
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+func TestMain(m *testing.M) {
+	assert.Fatal()
+	m.Run()
+}
+
+// mesh connects keepers without loss or delay.
+type mesh map[ident.Instance]*Keeper
+
+type meshSender struct {
+	mesh mesh
+	from ident.Instance
+}
+
+func (s meshSender) Send(to ident.Instance, m peer.Message) {
+	if k := s.mesh[to]; k != nil {
+		k.Receive(s.from, m, time.Now())
+	}
+}
+
+func startMesh(n int, table *fakeTable, rate, burst ident.Tokens) mesh {
+	m := make(mesh)
+	var live []ident.Instance
+	for i := range n {
+		live = append(live, ident.Instance(fmt.Sprintf("entry-%d", i)))
+	}
+	for i, id := range live {
+		m[id] = NewKeeper(id, "trial", table, meshSender{m, id}, nil, WithSeed(uint64(i+1)))
+		m[id].SetDocument(testDocument(rate, burst), 1)
+		m[id].SetPeers(live)
+	}
+	for _, k := range m {
+		k.Start(context.Background())
+	}
+	return m
+}
+
+func (m mesh) close(g *WithT) {
+	for _, k := range m {
+		g.Expect(k.Close()).To(Succeed())
+	}
+}
+
+// level returns how many of the buyers' tokens all instances have together.
+func (m mesh) level() int64 {
+	n := int64(0)
+	for _, k := range m {
+		l := k.Gate().limiter
+		n += l.of(buyers).supply.Load().level(l.at(time.Now()))
+	}
+	return n
+}
+
+func TestKeepersHoldTheWholeQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		m := startMesh(4, table, 80, 40)
+		defer m.close(g)
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		g.Expect(m.level()).To(Equal(int64(40)))
+	})
+}
+
+func TestCloseReleasesLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		m := startMesh(4, table, 80, 40)
+		time.Sleep(20 * time.Second)
+		m.close(g)
+		g.Expect(table.rows).NotTo(BeEmpty())
+		for _, r := range table.rows {
+			g.Expect(r.Holder).To(BeEmpty())
+		}
+	})
+}
+
+func TestSpendWaitBorrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := startMesh(4, newFakeTable(), 80, 40)
+		defer m.close(g)
+		badge, err := m["entry-0"].Gate().Login(testRoute, buyers, testKey, time.Now())
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Second)
+		n := 0
+		for range 60 {
+			if m["entry-0"].Gate().SpendWait(context.Background(), &badge, time.Now()) == nil {
+				n++
+			}
+		}
+		g.Expect(n).To(BeNumerically(">=", 36))
+	})
+}
--- /dev/null
+++ b/internal/acct/lease.go
@@ -0,0 +1,234 @@
+package acct
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+)
+
+// read takes the rows of one read of the store.
+func (q *Quota) read(m LeasesRead, now time.Time) {
+	q.reading = false
+	q.lastRead = now
+	for _, r := range m.Rows {
+		l := q.ledger(r.Key.Account)
+		s := l.share(r.Key, now)
+		if m.Began.Before(s.written) {
+			continue // the read may have missed our own write
+		}
+		q.observe(l, s, r, now)
+	}
+	for _, a := range q.order {
+		q.confirm(q.ledgers[a], m.Began, now)
+	}
+}
+
+// observe takes the present state of a row.
+func (q *Quota) observe(l *ledger, s *share, row store.Lease, now time.Time) {
+	if row == s.row {
+		return
+	}
+	a, ours := s.find(row)
+	wasMine := s.mine()
+	s.row = row
+	s.seen = now
+	s.forget()
+	switch {
+	case ours && row.Holder == q.self && wasMine:
+		q.extend(l, s, a.sent, now)
+	case ours && row.Holder == q.self:
+		q.adopt(l, s, a.sent, now)
+	case wasMine:
+		q.drop(l, s, now)
+		if !ours {
+			q.do(Record{Kind: LeaseLost, Account: l.account, Peer: row.Holder})
+		}
+	}
+}
+
+// extend counts a renewed lease from before its write was sent.
+func (q *Quota) extend(l *ledger, s *share, sent, now time.Time) {
+	assert.That(!sent.After(now), "LeaseFromFuture", "part %d", s.key.Part)
+	s.sent = sent
+	s.end = sent.Add(s.row.Length)
+	s.bucket.end.Store(q.limiter.at(s.end))
+	if s.lapsed {
+		s.lapsed = false
+		q.touch(l)
+	}
+}
+
+// adopt starts to hold a part, closed until it is confirmed.
+func (q *Quota) adopt(l *ledger, s *share, sent, now time.Time) {
+	s.bucket = l.bucket(s)
+	s.adopted = now
+	s.confirmed = false
+	s.lapsed = false
+	s.leaving = false
+	s.loans = nil
+	q.extend(l, s, sent, now)
+	if q.stopping || !l.current(s) {
+		q.leave(l, s, now)
+		return
+	}
+	q.readSoon(now)
+}
+
+// confirm opens adopted parts after a read that began later and shows no part
+// of another cut in use. Whoever claims writes first and reads then, so of two
+// instances that claim by different cuts at least one sees the other.
+func (q *Quota) confirm(l *ledger, began, now time.Time) {
+	alone := l.clear(now)
+	newer := l.newer(q.version, now)
+	for _, s := range l.shares {
+		if !s.mine() || s.leaving {
+			continue
+		}
+		if newer {
+			q.leave(l, s, now)
+			continue
+		}
+		if !alone || s.confirmed || began.Before(s.adopted) {
+			continue
+		}
+		s.confirmed = true
+		s.bucket.open(0, q.limiter.at(now))
+		q.touch(l)
+		q.do(Record{Kind: LeaseTaken, Account: l.account})
+	}
+}
+
+// leave stops spending from a part, to release it once its loans have ended.
+func (q *Quota) leave(l *ledger, s *share, now time.Time) {
+	s.leaving = true
+	s.bucket.close(q.limiter.at(now))
+	q.touch(l)
+}
+
+// drop forgets a part that this instance no longer holds.
+func (q *Quota) drop(l *ledger, s *share, now time.Time) {
+	s.bucket.close(q.limiter.at(now))
+	s.bucket = nil
+	s.loans = nil
+	s.leaving = false
+	s.confirmed = false
+	q.touch(l)
+}
+
+// keepLeases renews, releases and claims the parts of one account.
+func (q *Quota) keepLeases(l *ledger, now time.Time) {
+	for _, s := range l.shares {
+		if s.mine() {
+			s.endLoans(now, q.limiter.at(now))
+			q.keepHeld(l, s, now)
+			continue
+		}
+		if q.mayClaim(l, s, now) {
+			q.write(s, q.claimed(s), now)
+		}
+	}
+	q.move(l, now)
+}
+
+func (q *Quota) keepHeld(l *ledger, s *share, now time.Time) {
+	if !s.lapsed && !now.Before(s.end) {
+		s.lapsed = true
+		q.touch(l)
+		q.do(Record{Kind: LeaseLapsed, Account: l.account})
+	}
+	if s.pending != 0 || now.Before(s.retry) {
+		return
+	}
+	if s.leaving {
+		if len(s.loans) == 0 {
+			q.write(s, q.released(s), now)
+		}
+		return
+	}
+	if now.Sub(s.sent) >= q.timing.Renew {
+		q.write(s, q.renewed(s), now)
+	}
+}
+
+func (q *Quota) mayClaim(l *ledger, s *share, now time.Time) bool {
+	if q.stopping || !l.current(s) || s.pending != 0 || q.lastRead.IsZero() || now.Before(s.retry) {
+		return false
+	}
+	turn := l.placement.turn(indexOf(s.key.Part), q.self)
+	at := s.free().Add(time.Duration(turn) * q.timing.ClaimStep)
+	return !now.Before(at) && !l.newer(q.version, now)
+}
+
+// move gives up a part when this instance holds more than an even share and
+// another one is preferred for it. Parts are never taken from a holder.
+func (q *Quota) move(l *ledger, now time.Time) {
+	if q.stopping || l.held() <= l.placement.most || l.placement.most == 0 {
+		return
+	}
+	if now.Sub(q.liveFrom) < q.timing.MoveAfter || now.Sub(l.moved) < q.timing.MoveAfter {
+		return
+	}
+	if now.Sub(q.lastRead) > 2*q.timing.Poll {
+		return // nobody could take it
+	}
+	for _, s := range l.shares {
+		if s.usable(now) && l.current(s) && l.placement.turn(indexOf(s.key.Part), q.self) > 0 {
+			l.moved = now
+			q.leave(l, s, now)
+			return
+		}
+	}
+}
+
+func (q *Quota) claimed(s *share) store.Lease {
+	f := q.renewed(s)
+	f.Epoch++
+	return f
+}
+
+func (q *Quota) renewed(s *share) store.Lease {
+	return store.Lease{
+		Key:      s.key,
+		Holder:   q.self,
+		Epoch:    s.row.Epoch,
+		Length:   q.timing.Lease,
+		Renewal:  q.random.Uint64() | 1,
+		Document: q.version,
+	}
+}
+
+func (q *Quota) released(s *share) store.Lease {
+	f := q.renewed(s)
+	f.Holder = ""
+	return f
+}
+
+// write sends a swap. The lease that it may give counts from now, before it
+// is sent.
+func (q *Quota) write(s *share, fresh store.Lease, now time.Time) {
+	s.attempts = append(s.attempts, attempt{fresh: fresh, old: s.row.Renewal, sent: now})
+	s.pending = fresh.Renewal
+	q.do(SwapLease{Old: s.row, Fresh: fresh})
+}
+
+func (q *Quota) swapped(m SwapDone, now time.Time) {
+	l := q.ledger(m.Fresh.Key.Account)
+	s := l.share(m.Fresh.Key, now)
+	if s.pending == m.Fresh.Renewal {
+		s.pending = 0
+	}
+	if m.Result != SwapOK {
+		s.retry = now.Add(q.jitter(q.timing.Retry))
+		q.readSoon(now)
+		return
+	}
+	if _, ours := s.find(m.Fresh); !ours {
+		return // a later state of the row was seen meanwhile
+	}
+	s.written = now
+	q.observe(l, s, m.Fresh, now)
+	if m.Fresh.Holder == "" {
+		q.do(Record{Kind: LeaseReleased, Account: l.account})
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -52,10 +52,15 @@
 }
 
 // TokenAsk asks the holder of a part for tokens. Nonce tells repeats apart.
+// Settled, when not zero, is the nonce of an earlier ask whose tokens the
+// sender spends no more; Unspent of them were left. A Count of zero only
+// settles.
 type TokenAsk struct {
 	Account ident.Account
 	Count   ident.Tokens
 	Nonce   uint64
+	Settled uint64
+	Unspent ident.Tokens
 }
 
 // TokenGive answers a TokenAsk. Count tokens may be spent until EndsIn after
