--- /dev/null
+++ b/internal/stand/plat/item.go
@@ -0,0 +1,100 @@
+package plat
+
+import (
+	"cmp"
+	"math/big"
+	"sort"
+	"sync"
+)
+
+const defaultPageRows = 1000
+
+// attribute is one value in the notation of the protocol: text or number.
+type attribute struct {
+	S *string `json:",omitempty"`
+	N *string `json:",omitempty"`
+}
+
+func (a attribute) valid() bool { return (a.S == nil) != (a.N == nil) }
+
+// compare orders two values of one type; values of different types differ.
+func (a attribute) compare(b attribute) (order int, comparable bool) {
+	switch {
+	case a.S != nil && b.S != nil:
+		return cmp.Compare(*a.S, *b.S), true
+	case a.N != nil && b.N != nil:
+		return compareNumbers(*a.N, *b.N)
+	}
+	return 0, false
+}
+
+func compareNumbers(a, b string) (order int, comparable bool) {
+	x, okX := new(big.Rat).SetString(a)
+	y, okY := new(big.Rat).SetString(b)
+	if !okX || !okY {
+		return 0, false
+	}
+	return x.Cmp(y), true
+}
+
+// item is one row.
+type item map[string]attribute
+
+// key names one row of a table.
+type key struct{ partition, sort string }
+
+const (
+	partitionName = "PK"
+	sortName      = "SK"
+)
+
+func (i item) key() (key, bool) {
+	p, s := i[partitionName].S, i[sortName].S
+	if p == nil || s == nil || *p == "" || *s == "" {
+		return key{}, false
+	}
+	return key{*p, *s}, true
+}
+
+// tables holds the rows of every table. A table exists once it is named.
+type tables struct {
+	mu       sync.Mutex
+	pageRows int
+	rows     map[string]map[string]map[string]item // table, partition, sort key
+}
+
+func newTables(pageRows int) *tables {
+	return &tables{pageRows: pageRows, rows: map[string]map[string]map[string]item{}}
+}
+
+func (t *tables) get(table string, k key) item { return t.rows[table][k.partition][k.sort] }
+
+func (t *tables) put(table string, k key, i item) {
+	if t.rows[table] == nil {
+		t.rows[table] = map[string]map[string]item{}
+	}
+	if t.rows[table][k.partition] == nil {
+		t.rows[table][k.partition] = map[string]item{}
+	}
+	t.rows[table][k.partition][k.sort] = i
+}
+
+func (t *tables) remove(table string, k key) { delete(t.rows[table][k.partition], k.sort) }
+
+// sorted returns the rows of a partition in the order of their sort keys.
+func (t *tables) sorted(table, partition string, forward bool) []item {
+	rows := t.rows[table][partition]
+	keys := make([]string, 0, len(rows))
+	for k := range rows {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	if !forward {
+		sort.Sort(sort.Reverse(sort.StringSlice(keys)))
+	}
+	items := make([]item, len(keys))
+	for i, k := range keys {
+		items[i] = rows[k]
+	}
+	return items
+}
--- /dev/null
+++ b/internal/stand/plat/list.go
@@ -0,0 +1,83 @@
+package plat
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const listPath = "/list"
+
+// Listed is one entry of the list of live and leaving machines.
+type Listed struct {
+	Name    string
+	Address string
+	Leaving bool
+}
+
+// SetList replaces the list; readers see it after the lag.
+func (s *Server) SetList(entries []Listed) { s.list.set(entries, time.Now()) }
+
+// SetListLag changes the lag of later changes.
+func (s *Server) SetListLag(lag time.Duration) { s.list.setLag(lag) }
+
+// roster is a list whose changes are seen late.
+type roster struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	visible []Listed
+	pending []change
+}
+
+type change struct {
+	entries []Listed
+	seenAt  time.Time
+}
+
+func newRoster(lag time.Duration) *roster { return &roster{lag: lag, visible: []Listed{}} }
+
+func (r *roster) setLag(lag time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lag = lag
+}
+
+func (r *roster) set(entries []Listed, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending = append(r.pending, change{append([]Listed{}, entries...), now.Add(r.lag)})
+}
+
+// read returns what a reader sees now.
+func (r *roster) read(now time.Time) []Listed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.pending) > 0 && !r.pending[0].seenAt.After(now) {
+		r.visible = r.pending[0].entries
+		r.pending = r.pending[1:]
+	}
+	return r.visible
+}
+
+// latest returns the entries as last set, seen or not.
+func (r *roster) latest() []Listed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := len(r.pending); n > 0 {
+		return slices.Clone(r.pending[n-1].entries)
+	}
+	return slices.Clone(r.visible)
+}
+
+func (s *Server) serveList(w http.ResponseWriter, _ *http.Request) {
+	if s.faults.get().ListOutage {
+		s.counters.add(func(c *Counters) { c.Refused++ })
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.counters.add(func(c *Counters) { c.Reads++ })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.list.read(time.Now()))
+}
--- /dev/null
+++ b/internal/stand/plat/object.go
@@ -0,0 +1,112 @@
+package plat
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/xml"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+const maxObjectBytes = 16 << 20
+
+// objects holds the content of each object by its path.
+type objects struct {
+	mu      sync.Mutex
+	content map[string][]byte
+}
+
+func newObjects() *objects { return &objects{content: map[string][]byte{}} }
+
+func (o *objects) get(path string) ([]byte, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	content, ok := o.content[path]
+	return content, ok
+}
+
+// put stores an object; with once set it never replaces one.
+func (o *objects) put(path string, content []byte, once bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.content[path]; ok && once {
+		return false
+	}
+	o.content[path] = content
+	return true
+}
+
+// Objects returns how many objects are kept.
+func (s *Server) Objects() int {
+	s.objects.mu.Lock()
+	defer s.objects.mu.Unlock()
+	return len(s.objects.content)
+}
+
+// objectError is an error answer of the object store.
+type objectError struct {
+	XMLName xml.Name `xml:"Error"`
+	Code    string
+	Message string
+}
+
+// serveObject answers one call of the object store.
+func (s *Server) serveObject(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPut:
+		s.putObject(w, r)
+	case http.MethodGet, http.MethodHead:
+		s.getObject(w, r)
+	default:
+		answerObjectError(w, http.StatusMethodNotAllowed, "MethodNotAllowed", r.Method)
+	}
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	content, err := io.ReadAll(io.LimitReader(r.Body, maxObjectBytes))
+	if err != nil || !s.admit(w, r) {
+		return
+	}
+	if r.Header.Get("Content-Encoding") == "aws-chunked" {
+		answerObjectError(w, http.StatusNotImplemented, "NotImplemented", "aws-chunked")
+		return
+	}
+	stored := s.objects.put(r.URL.Path, content, r.Header.Get("If-None-Match") == "*")
+	s.answerWrite(func() {
+		if !stored {
+			answerObjectError(w, http.StatusPreconditionFailed, "PreconditionFailed", r.URL.Path)
+			return
+		}
+		w.Header().Set("ETag", etag(content))
+	})
+}
+
+func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	s.counters.add(func(c *Counters) { c.Reads++ })
+	content, ok := s.objects.get(r.URL.Path)
+	if !ok {
+		answerObjectError(w, http.StatusNotFound, "NoSuchKey", r.URL.Path)
+		return
+	}
+	w.Header().Set("ETag", etag(content))
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	if r.Method == http.MethodGet {
+		_, _ = w.Write(content)
+	}
+}
+
+func answerObjectError(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", "application/xml")
+	w.WriteHeader(status)
+	_ = xml.NewEncoder(w).Encode(objectError{Code: code, Message: message})
+}
+
+func etag(content []byte) string {
+	sum := sha256.Sum256(content)
+	return `"` + hex.EncodeToString(sum[:8]) + `"`
+}
--- /dev/null
+++ b/internal/store/directory.go
@@ -0,0 +1,56 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxListBytes bounds the list of instances.
+const maxListBytes = 4 << 20
+
+// directory reads the platform's list over HTTP.
+type directory struct {
+	client *http.Client
+	url    string
+	caller caller
+}
+
+// List implements Directory.
+func (d *directory) List(ctx context.Context) ([]Listed, error) {
+	var listed []Listed
+	err := d.caller.call(ctx, "List", func(ctx context.Context) error {
+		var err error
+		listed, err = d.fetch(ctx)
+		return err
+	})
+	return listed, errors.Wrap(err, "read list of instances")
+}
+
+func (d *directory) fetch(ctx context.Context) ([]Listed, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "send request")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %s", response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	var listed []Listed
+	if err := json.Unmarshal(body, &listed); err != nil {
+		return nil, fmt.Errorf("%w: not a list of instances: %w", ErrRefused, err)
+	}
+	return listed, nil
+}
--- /dev/null
+++ b/internal/store/objects.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	"github.com/aws/aws-sdk-go-v2/service/s3/types"
+	"github.com/aws/smithy-go"
+	"github.com/cockroachdb/errors"
+)
+
+// maxObjectBytes bounds what is read of one object.
+const maxObjectBytes = 8 << 20
+
+// objects reaches the object store. Objects are immutable.
+type objects struct {
+	client *s3.Client
+	bucket string
+	caller caller
+}
+
+// put stores an object whose key contains the digest of its content, so that
+// an object that is there already is the same one.
+func (o objects) put(ctx context.Context, key string, content []byte) error {
+	return o.caller.call(ctx, "PutObject", func(ctx context.Context) error {
+		_, err := o.client.PutObject(ctx, &s3.PutObjectInput{
+			Bucket:      aws.String(o.bucket),
+			Key:         aws.String(key),
+			Body:        bytes.NewReader(content),
+			IfNoneMatch: aws.String("*"),
+		})
+		var api smithy.APIError
+		if errors.As(err, &api) && api.ErrorCode() == "PreconditionFailed" {
+			return nil
+		}
+		return err
+	})
+}
+
+func (o objects) get(ctx context.Context, key string) ([]byte, error) {
+	var content []byte
+	err := o.caller.call(ctx, "GetObject", func(ctx context.Context) error {
+		out, err := o.client.GetObject(ctx, &s3.GetObjectInput{Bucket: aws.String(o.bucket), Key: aws.String(key)})
+		var missing *types.NoSuchKey
+		if errors.As(err, &missing) {
+			return fmt.Errorf("object %s: %w", key, ErrNotFound)
+		}
+		if err != nil {
+			return err
+		}
+		defer func() { _ = out.Body.Close() }()
+		content, err = io.ReadAll(io.LimitReader(out.Body, maxObjectBytes))
+		return err
+	})
+	return content, err
+}
