Add the endpoint stand-in as a library and a process

It speaks PostgreSQL protocol 3 through pgproto3, runs the SQL subset of the workload, replicates a log with terms between the endpoints of a group, offers the marjoram functions, and takes faults on a control interface.

--- /dev/null
+++ b/internal/stand/endpt/bench_test.go
@@ -0,0 +1,114 @@
+package endpt
+
+import (
+	"context"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const patience = 5 * time.Second
+
+func TestMain(m *testing.M) {
+	assert.Fatal()
+	code := m.Run()
+	if code == 0 {
+		if err := goleak.Find(); err != nil {
+			println(err.Error())
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+// trio is a group of three endpoints; a is the first primary.
+type trio struct {
+	*WithT
+	t       *testing.T
+	servers map[ident.Endpoint]*Server
+}
+
+func startTrio(t *testing.T, change func(*Config)) *trio {
+	t.Helper()
+	g := &trio{WithT: NewWithT(t), t: t, servers: map[ident.Endpoint]*Server{}}
+	peers, listeners := map[ident.Endpoint]string{}, map[ident.Endpoint]net.Listener{}
+	for _, n := range []ident.Endpoint{"a", "b", "c"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		listeners[n], peers[n] = l, l.Addr().String()
+	}
+	for n, l := range listeners {
+		c := Config{Name: n, Listener: l, Peers: peers, Primary: "a", Slots: 2, Connections: 16, User: "proxy", Password: "secret"}
+		if change != nil {
+			change(&c)
+		}
+		s, err := Start(context.Background(), c)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.servers[n] = s
+		t.Cleanup(func() { g.Expect(s.Close()).To(Succeed()) })
+	}
+	return g
+}
+
+// dial opens a connection of a proxy.
+func (g *trio) dial(n ident.Endpoint, mode pgx.QueryExecMode) *pgx.Conn {
+	g.t.Helper()
+	c, err := pgx.ParseConfig("postgres://proxy:secret@" + g.servers[n].Addr() + "/db?sslmode=disable")
+	g.Expect(err).NotTo(HaveOccurred())
+	c.DefaultQueryExecMode = mode
+	conn, err := pgx.ConnectConfig(context.Background(), c)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func (g *trio) exec(c *pgx.Conn, sql string, args ...any) string {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	tag, err := c.Exec(ctx, sql, args...)
+	g.Expect(err).NotTo(HaveOccurred(), sql)
+	return tag.String()
+}
+
+// refused runs sql and returns the SQLSTATE with which it fails.
+func (g *trio) refused(c *pgx.Conn, sql string, args ...any) string {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := c.Exec(ctx, sql, args...)
+	return sqlState(err)
+}
+
+func (g *trio) value(c *pgx.Conn, sql string, args ...any) string {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var v string
+	g.Expect(c.QueryRow(ctx, sql, args...).Scan(&v)).To(Succeed(), sql)
+	return v
+}
+
+func (g *trio) lastWrite(c *pgx.Conn) (ident.Mark, ident.Position) {
+	g.t.Helper()
+	var term, position, confirmed int64
+	row := c.QueryRow(context.Background(), "SELECT * FROM "+group.FnLastWrite)
+	g.Expect(row.Scan(&term, &position, &confirmed)).To(Succeed())
+	return ident.Mark{Term: ident.Term(term), Position: ident.Position(position)}, ident.Position(confirmed)
+}
+
+// confirmed waits until the primary n has confirmed the mark's position.
+func (g *trio) confirmed(n ident.Endpoint, m ident.Mark) {
+	g.t.Helper()
+	g.Eventually(func() ident.Position { return g.servers[n].Status().Confirmed }, patience, time.Millisecond).
+		Should(BeNumerically(">=", m.Position))
+}
--- /dev/null
+++ b/internal/stand/endpt/control.go
@@ -0,0 +1,124 @@
+package endpt
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+)
+
+const controlTimeout = 5 * time.Second
+
+// Faults is the state of the injected faults as the control interface shows
+// and takes it. Fields that are absent in a request stay as they are.
+type Faults struct {
+	Frozen         *bool            `json:",omitempty"` // nothing passes on any connection
+	CutCallers     *bool            `json:",omitempty"` // nothing passes to and from callers
+	CutGroup       *bool            `json:",omitempty"` // no replication in either direction
+	ReplicationLag *envdoc.Duration `json:",omitempty"`
+	Latency        *envdoc.Duration `json:",omitempty"`
+	Slow           *envdoc.Duration `json:",omitempty"` // added to each statement
+	CutAnswers     *int64           `json:",omitempty"` // answers to cut in the middle
+	LoseAnswers    *int64           `json:",omitempty"` // answers to lose after a commit
+}
+
+// SetFaults changes the faults whose fields are set.
+func (s *Server) SetFaults(f Faults) {
+	setGate(&s.faults.frozen, f.Frozen)
+	setGate(&s.faults.callers, f.CutCallers)
+	setGate(&s.faults.group, f.CutGroup)
+	for to, from := range map[interface{ Store(int64) }]*envdoc.Duration{
+		&s.faults.lag: f.ReplicationLag, &s.faults.latency: f.Latency, &s.faults.slow: f.Slow,
+	} {
+		if from != nil {
+			to.Store(int64(*from))
+		}
+	}
+	if f.CutAnswers != nil {
+		s.faults.cutAnswers.Store(*f.CutAnswers)
+	}
+	if f.LoseAnswers != nil {
+		s.faults.loseAnswers.Store(*f.LoseAnswers)
+	}
+}
+
+func setGate(g *gate, shut *bool) {
+	if shut != nil {
+		g.set(*shut)
+	}
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	frozen, callers, cut := s.faults.frozen.closed(), s.faults.callers.closed(), s.faults.group.closed()
+	lag, latency, slow := envdoc.Duration(s.faults.lag.Load()), envdoc.Duration(s.faults.latency.Load()), envdoc.Duration(s.faults.slow.Load())
+	cuts, losses := s.faults.cutAnswers.Load(), s.faults.loseAnswers.Load()
+	return Faults{&frozen, &callers, &cut, &lag, &latency, &slow, &cuts, &losses}
+}
+
+// Counters returns what the endpoint has seen.
+func (s *Server) Counters() Counters { return s.counters.read() }
+
+// Status returns the endpoint's part in its group.
+func (s *Server) Status() group.Status { return s.node.status(time.Now()) }
+
+// Rows returns the rows of a table in the order of insertion, as the
+// endpoint's own log has made them.
+func (s *Server) Rows(table string) []map[string]*string { return s.node.dump(table) }
+
+func (n *node) dump(name string) []map[string]*string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := []map[string]*string{}
+	for _, v := range newTxn(n.term).scan(n.db, name, "", nil, false) {
+		out = append(out, v.values)
+	}
+	return out
+}
+
+// Dump is the answer of the control interface about a table.
+type Dump struct {
+	Table string
+	Count int
+	Rows  []map[string]*string
+}
+
+func (s *Server) serveControl(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Faults()) })
+	mux.HandleFunc("POST /faults", s.postFaults)
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counters()) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Status()) })
+	mux.HandleFunc("GET /tables/{table}", func(w http.ResponseWriter, r *http.Request) {
+		rows := s.Rows(r.PathValue("table"))
+		reply(w, Dump{Table: r.PathValue("table"), Count: len(rows), Rows: rows})
+	})
+	h := &http.Server{Handler: mux, ReadHeaderTimeout: controlTimeout}
+	defer context.AfterFunc(ctx, func() { _ = h.Close() })()
+	if err := h.Serve(s.control); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve control interface")
+	}
+	return nil
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	reply(w, s.Faults())
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/stand/endpt/feed.go
@@ -0,0 +1,166 @@
+package endpt
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// feed serves the stream of one replica until it fails or the term is over.
+func (s *Server) feed(ctx context.Context, c net.Conn) error {
+	defer func() { _ = c.Close() }()
+	if s.faults.group.closed() {
+		return errStream
+	}
+	in, out := cbor.NewDecoder(c), cbor.NewEncoder(c)
+	var ask followAsk
+	if err := in.Decode(&ask); err != nil {
+		return errors.Wrap(err, "read replica's position")
+	}
+	s.faults.frozen.wait(ctx)
+	give, err := s.node.offer(ask)
+	if err != nil {
+		return err
+	}
+	if err := out.Encode(give); err != nil {
+		return errors.Wrap(err, "send start of stream")
+	}
+	g := tasks.New(ctx)
+	defer context.AfterFunc(g.Context(), func() { _ = c.Close() })()
+	g.Go(func(ctx context.Context) error {
+		defer func() { _ = c.Close() }()
+		return s.readAcks(ctx, in, ask.Name)
+	})
+	err = s.sendBatches(ctx, out, give)
+	_ = c.Close()
+	return errors.CombineErrors(err, g.Close())
+}
+
+func (s *Server) readAcks(ctx context.Context, in *cbor.Decoder, from ident.Endpoint) error {
+	for {
+		var a batchAck
+		if err := in.Decode(&a); err != nil {
+			return errors.Wrap(err, "read acknowledgement")
+		}
+		s.faults.frozen.wait(ctx)
+		if s.faults.group.closed() {
+			return errStream
+		}
+		s.node.acknowledge(from, a)
+	}
+}
+
+func (s *Server) sendBatches(ctx context.Context, out *cbor.Encoder, give followGive) error {
+	next := give.Keep
+	for ctx.Err() == nil {
+		s.faults.frozen.wait(ctx)
+		if s.faults.group.closed() {
+			return errStream
+		}
+		b, changed, err := s.node.batch(give.Term, next, s.faults.replicationLag(), time.Now())
+		if err != nil {
+			return err
+		}
+		if err := out.Encode(b); err != nil {
+			return errors.Wrap(err, "send batch")
+		}
+		next = b.Last
+		if len(b.Records) < batchLimit {
+			s.awaitRecords(ctx, changed, next)
+		}
+	}
+	return ctx.Err()
+}
+
+// awaitRecords waits until a record after position is due or a heartbeat is.
+func (s *Server) awaitRecords(ctx context.Context, changed <-chan struct{}, p ident.Position) {
+	beat := time.NewTimer(heartbeat)
+	defer beat.Stop()
+	if d, ok := s.node.due(p); ok {
+		pause(ctx, min(heartbeat, time.Until(d.Add(s.faults.replicationLag()))))
+		return
+	}
+	select {
+	case <-beat.C:
+	case <-changed:
+		if d, ok := s.node.due(p); ok {
+			pause(ctx, min(heartbeat, time.Until(d.Add(s.faults.replicationLag()))))
+		}
+	case <-ctx.Done():
+	}
+}
+
+// due returns when the record after position was committed.
+func (n *node) due(p ident.Position) (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p >= n.log.last().Position {
+		return time.Time{}, false
+	}
+	return n.log.after(p)[0].at, true
+}
+
+// feeding returns an error unless the node is the primary of term and has not
+// sealed a later one. The mutex is held.
+func (n *node) feeding(term ident.Term) error {
+	if n.sealed > term || n.term != term || n.role != group.PrimaryRole {
+		return errors.Wrapf(errStream, "endpoint %s does not lead term %d", n.config.Name, term)
+	}
+	return nil
+}
+
+// offer finds the point from which the replica has to copy the log.
+func (n *node) offer(a followAsk) (followGive, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.feeding(a.Term); err != nil {
+		return followGive{}, err
+	}
+	if _, member := n.config.Peers[a.Name]; !member {
+		return followGive{}, errors.Wrapf(errStream, "%s is no member", a.Name)
+	}
+	keep := common(n.log.runs, n.log.last().Position, a.Runs, a.Last)
+	return followGive{Term: n.term, Keep: keep}, nil
+}
+
+// batch returns the records after position that are older than lag, and a
+// channel that is closed when there may be more.
+func (n *node) batch(term ident.Term, p ident.Position, lag time.Duration, now time.Time) (batch, <-chan struct{}, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.feeding(term); err != nil {
+		return batch{}, nil, err
+	}
+	asOf := now.Add(-lag)
+	b := batch{Term: term, Last: p, AsOf: asOf.UnixNano(), Sent: now.UnixNano(), Confirmed: n.confirmed}
+	for _, r := range n.log.after(p) {
+		if r.at.After(asOf) || len(b.Records) == batchLimit {
+			b.AsOf = min(b.AsOf, r.at.UnixNano())
+			break
+		}
+		b.Records = append(b.Records, r)
+		b.Last = r.Position
+	}
+	b.Records = slices.Clip(b.Records)
+	return b, n.changed, nil
+}
+
+// acknowledge notes what a replica holds.
+func (n *node) acknowledge(from ident.Endpoint, a batchAck) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.feeding(a.Term) != nil {
+		return
+	}
+	n.acks[from] = ack{position: a.Position, sent: time.Unix(0, a.Sent)}
+	n.confirm()
+	n.signal()
+}
--- /dev/null
+++ b/internal/stand/endpt/funcs.go
@@ -0,0 +1,109 @@
+package endpt
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// call runs one of the control functions of internal/group. None of them
+// takes a slot.
+func (x *session) call(st *statement, args []*string) (*result, error) {
+	r := &result{columns: functions[st.name].columns, tag: "SELECT 1"}
+	row, err := x.function(st.name, st.values[0], args)
+	if err != nil {
+		return nil, err
+	}
+	r.rows = [][]*string{row}
+	return r, nil
+}
+
+func (x *session) function(name string, in []operand, args []*string) ([]*string, error) {
+	n, now := x.server.node, time.Now()
+	switch name {
+	case fnStatus:
+		return statusRow(n.status(now), nil)
+	case fnLastWrite:
+		return x.lastWriteRow()
+	case group.FnOnce:
+		return x.once(in, args)
+	}
+	var numbers []int64
+	for _, o := range in {
+		if o.oid == oidText && name == group.FnFollow && len(numbers) == 1 {
+			break
+		}
+		v, err := o.integer(args)
+		if err != nil {
+			return nil, err
+		}
+		numbers = append(numbers, v)
+	}
+	term := ident.Term(numbers[0])
+	switch name {
+	case group.FnRequire:
+		m := ident.Mark{Term: term, Position: ident.Position(numbers[1])}
+		return done(n.require(m, time.Duration(numbers[2])*time.Millisecond, now))
+	case group.FnLead:
+		return done(n.leads(term))
+	case group.FnSeal:
+		return statusRow(n.seal(term, now))
+	case group.FnPromote:
+		return statusRow(n.promote(term, now))
+	}
+	address, err := in[1].bind(args)
+	if err != nil {
+		return nil, err
+	}
+	if address == nil {
+		return nil, fail(codeBadValue, "follow needs an address")
+	}
+	return done(x.server.follow(term, *address))
+}
+
+func done(err error) ([]*string, error) { return []*string{text("")}, err }
+
+func statusRow(s group.Status, err error) ([]*string, error) {
+	if err != nil {
+		return nil, err
+	}
+	return []*string{
+		number(int64(s.Term)),
+		text(string(s.Role)),
+		number(int64(s.Last.Term)),
+		number(int64(s.Last.Position)),
+		number(int64(s.Confirmed)),
+		number(s.DataAge.Milliseconds()),
+		number(s.PrimaryHeard.Milliseconds()),
+		number(int64(s.Sealed)),
+	}, nil
+}
+
+func (x *session) lastWriteRow() ([]*string, error) {
+	confirmed := x.server.node.status(time.Now()).Confirmed
+	m := x.lastWrite
+	return []*string{number(int64(m.Term)), number(int64(m.Position)), number(int64(confirmed))}, nil
+}
+
+// once records a request identifier. When it is recorded already, the mark of
+// that record counts as the connection's last write, so that the caller can
+// wait until it is confirmed.
+func (x *session) once(in []operand, args []*string) ([]*string, error) {
+	request, err := in[0].bind(args)
+	if err != nil {
+		return nil, err
+	}
+	digest, err := in[1].bind(args)
+	if err != nil {
+		return nil, err
+	}
+	if request == nil || digest == nil {
+		return nil, fail(codeBadValue, "once needs a request and a digest")
+	}
+	m, err := x.server.node.once(x.txn, ident.Request(*request), *digest)
+	if !m.Zero() {
+		x.lastWrite = m
+	}
+	return done(err)
+}
--- /dev/null
+++ b/internal/stand/endpt/record.go
@@ -0,0 +1,121 @@
+package endpt
+
+import (
+	"sort"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// write is the image of one row after a transaction.
+type write struct {
+	Table   string
+	Key     string
+	Columns []string
+	Values  []*string
+	Deleted bool
+}
+
+// onceEntry is a request identifier that is recorded with a transaction.
+type onceEntry struct {
+	Request ident.Request
+	Digest  string
+	Tag     string
+}
+
+// record is one committed transaction, or the start of a term when it has
+// neither writes nor a request identifier.
+type record struct {
+	Term     ident.Term
+	Position ident.Position
+	Writes   []write
+	Once     []onceEntry
+	at       time.Time // of the commit, on the primary
+}
+
+// run is a stretch of records of one term.
+type run struct {
+	Term  ident.Term
+	Start ident.Position
+}
+
+// history is a log of records. Positions count from 1.
+type history struct {
+	records []record
+	runs    []run
+}
+
+func (h *history) last() ident.Mark {
+	if len(h.records) == 0 {
+		return ident.Mark{}
+	}
+	r := &h.records[len(h.records)-1]
+	return ident.Mark{Term: r.Term, Position: r.Position}
+}
+
+func (h *history) push(r record) {
+	if n := len(h.runs); n == 0 || h.runs[n-1].Term != r.Term {
+		h.runs = append(h.runs, run{r.Term, r.Position})
+	}
+	h.records = append(h.records, r)
+}
+
+func (h *history) truncate(keep ident.Position) {
+	h.records = h.records[:keep:keep]
+	for n := len(h.runs); n > 0 && h.runs[n-1].Start > keep; n-- {
+		h.runs = h.runs[:n-1]
+	}
+}
+
+// after returns the records beyond position.
+func (h *history) after(p ident.Position) []record { return h.records[p:] }
+
+// bound maps a mark to the position in this history that covers it. A term
+// that ended covers only what came before the next one. It reports false when
+// the history does not know the mark's term nor a later one.
+func (h *history) bound(m ident.Mark) (ident.Position, bool) {
+	if m.Zero() {
+		return 0, true
+	}
+	i := sort.Search(len(h.runs), func(i int) bool { return h.runs[i].Term > m.Term })
+	if i < len(h.runs) {
+		return min(m.Position, h.runs[i].Start-1), true
+	}
+	if i > 0 && h.runs[i-1].Term == m.Term {
+		return m.Position, true
+	}
+	return 0, false
+}
+
+// termAt returns the term of the record at position, given a log's runs.
+func termAt(runs []run, p ident.Position) ident.Term {
+	i := sort.Search(len(runs), func(i int) bool { return runs[i].Start > p })
+	if i == 0 {
+		return 0
+	}
+	return runs[i-1].Term
+}
+
+// common returns the last position at which two logs hold the same term. Logs
+// that agree there agree on everything before it: the log matching property
+// of Ongaro and Ousterhout, "In Search of an Understandable Consensus
+// Algorithm", USENIX ATC 2014, section 5.3.
+func common(a []run, lastA ident.Position, b []run, lastB ident.Position) ident.Position {
+	p := min(lastA, lastB)
+	for p > 0 {
+		ta, tb := termAt(a, p), termAt(b, p)
+		if ta == tb {
+			return p
+		}
+		p = max(startAt(a, p), startAt(b, p)) - 1
+	}
+	return 0
+}
+
+func startAt(runs []run, p ident.Position) ident.Position {
+	i := sort.Search(len(runs), func(i int) bool { return runs[i].Start > p })
+	if i == 0 {
+		return 0
+	}
+	return runs[i-1].Start
+}
--- /dev/null
+++ b/internal/stand/endpt/settings.go
@@ -0,0 +1,59 @@
+package endpt
+
+import (
+	"maps"
+	"strings"
+)
+
+// reported are the settings that a session tells its caller at the start.
+var reported = []string{
+	"server_version", "server_encoding", "client_encoding", "datestyle",
+	"timezone", "integer_datetimes", "standard_conforming_strings", "application_name",
+}
+
+var defaultSettings = map[string]string{
+	"server_version":              "16.0",
+	"server_encoding":             "UTF8",
+	"client_encoding":             "UTF8",
+	"datestyle":                   "ISO, MDY",
+	"timezone":                    "UTC",
+	"integer_datetimes":           "on",
+	"standard_conforming_strings": "on",
+	"application_name":            "",
+}
+
+// settings are kept for each connection, so that what one caller set is
+// visible to the next one unless it is reset.
+type settings struct {
+	initial map[string]string
+	values  map[string]string
+}
+
+func newSettings(start map[string]string) settings {
+	initial := maps.Clone(defaultSettings)
+	for k, v := range start {
+		if k != "user" && k != "database" && k != "options" && k != "replication" {
+			initial[strings.ToLower(k)] = v
+		}
+	}
+	return settings{initial: initial, values: maps.Clone(initial)}
+}
+
+func (s *settings) resetAll() { s.values = maps.Clone(s.initial) }
+
+func (s *settings) reset(name string) {
+	v, ok := s.initial[name]
+	if !ok {
+		delete(s.values, name)
+		return
+	}
+	s.values[name] = v
+}
+
+func (s *settings) show(name string) (string, error) {
+	v, ok := s.values[name]
+	if !ok {
+		return "", fail(codeNoSetting, "unknown configuration parameter %q", name)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/stand/endpt/terms.go
@@ -0,0 +1,117 @@
+package endpt
+
+import (
+	"context"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+func sealedError(asked, sealed ident.Term) error {
+	return fail(group.CodeSealed, "term %d is refused, term %d is sealed", asked, sealed)
+}
+
+// seal refuses from now on work and replication of terms below term.
+func (n *node) seal(term ident.Term, now time.Time) (group.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if term <= n.sealed {
+		return group.Status{}, sealedError(term, n.sealed)
+	}
+	if !n.voting {
+		return group.Status{}, fail(group.CodeSealed, "endpoint %s has not caught up since its restart", n.config.Name)
+	}
+	n.sealed = term
+	n.stopFollowing()
+	n.signal()
+	return n.statusLocked(now), nil
+}
+
+// promote makes the node, which sealed the term, its primary. A repeat of a
+// promotion that took effect returns the status.
+func (n *node) promote(term ident.Term, now time.Time) (group.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case term != n.sealed || !n.voting:
+		return group.Status{}, sealedError(term, n.sealed)
+	case n.term == term && n.role == group.PrimaryRole:
+		return n.statusLocked(now), nil
+	case n.term == term:
+		return group.Status{}, fail(group.CodeSealed, "endpoint %s follows another primary of term %d", n.config.Name, term)
+	}
+	n.lead(term, now)
+	return n.statusLocked(now), nil
+}
+
+// follow makes the node a replica of the term's primary at address. Start
+// opens the stream and returns what ends it. A repeat changes nothing.
+func (n *node) follow(term ident.Term, address string, start func() context.CancelFunc) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if term < n.sealed {
+		return sealedError(term, n.sealed)
+	}
+	if n.term == term && n.role == group.PrimaryRole {
+		return fail(group.CodeSealed, "endpoint %s is the primary of term %d", n.config.Name, term)
+	}
+	if n.term == term && n.source == address {
+		return nil
+	}
+	n.stopFollowing()
+	n.sealed, n.role, n.source = term, group.ReplicaRole, address
+	if n.term != term {
+		n.term, n.synced = term, false
+	}
+	n.confirmed = 0
+	n.unfollow = start()
+	n.signal()
+	return nil
+}
+
+// require checks that the applied log covers the mark and that the data are
+// no older than maxAge; zero allows any age.
+func (n *node) require(m ident.Mark, maxAge time.Duration, now time.Time) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, known := n.log.bound(m)
+	if !known || n.applied < p {
+		return fail(group.CodeBehind, "endpoint %s is behind term %d position %d", n.config.Name, m.Term, m.Position)
+	}
+	if age := n.dataAge(now); maxAge > 0 && age > maxAge {
+		return fail(group.CodeStale, "data of endpoint %s are %v old", n.config.Name, age)
+	}
+	return nil
+}
+
+// leads checks that the node is the unsealed primary of exactly this term.
+func (n *node) leads(term ident.Term) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role != group.PrimaryRole || n.term != term || n.sealed > n.term {
+		return fail(group.CodeNotPrimary, "endpoint %s is not the primary of term %d", n.config.Name, term)
+	}
+	return nil
+}
+
+// once records a request identifier with the transaction, or returns how the
+// request ended before, with the mark of its record.
+func (n *node) once(t *txn, request ident.Request, digest string) (ident.Mark, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.writable(t); err != nil {
+		return ident.Mark{}, err
+	}
+	old, ok := n.db.once[request]
+	switch {
+	case ok && old.Digest != digest:
+		return ident.Mark{}, fail(group.CodeMismatch, "request %s was recorded with another digest", request)
+	case ok:
+		f := fail(group.CodeRecorded, "request %s is recorded already", request)
+		f.detail = old.Tag
+		return old.mark, f
+	}
+	t.once = append(t.once, onceEntry{Request: request, Digest: digest})
+	return ident.Mark{}, nil
+}
--- /dev/null
+++ b/internal/stand/endpt/txn.go
@@ -0,0 +1,153 @@
+package endpt
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// pending is a row image that a transaction has not committed yet.
+type pending struct {
+	table, key string
+	columns    []string           // in the order in which they were given
+	values     map[string]*string // nil when deleted
+	base       ident.Position     // version that it replaces, 0 for a new row
+}
+
+// txn is a running transaction. Its writes stay in it until the commit, which
+// fails when another transaction changed one of its rows meanwhile.
+type txn struct {
+	block    bool // opened by BEGIN
+	failed   bool
+	readOnly bool
+	term     ident.Term
+	writes   []*pending
+	byKey    map[string]*pending
+	once     []onceEntry
+	tag      string // of the latest statement of the caller
+}
+
+func newTxn(term ident.Term) *txn { return &txn{term: term, byKey: map[string]*pending{}} }
+
+func (t *txn) changed() bool { return len(t.writes) > 0 || len(t.once) > 0 }
+
+func (t *txn) find(table, key string) *pending { return t.byKey[table+"\x00"+key] }
+
+func (t *txn) put(w *pending) {
+	k := w.table + "\x00" + w.key
+	if old, ok := t.byKey[k]; ok {
+		old.columns, old.values = w.columns, w.values
+		return
+	}
+	t.byKey[k] = w
+	t.writes = append(t.writes, w)
+}
+
+// visible is a row as a transaction sees it.
+type visible struct {
+	key    string
+	values map[string]*string
+	base   ident.Position
+}
+
+// scan returns the rows of a table that match, in order of insertion.
+func (t *txn) scan(db *tables, name, column string, value *string, filtered bool) []visible {
+	var out []visible
+	add := func(v visible) {
+		if !filtered || equal(v.values[column], value) {
+			out = append(out, v)
+		}
+	}
+	b := db.byName[name]
+	if filtered && column == idColumn && value != nil {
+		t.visit(b, name, idKey(*value), add)
+		return out
+	}
+	if b != nil {
+		for _, k := range b.order {
+			if _, ok := b.rows[k]; ok {
+				t.visit(b, name, k, add)
+			}
+		}
+	}
+	for _, w := range t.writes {
+		if w.table == name && (b == nil || b.rows[w.key] == nil) {
+			t.visit(b, name, w.key, add)
+		}
+	}
+	return out
+}
+
+func (t *txn) visit(b *table, name, key string, add func(visible)) {
+	if w := t.find(name, key); w != nil {
+		if w.values != nil {
+			add(visible{key, w.values, w.base})
+		}
+		return
+	}
+	if b == nil {
+		return
+	}
+	if r, ok := b.rows[key]; ok {
+		add(visible{key, r.values, r.version})
+	}
+}
+
+func equal(a, b *string) bool { return a != nil && b != nil && *a == *b }
+
+func idKey(id string) string { return "id:" + id }
+
+// conflict returns why the transaction cannot commit on top of db.
+func (t *txn) conflict(db *tables) error {
+	for _, w := range t.writes {
+		var current ident.Position
+		if b, ok := db.byName[w.table]; ok {
+			if r, ok := b.rows[w.key]; ok {
+				current = r.version
+			}
+		}
+		switch {
+		case current == w.base:
+		case w.base == 0:
+			return duplicate(w.table)
+		default:
+			return fail(codeSerialization, "a row was changed concurrently")
+		}
+	}
+	for _, o := range t.once {
+		if _, ok := db.once[o.Request]; ok {
+			return fail(codeSerialization, "request %s was committed concurrently", o.Request)
+		}
+	}
+	return nil
+}
+
+func duplicate(table string) error {
+	return fail(codeDuplicate, "duplicate key value violates unique constraint %q", table+"_pkey")
+}
+
+// record returns the transaction as a record of the log.
+func (t *txn) record(m ident.Mark, now time.Time) record {
+	r := record{Term: m.Term, Position: m.Position, at: now}
+	for _, w := range t.writes {
+		image := write{Table: w.table, Key: w.key, Deleted: w.values == nil}
+		for _, c := range w.columns {
+			image.Columns = append(image.Columns, c)
+			image.Values = append(image.Values, w.values[c])
+		}
+		r.Writes = append(r.Writes, image)
+	}
+	for _, o := range t.once {
+		o.Tag = t.tag
+		r.Once = append(r.Once, o)
+	}
+	return r
+}
+
+func (t *txn) insertKey(values map[string]*string, serial int64) string {
+	if id := values[idColumn]; id != nil {
+		return idKey(*id)
+	}
+	return "row:" + strconv.FormatInt(int64(t.term), 36) + ":" + strconv.FormatInt(serial, 36)
+}
