--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(GO) test -json ./... | $(GO) run ./cmd/verdict
 
 generate: ## Regenerate the composition code.
-	$(GO) run github.com/google/wire/cmd/wire ./internal/entry
+	$(GO) tool wire ./internal/entry
 
 demo: build ## Start everything, drive callers, kill a primary, report.
 	./bin/stand demo
--- /dev/null
+++ b/cmd/marjoramrudder/proxy.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/internal/entry"
+)
+
+func proxyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "proxy",
+		Usage: "serve callers until SIGTERM or SIGINT, then stop gracefully",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "settings `FILE`"},
+		},
+		Action: runProxy,
+	}
+}
+
+func runProxy(ctx context.Context, c *cli.Command) error {
+	settings, err := conf.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	proxy, err := entry.Build(settings)
+	if err != nil {
+		return errors.Wrap(err, "build proxy")
+	}
+	proxy.Start()
+	<-ctx.Done()
+	klog.InfoS("Stopping", "instance", settings.Instance)
+	err = proxy.Drain(context.Background())
+	return errors.CombineErrors(err, proxy.Close())
+}
--- a/internal/back/prelude.go
+++ b/internal/back/prelude.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/group"
 	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
@@ -28,6 +29,8 @@
 	sql  string
 	args [3]string
 	n    int
+	// numeric is true when the arguments are numbers.
+	numeric bool
 }
 
 const (
@@ -46,14 +49,14 @@
 		list = append(list, call{name: nameReader, sql: "SET TRANSACTION READ ONLY"})
 	}
 	if p.Lead != 0 {
-		list = append(list, call{name: nameLead, sql: "SELECT " + group.FnLead + "($1)", args: [3]string{strconv.FormatInt(int64(p.Lead), 10)}, n: 1})
+		list = append(list, call{name: nameLead, sql: "SELECT " + group.FnLead + "($1)", args: [3]string{strconv.FormatInt(int64(p.Lead), 10)}, n: 1, numeric: true})
 	}
 	if !p.Floor.Zero() || p.MaxAgeMS > 0 {
 		list = append(list, call{name: nameRequire, sql: "SELECT " + group.FnRequire + "($1, $2, $3)", args: [3]string{
 			strconv.FormatInt(int64(p.Floor.Term), 10),
 			strconv.FormatInt(int64(p.Floor.Position), 10),
 			strconv.FormatInt(p.MaxAgeMS, 10),
-		}, n: 3})
+		}, n: 3, numeric: true})
 	}
 	if p.Once != "" {
 		list = append(list, call{name: nameOnce, sql: "SELECT " + group.FnOnce + "($1, $2)", args: [3]string{string(p.Once), p.Digest}, n: 2})
@@ -79,18 +82,22 @@
 		if i > 0 {
 			buf = append(buf, ", "...)
 		}
+		if c.numeric {
+			buf = append(buf, c.args[i]...)
+			continue
+		}
 		buf = appendLiteral(buf, c.args[i])
 	}
 	return append(buf, "); "...)
 }
 
-// appendLiteral adds s as an SQL literal. The E form keeps its meaning for
-// every setting of standard_conforming_strings.
+// appendLiteral adds s as an SQL literal. A backslash needs the E form, whose
+// meaning does not depend on standard_conforming_strings.
 func appendLiteral(buf []byte, s string) []byte {
-	if _, err := strconv.ParseInt(s, 10, 64); err == nil {
-		return append(buf, s...)
+	if strings.Contains(s, "\\") {
+		buf = append(buf, 'E')
 	}
-	buf = append(buf, "E'"...)
+	buf = append(buf, '\'')
 	for i := range len(s) {
 		if s[i] == '\'' || s[i] == '\\' {
 			buf = append(buf, s[i])
--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,242 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/internal/entry"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	testEnv    = ident.Environment("trial")
+	testKey    = "mk_test"
+	backSecret = "endpoint-password"
+	soon       = 10 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	assert.Fatal()
+	os.Exit(m.Run())
+}
+
+// set is a platform, one database group and some proxies in this process.
+type set struct {
+	t         *testing.T
+	platform  *plat.Server
+	endpoints map[ident.Endpoint]*endpt.Server
+	document  *envdoc.Document
+	proxies   []*entry.Proxy
+	addresses []string
+}
+
+func newSet(t *testing.T, proxies int) *set {
+	t.Helper()
+	g := NewWithT(t)
+	s := &set{t: t, endpoints: map[ident.Endpoint]*endpt.Server{}}
+	var err error
+	s.platform, err = plat.Start(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = s.platform.Close() })
+	s.startGroup()
+	s.accept(1)
+	for i := range proxies {
+		s.startProxy(i)
+	}
+	return s
+}
+
+func (s *set) startGroup() {
+	names := []ident.Endpoint{"a1", "a2", "a3"}
+	listeners := map[ident.Endpoint]net.Listener{}
+	peers := map[ident.Endpoint]string{}
+	for _, n := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
+		listeners[n], peers[n] = l, l.Addr().String()
+	}
+	group := envdoc.Group{Name: "orders"}
+	for _, n := range names {
+		e, err := endpt.Start(context.Background(), endpt.Config{
+			Name: n, Listener: listeners[n], Peers: peers, Primary: "a1",
+			Slots: 2, Connections: 16, User: "proxy", Password: backSecret,
+		})
+		NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
+		s.endpoints[n] = e
+		s.t.Cleanup(func() { _ = e.Close() })
+		group.Endpoints = append(group.Endpoints, envdoc.Endpoint{Name: n, Address: peers[n], DataCentre: "m", Slots: 2, Connections: 16})
+	}
+	s.document = &envdoc.Document{
+		Environment: testEnv,
+		Groups:      []envdoc.Group{group},
+		Routes: []envdoc.Route{
+			{Name: "orders", Group: "orders", Access: envdoc.Keyed, Durability: envdoc.Majority},
+			{Name: "stock", Group: "orders", Access: envdoc.Open, ReadOnly: true, MaxAge: envdoc.Duration(2 * time.Second), Durability: envdoc.Majority},
+		},
+		Accounts: []envdoc.Account{{Name: "shop", Keys: []envdoc.KeyHash{envdoc.HashKey(testKey)}, Rate: 1000, Burst: 1000, Weight: 1}},
+	}
+}
+
+// accept puts the document in force as version base+1.
+func (s *set) accept(version ident.Version) {
+	g := NewWithT(s.t)
+	text, err := envdoc.Marshal(s.document)
+	g.Expect(err).NotTo(HaveOccurred())
+	p, err := store.Open(s.platform.Platform())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = p.Close() }()
+	head := store.Head{Change: ident.Change(fmt.Sprint("change-", version)), Author: "test", At: time.Now()}
+	_, err = p.Documents.Accept(context.Background(), testEnv, version-1, head, text)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *set) startProxy(i int) {
+	g := NewWithT(s.t)
+	settings := &conf.Settings{
+		Instance: ident.Instance(fmt.Sprint("p", i)), DataCentre: "m", Environment: testEnv,
+		Listen:   conf.Listen{Callers: freeAddress(s.t), Peers: freeAddress(s.t), Admin: freeAddress(s.t)},
+		Platform: s.platform.Platform(),
+		TLS:      conf.TLS{AllowPlain: true},
+		Peers:    conf.Peers{Secret: "a secret of the test set, long enough"},
+		Backend:  conf.Backend{User: "proxy", Password: backSecret},
+		Limits: conf.Limits{Callers: 100, QueueWait: conf.DefaultQueueWait, RequestTimeout: conf.DefaultRequestTimeout,
+			DrainTimeout: conf.DefaultDrainTimeout, LeaseLength: conf.DefaultLeaseLength},
+	}
+	p, err := entry.Build(settings)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.Start()
+	s.proxies = append(s.proxies, p)
+	s.addresses = append(s.addresses, settings.Listen.Callers)
+	s.t.Cleanup(func() { g.Expect(p.Close()).To(Succeed()) })
+}
+
+// connect returns a caller of a route, once the proxy serves it.
+func (s *set) connect(proxy int, route, options string) *pgx.Conn {
+	s.t.Helper()
+	var conn *pgx.Conn
+	NewWithT(s.t).Eventually(func() error {
+		var err error
+		conn, err = s.try(proxy, route, options)
+		return err
+	}, soon, 20*time.Millisecond).Should(Succeed())
+	s.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func (s *set) try(proxy int, route, options string) (*pgx.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	return pgx.Connect(ctx, fmt.Sprintf("postgres://shop:%s@%s/%s?sslmode=disable%s", testKey, s.addresses[proxy], route, options))
+}
+
+// order runs an insert, coming back while it is refused as not run.
+func (s *set) order(conn *pgx.Conn, id string) {
+	s.t.Helper()
+	NewWithT(s.t).Eventually(func() error {
+		_, err := conn.Exec(context.Background(), "INSERT INTO orders (id, item) VALUES ($1, $2)", id, "charcoal")
+		return err
+	}, soon, 20*time.Millisecond).Should(Succeed())
+}
+
+func TestOrderAndLookupThroughTheProxy(t *testing.T) {
+	g := NewWithT(t)
+	s := newSet(t, 2)
+	first := s.connect(0, "orders", "")
+	s.order(first, "o1")
+	var item string
+	g.Expect(first.QueryRow(context.Background(), "SELECT item FROM orders WHERE id = $1", "o1").Scan(&item)).To(Succeed())
+	g.Expect(item).To(Equal("charcoal"))
+
+	shown := first.PgConn().ParameterStatus("marjoram.session_token")
+	g.Expect(shown).NotTo(BeEmpty())
+	second := s.connect(1, "stock", "&marjoram.session_token="+shown)
+	g.Expect(second.QueryRow(context.Background(), "SELECT item FROM orders WHERE id = $1", "o1").Scan(&item)).To(Succeed())
+	g.Expect(item).To(Equal("charcoal"))
+}
+
+func TestTransactionsOfPgx(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	s := newSet(t, 1)
+	conn := s.connect(0, "orders", "")
+	s.order(conn, "o1")
+	tx, err := conn.Begin(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = tx.Exec(ctx, "INSERT INTO orders (id, item) VALUES ($1, $2)", "o2", "briquettes")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(tx.Rollback(ctx)).To(Succeed())
+	var count int
+	g.Expect(conn.QueryRow(ctx, "SELECT count(*) FROM orders").Scan(&count)).To(Succeed())
+	g.Expect(count).To(Equal(1))
+	g.Expect(conn.Ping(ctx)).To(Succeed())
+	rows, err := conn.Query(ctx, "SELECT item FROM orders WHERE id = $1", pgx.QueryExecModeSimpleProtocol, "o1")
+	g.Expect(err).NotTo(HaveOccurred())
+	items, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(items).To(Equal([]string{"charcoal"}))
+}
+
+func TestRepeatedRequestRunsOnce(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	s := newSet(t, 2)
+	const text = "INSERT INTO bookings (slot) VALUES ('7') /*request_id='r1'*/"
+	for i := range 4 {
+		conn := s.connect(i%2, "orders", "")
+		g.Eventually(func() error {
+			tag, err := conn.Exec(ctx, text)
+			if err == nil {
+				g.Expect(tag.String()).To(Equal("INSERT 0 1"))
+			}
+			return err
+		}, soon, 20*time.Millisecond).Should(Succeed())
+	}
+	var count int
+	g.Expect(s.connect(0, "orders", "").QueryRow(ctx, "SELECT count(*) FROM bookings").Scan(&count)).To(Succeed())
+	g.Expect(count).To(Equal(1))
+}
+
+func TestRefusalsSayWhy(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	s := newSet(t, 1)
+	conn := s.connect(0, "orders", "")
+	s.order(conn, "o1")
+	for sql, code := range map[string]string{
+		"LISTEN a":                  "0A000",
+		"COPY orders FROM STDIN":    "0A000",
+		"SET work_mem = 1":          "0A000",
+		"SELECT item FROM orders (": "42601",
+	} {
+		_, err := conn.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+		g.Expect(err).To(HaveOccurred(), sql)
+		g.Expect(strings.Contains(err.Error(), code)).To(BeTrue(), "%s: %v", sql, err)
+	}
+	_, err := s.try(0, "nowhere", "")
+	g.Expect(err).To(MatchError(ContainSubstring("3D000")))
+	_, err = s.try(0, "orders", "&marjoram.session_token=x")
+	g.Expect(err).To(MatchError(ContainSubstring("22023")))
+	_, err = pgx.Connect(ctx, fmt.Sprintf("postgres://shop:wrong@%s/orders?sslmode=disable", s.addresses[0]))
+	g.Expect(err).To(MatchError(ContainSubstring("28P01")))
+}
--- /dev/null
+++ b/internal/entry/provide.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/acct"
+	"github.com/marjoramrudder/marjoramrudder/internal/back"
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/front"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+)
+
+// The providers below build the parts of a Proxy; wire.go lists them.
+
+func provideEvents(s *conf.Settings) *event.Log { return event.NewLog(s.Instance, eventRecords) }
+
+func providePlatform(s *conf.Settings) (*store.Platform, error) { return store.Open(s.Platform) }
+
+func provideMesh(s *conf.Settings, router *peer.Router, events *event.Log) (*peer.Mesh, error) {
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	hello := peer.Hello{Instance: s.Instance, Environment: s.Environment, Start: uint64(time.Now().UnixNano())}
+	return peer.NewMesh(hello, listener, s.Peers.Secret, router, events)
+}
+
+func provideQuota(s *conf.Settings, platform *store.Platform, mesh *peer.Mesh, events *event.Log) *acct.Keeper {
+	return acct.NewKeeper(s.Instance, s.Environment, platform.Leases, mesh, events, acct.WithLease(s.Limits.LeaseLength.Std()))
+}
+
+func provideSites(s *conf.Settings, platform *store.Platform, mesh *peer.Mesh, events *event.Log, table *front.Table) *Sites {
+	creds := back.Credentials{User: s.Backend.User, Password: s.Backend.Password, Database: s.Backend.User}
+	limits := acct.FairLimits{MaxWait: s.Limits.QueueWait.Std(), PerAccount: waitersPerAccount}
+	return NewSites(s.Instance, s.Environment, creds, events, mesh, platform.Reigns, table, func() back.Line { return back.NewFair(limits) })
+}
+
+// waitersPerAccount bounds how many requests of one client account wait for
+// one endpoint.
+const waitersPerAccount = 512
+
+func provideFront(s *conf.Settings, quota *acct.Keeper, table *front.Table, events *event.Log) (*front.Server, error) {
+	options := front.DefaultOptions()
+	options.Callers = s.Limits.Callers
+	options.RequestTimeout = s.Limits.RequestTimeout.Std()
+	options.DataCentre = s.DataCentre
+	options.AllowPlain = s.TLS.AllowPlain
+	if s.TLS.CertFile != "" {
+		pair, err := tls.LoadX509KeyPair(s.TLS.CertFile, s.TLS.KeyFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "load certificate for callers")
+		}
+		options.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	}
+	listener, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	return front.NewServer(listener, quota.Gate(), table, events, options), nil
+}
+
+func provideTable() *front.Table { return &front.Table{} }
--- a/internal/entry/sites.go
+++ b/internal/entry/sites.go
@@ -213,11 +213,7 @@
 }
 
 // Receive takes the state of a group as a peer knows it.
-func (s *Sites) Receive(_ ident.Instance, message peer.Message, now time.Time) {
-	state, ok := message.(peer.GroupState)
-	if !ok {
-		return
-	}
+func (s *Sites) Receive(_ ident.Instance, state peer.GroupState, now time.Time) {
 	s.mu.Lock()
 	t := s.sites[state.Group]
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/entry/wire.go
@@ -0,0 +1,25 @@
+//go:build wireinject
+
+package entry
+
+import (
+	"github.com/google/wire"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+)
+
+// Build composes a proxy from its settings.
+func Build(settings *conf.Settings) (*Proxy, error) {
+	panic(wire.Build(
+		provideEvents,
+		providePlatform,
+		peer.NewRouter,
+		provideMesh,
+		provideQuota,
+		provideTable,
+		provideSites,
+		provideFront,
+		NewProxy,
+	))
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"k8s.io/klog/v2"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
 	"github.com/marjoramrudder/marjoramrudder/internal/back"
@@ -309,7 +310,8 @@
 	case group.CodeMismatch:
 		return false, fault.Refuse(fault.RequestMismatch, 0, "request identifier %q was used for another statement", w.plan.request), nil
 	}
-	return false, fault.Refuse(fault.Internal, 0, "a check failed at the endpoint").Because(e), nil
+	klog.ErrorS(e, "Check failed", "endpoint", l.conn.Endpoint)
+	return false, fault.Refuse(fault.Internal, 0, "a check failed at the endpoint: %s", e.Message).Because(e), nil
 }
 
 // deposed reports an endpoint that is not the primary it was taken for.
--- a/internal/stand/endpt/exec.go
+++ b/internal/stand/endpt/exec.go
@@ -52,6 +52,9 @@
 	switch st.verb {
 	case functionVerb:
 		return x.call(st, args)
+	case setTransactionVerb:
+		x.txn.readOnly = true
+		return &result{tag: "SET"}, nil
 	case setVerb, showVerb, resetVerb, resetAllVerb, discardVerb, deallocateVerb:
 		return x.configure(st)
 	case sleepVerb:
--- a/internal/stand/endpt/parse.go
+++ b/internal/stand/endpt/parse.go
@@ -282,8 +282,11 @@
 		p.word("local")
 	}
 	s := &statement{verb: setVerb, name: p.name()}
-	if s.name == "transaction" || s.name == "characteristics" {
-		return nil, fail(codeUnsupported, "SET TRANSACTION is not offered")
+	if s.name == "transaction" {
+		return p.setTransaction()
+	}
+	if s.name == "characteristics" {
+		return nil, fail(codeUnsupported, "SET SESSION CHARACTERISTICS is not offered")
 	}
 	if !p.symbol("=") && !p.word("to") {
 		return nil, p.unexpected()
@@ -296,6 +299,14 @@
 	return s, nil
 }
 
+// setTransaction reads SET TRANSACTION READ ONLY, the one form offered.
+func (p *parser) setTransaction() (*statement, error) {
+	if !p.word("read") || !p.word("only") {
+		return nil, fail(codeUnsupported, "only SET TRANSACTION READ ONLY is offered")
+	}
+	return &statement{verb: setTransactionVerb, readOnly: true}, nil
+}
+
 // operand reads a literal or a parameter; oid is the type of a parameter.
 func (p *parser) operand(oid uint32) (operand, error) {
 	l := p.next()
--- a/internal/stand/endpt/stmt.go
+++ b/internal/stand/endpt/stmt.go
@@ -31,6 +31,8 @@
 	discardVerb    verb = "discard"
 	deallocateVerb verb = "deallocate"
 	functionVerb   verb = "function"
+	// setTransactionVerb makes the running transaction read-only.
+	setTransactionVerb verb = "set transaction"
 )
 
 // operand is a literal or, with param above zero, a parameter.
