Prove the store against raced operators, lost answers and outages

Cause: acceptance of a document, quota leases and reigns rest on conditional writes whose answers may be lost, and on calls that must end in time.

--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -26,7 +26,7 @@
 )
 
 // Load reads and checks the settings of a proxy. Its error is a
-// strict.Problems that names every problem of the file at once.
+// strict.FieldErrors that names every problem of the file at once.
 func Load(path string) (*Settings, error) {
 	return load(path, checkSettings)
 }
@@ -57,7 +57,7 @@
 		s.fillDefaults(sheet.Has)
 		check(&s, sheet.Report)
 	}
-	var problems strict.Problems
+	var problems strict.FieldErrors
 	if errors.As(sheet.Err(), &problems) {
 		return nil, problems.InFile(path)
 	}
--- a/internal/stand/plat/dynamo.go
+++ b/internal/stand/plat/dynamo.go
@@ -121,25 +121,25 @@
 	case "Query":
 		s.answerRead(w, body, s.tables.query)
 	case "PutItem", "DeleteItem":
-		s.answerTableWrite(w, body, s.tables.writeItem)
+		s.answerTableWrite(w, operation, body, s.tables.writeItem)
 	case "TransactWriteItems":
-		s.answerTableWrite(w, body, s.tables.transact)
+		s.answerTableWrite(w, operation, body, s.tables.transact)
 	default:
 		answerTable(w, nil, &tableError{Type: "UnknownOperationException", Message: operation})
 	}
 }
 
-type operation func(body []byte) (any, error)
+type runner func(body []byte) (any, error)
 
-func (s *Server) answerRead(w http.ResponseWriter, body []byte, run operation) {
+func (s *Server) answerRead(w http.ResponseWriter, body []byte, run runner) {
 	s.counters.add(func(c *Counters) { c.Reads++ })
 	answer, err := run(body)
 	answerTable(w, answer, err)
 }
 
-func (s *Server) answerTableWrite(w http.ResponseWriter, body []byte, run operation) {
+func (s *Server) answerTableWrite(w http.ResponseWriter, operation string, body []byte, run runner) {
 	answer, err := run(body)
-	s.answerWrite(func() { answerTable(w, answer, err) })
+	s.answerWrite(operation, func() { answerTable(w, answer, err) })
 }
 
 func answerTable(w http.ResponseWriter, answer any, err error) {
--- a/internal/stand/plat/expr.go
+++ b/internal/stand/plat/expr.go
@@ -55,8 +55,8 @@
 	if !ok {
 		return c.op == "<>"
 	}
-	order, comparable := v.compare(c.value)
-	if !comparable {
+	order, ok := v.compare(c.value)
+	if !ok {
 		return c.op == "<>"
 	}
 	switch c.op {
--- a/internal/stand/plat/faults.go
+++ b/internal/stand/plat/faults.go
@@ -30,6 +30,9 @@
 	LoseProbability float64
 	// LoseNext is how many of the next writes lose their answer.
 	LoseNext int
+	// LoseOnly limits lost answers to one operation, such as
+	// TransactWriteItems or PutObject. Empty means every write.
+	LoseOnly string
 	// ListOutage makes the list answer 503.
 	ListOutage bool
 }
@@ -101,9 +104,12 @@
 }
 
 // loses decides about the answer of one write.
-func (i *injector) loses() bool {
+func (i *injector) loses(operation string) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.faults.LoseOnly != "" && i.faults.LoseOnly != operation {
+		return false
+	}
 	if i.faults.LoseNext > 0 {
 		i.faults.LoseNext--
 		return true
@@ -148,8 +154,8 @@
 }
 
 // answerWrite writes the answer of a call that took effect, or loses it.
-func (s *Server) answerWrite(answer func()) {
-	lost := s.faults.loses()
+func (s *Server) answerWrite(operation string, answer func()) {
+	lost := s.faults.loses(operation)
 	s.counters.add(func(c *Counters) {
 		c.Writes++
 		if lost {
--- a/internal/stand/plat/item.go
+++ b/internal/stand/plat/item.go
@@ -18,7 +18,7 @@
 func (a attribute) valid() bool { return (a.S == nil) != (a.N == nil) }
 
 // compare orders two values of one type; values of different types differ.
-func (a attribute) compare(b attribute) (order int, comparable bool) {
+func (a attribute) compare(b attribute) (order int, ok bool) {
 	switch {
 	case a.S != nil && b.S != nil:
 		return cmp.Compare(*a.S, *b.S), true
@@ -28,7 +28,7 @@
 	return 0, false
 }
 
-func compareNumbers(a, b string) (order int, comparable bool) {
+func compareNumbers(a, b string) (order int, ok bool) {
 	x, okX := new(big.Rat).SetString(a)
 	y, okY := new(big.Rat).SetString(b)
 	if !okX || !okY {
--- a/internal/stand/plat/object.go
+++ b/internal/stand/plat/object.go
@@ -74,7 +74,7 @@
 		return
 	}
 	stored := s.objects.put(r.URL.Path, content, r.Header.Get("If-None-Match") == "*")
-	s.answerWrite(func() {
+	s.answerWrite("PutObject", func() {
 		if !stored {
 			answerObjectError(w, http.StatusPreconditionFailed, "PreconditionFailed", r.URL.Path)
 			return
@@ -110,3 +110,14 @@
 	sum := sha256.Sum256(content)
 	return `"` + hex.EncodeToString(sum[:8]) + `"`
 }
+
+// Damage changes the first byte of every object.
+func (s *Server) Damage() {
+	s.objects.mu.Lock()
+	defer s.objects.mu.Unlock()
+	for path, content := range s.objects.content {
+		damaged := append([]byte{}, content...)
+		damaged[0] ^= 1
+		s.objects.content[path] = damaged
+	}
+}
--- a/pkg/envdoc/parse.go
+++ b/pkg/envdoc/parse.go
@@ -13,7 +13,7 @@
 // MaxBytes bounds the text of a document.
 const MaxBytes = 4 << 20
 
-// Parse reads and checks a document. Its error is a strict.Problems that
+// Parse reads and checks a document. Its error is a strict.FieldErrors that
 // names every problem of the text at once.
 func Parse(text []byte) (*Document, error) {
 	var d Document
@@ -29,9 +29,9 @@
 }
 
 // Check returns every problem of a document that was not read from text, as
-// strict.Problems without places.
+// strict.FieldErrors without places.
 func Check(d *Document) error {
-	var problems strict.Problems
+	var problems strict.FieldErrors
 	check(d, func(field, wrong, allowed string) {
 		problems = append(problems, strict.Problem{Field: field, Wrong: wrong, Allowed: allowed})
 	})
--- a/pkg/envdoc/parse_test.go
+++ b/pkg/envdoc/parse_test.go
@@ -59,7 +59,7 @@
 func TestTooLargeTextIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	_, err := envdoc.Parse([]byte(smallText + "#" + strings.Repeat("x", envdoc.MaxBytes)))
-	var problems strict.Problems
+	var problems strict.FieldErrors
 	g.Expect(err).To(BeAssignableToTypeOf(problems))
 	g.Expect(err.Error()).To(ContainSubstring("at most 4194304 bytes"))
 }
--- a/pkg/strict/problem.go
+++ b/pkg/strict/problem.go
@@ -52,12 +52,12 @@
 	return b.String()
 }
 
-// Problems is a list of problems in the order of the text. As an error it
+// FieldErrors is a list of problems in the order of the text. As an error it
 // prints one problem a line.
-type Problems []Problem
+type FieldErrors []Problem
 
 // Error implements error.
-func (p Problems) Error() string {
+func (p FieldErrors) Error() string {
 	lines := make([]string, len(p))
 	for i, one := range p {
 		lines[i] = one.String()
@@ -66,7 +66,7 @@
 }
 
 // InFile returns a copy of the list whose problems name the file at path.
-func (p Problems) InFile(path string) Problems {
+func (p FieldErrors) InFile(path string) FieldErrors {
 	named := slices.Clone(p)
 	for i := range named {
 		named[i].File = path
@@ -74,7 +74,7 @@
 	return named
 }
 
-func (p Problems) sort() {
+func (p FieldErrors) sort() {
 	slices.SortStableFunc(p, func(a, b Problem) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Field, b.Field))
 	})
--- a/pkg/strict/sheet.go
+++ b/pkg/strict/sheet.go
@@ -16,7 +16,7 @@
 	offsets  map[string]int
 	reported map[string]bool
 	unread   map[string]bool // fields of a wrong type, whose parts are unknown
-	problems Problems
+	problems FieldErrors
 	broken   bool
 }
 
@@ -68,7 +68,7 @@
 	return false
 }
 
-// Err returns the problems as a Problems error, or nil when there are none.
+// Err returns the problems as FieldErrors, or nil when there are none.
 func (s *Sheet) Err() error {
 	if len(s.problems) == 0 {
 		return nil
