--- a/internal/stand/endpt/bench_test.go
+++ b/internal/stand/endpt/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -40,20 +39,14 @@
 func startTrio(t *testing.T, change func(*Config)) *trio {
 	t.Helper()
 	g := &trio{WithT: NewWithT(t), t: t, servers: map[ident.Endpoint]*Server{}}
-	peers, listeners := map[ident.Endpoint]string{}, map[ident.Endpoint]net.Listener{}
-	for _, n := range []ident.Endpoint{"a", "b", "c"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
-		listeners[n], peers[n] = l, l.Addr().String()
+	base := Config{Slots: 2, Connections: 16, User: "proxy", Password: "secret"}
+	if change != nil {
+		change(&base)
 	}
-	for n, l := range listeners {
-		c := Config{Name: n, Listener: l, Peers: peers, Primary: "a", Slots: 2, Connections: 16, User: "proxy", Password: "secret"}
-		if change != nil {
-			change(&c)
-		}
-		s, err := Start(context.Background(), c)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.servers[n] = s
+	servers, err := StartGroup(context.Background(), base, "a", "b", "c")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, s := range servers {
+		g.servers[s.config.Name] = s
 		t.Cleanup(func() { g.Expect(s.Close()).To(Succeed()) })
 	}
 	return g
--- a/internal/stand/endpt/config.go
+++ b/internal/stand/endpt/config.go
@@ -33,8 +33,8 @@
 	Peers map[ident.Endpoint]string
 	// Primary names the endpoint that is the primary of FirstTerm.
 	Primary ident.Endpoint
-	// Rejoin starts the endpoint as the successor of a killed process: it
-	// neither leads nor acknowledges until it has caught up.
+	// Rejoin starts the endpoint as the successor of a killed process, even
+	// when no peer tells that there was one.
 	Rejoin bool
 
 	Slots          int           // statements that run at once
@@ -44,6 +44,10 @@
 	ServiceTime    time.Duration // of each statement
 	ReplicationLag time.Duration // from commit until a replica receives it
 
+	// ApplyLag is the time from commit until a replica shows a record that it
+	// holds and has acknowledged.
+	ApplyLag time.Duration
+
 	// User and Password are the proxy's own credentials. An empty User
 	// accepts any name; an empty Password asks for none.
 	User     string
--- a/internal/stand/endpt/control.go
+++ b/internal/stand/endpt/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,7 @@
 	CutCallers     *bool            `json:",omitempty"` // nothing passes to and from callers
 	CutGroup       *bool            `json:",omitempty"` // no replication in either direction
 	ReplicationLag *envdoc.Duration `json:",omitempty"`
+	ApplyLag       *envdoc.Duration `json:",omitempty"` // until a replica shows what it holds
 	Latency        *envdoc.Duration `json:",omitempty"`
 	Slow           *envdoc.Duration `json:",omitempty"` // added to each statement
 	CutAnswers     *int64           `json:",omitempty"` // answers to cut in the middle
@@ -32,8 +34,9 @@
 	setGate(&s.faults.frozen, f.Frozen)
 	setGate(&s.faults.callers, f.CutCallers)
 	setGate(&s.faults.group, f.CutGroup)
-	for to, from := range map[interface{ Store(int64) }]*envdoc.Duration{
-		&s.faults.lag: f.ReplicationLag, &s.faults.latency: f.Latency, &s.faults.slow: f.Slow,
+	for to, from := range map[*atomic.Int64]*envdoc.Duration{
+		&s.faults.lag: f.ReplicationLag, &s.faults.apply: f.ApplyLag,
+		&s.faults.latency: f.Latency, &s.faults.slow: f.Slow,
 	} {
 		if from != nil {
 			to.Store(int64(*from))
@@ -55,10 +58,19 @@
 
 // Faults returns the faults in force.
 func (s *Server) Faults() Faults {
-	frozen, callers, cut := s.faults.frozen.closed(), s.faults.callers.closed(), s.faults.group.closed()
-	lag, latency, slow := envdoc.Duration(s.faults.lag.Load()), envdoc.Duration(s.faults.latency.Load()), envdoc.Duration(s.faults.slow.Load())
-	cuts, losses := s.faults.cutAnswers.Load(), s.faults.loseAnswers.Load()
-	return Faults{&frozen, &callers, &cut, &lag, &latency, &slow, &cuts, &losses}
+	f := s.faults
+	frozen, callers, cut := f.frozen.closed(), f.callers.closed(), f.group.closed()
+	cuts, losses := f.cutAnswers.Load(), f.loseAnswers.Load()
+	return Faults{
+		Frozen: &frozen, CutCallers: &callers, CutGroup: &cut,
+		ReplicationLag: duration(&f.lag), ApplyLag: duration(&f.apply), Latency: duration(&f.latency), Slow: duration(&f.slow),
+		CutAnswers: &cuts, LoseAnswers: &losses,
+	}
+}
+
+func duration(v *atomic.Int64) *envdoc.Duration {
+	d := envdoc.Duration(v.Load())
+	return &d
 }
 
 // Counters returns what the endpoint has seen.
--- a/internal/stand/endpt/faults.go
+++ b/internal/stand/endpt/faults.go
@@ -12,6 +12,7 @@
 	group   gate // replication is cut off
 
 	lag     atomic.Int64 // nanoseconds
+	apply   atomic.Int64
 	latency atomic.Int64
 	slow    atomic.Int64 // added to the service time of each statement
 	// cutAnswers and loseAnswers count answers that are still to be hurt.
@@ -22,12 +23,15 @@
 func newFaults(c Config) *faults {
 	f := &faults{}
 	f.lag.Store(int64(c.ReplicationLag))
+	f.apply.Store(int64(c.ApplyLag))
 	f.latency.Store(int64(c.Latency))
 	return f
 }
 
 func (f *faults) replicationLag() time.Duration { return time.Duration(f.lag.Load()) }
 
+func (f *faults) applyLag() time.Duration { return time.Duration(f.apply.Load()) }
+
 func (f *faults) callerLatency() time.Duration { return time.Duration(f.latency.Load()) }
 
 func (f *faults) slowness() time.Duration { return time.Duration(f.slow.Load()) }
--- a/internal/stand/endpt/feed.go
+++ b/internal/stand/endpt/feed.go
@@ -105,7 +105,7 @@
 	if p >= n.log.last().Position {
 		return time.Time{}, false
 	}
-	return n.log.after(p)[0].at, true
+	return time.Unix(0, n.log.after(p)[0].At), true
 }
 
 // feeding returns an error unless the node is the primary of term and has not
@@ -127,8 +127,10 @@
 	if _, member := n.config.Peers[a.Name]; !member {
 		return followGive{}, errors.Wrapf(errStream, "%s is no member", a.Name)
 	}
+	n.meet(a.Name, a.Incarnation)
+	delete(n.acks, a.Name) // it may be another process than the one that sent them
 	keep := common(n.log.runs, n.log.last().Position, a.Runs, a.Last)
-	return followGive{Term: n.term, Keep: keep}, nil
+	return followGive{Name: n.config.Name, Incarnation: n.incarnation, Term: n.term, Keep: keep}, nil
 }
 
 // batch returns the records after position that are older than lag, and a
@@ -139,11 +141,10 @@
 	if err := n.feeding(term); err != nil {
 		return batch{}, nil, err
 	}
-	asOf := now.Add(-lag)
-	b := batch{Term: term, Last: p, AsOf: asOf.UnixNano(), Sent: now.UnixNano(), Confirmed: n.confirmed}
+	b := batch{Term: term, Last: p, AsOf: now.Add(-lag).UnixNano(), Sent: now.UnixNano(), Confirmed: n.confirmed}
 	for _, r := range n.log.after(p) {
-		if r.at.After(asOf) || len(b.Records) == batchLimit {
-			b.AsOf = min(b.AsOf, r.at.UnixNano())
+		if r.At > b.AsOf || len(b.Records) == batchLimit {
+			b.AsOf = min(b.AsOf, r.At)
 			break
 		}
 		b.Records = append(b.Records, r)
--- a/internal/stand/endpt/funcs.go
+++ b/internal/stand/endpt/funcs.go
@@ -81,8 +81,8 @@
 }
 
 func (x *session) lastWriteRow() ([]*string, error) {
-	confirmed := x.server.node.status(time.Now()).Confirmed
 	m := x.lastWrite
+	confirmed := x.server.node.lastWrite(m)
 	return []*string{number(int64(m.Term)), number(int64(m.Position)), number(int64(confirmed))}, nil
 }
 
--- a/internal/stand/endpt/node.go
+++ b/internal/stand/endpt/node.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math"
+
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,18 +28,22 @@
 	role    group.Role
 	// synced says that a replica's log is a prefix of its primary's.
 	synced bool
-	// voting says that the endpoint may acknowledge; a rejoining one may not
-	// before it has caught up.
-	voting    bool
-	termStart ident.Position // of the own term, on a primary
-	confirmed ident.Position
-	acks      map[ident.Endpoint]ack
-	heard     time.Time // when a replica last heard its primary
-	fresh     time.Time // the primary's time that the applied data reflect
-	serial    int64
-	changed   chan struct{} // closed and replaced when the log or a role changes
-	source    string        // address of the primary that a replica follows
-	unfollow  context.CancelFunc
+	// voting says that the endpoint may acknowledge and seal. One that starts
+	// may not before it knows whether it replaces a killed process, and one
+	// that does may not before it has caught up.
+	voting      bool
+	incarnation uint64
+	met         map[ident.Endpoint]uint64 // first incarnation heard of each peer
+	started     time.Time
+	termStart   ident.Position // of the own term, on a primary
+	confirmed   ident.Position
+	acks        map[ident.Endpoint]ack
+	heard       time.Time // when a replica last heard its primary
+	asOf        int64     // the primary's time up to which the log is complete
+	serial      int64
+	changed     chan struct{} // closed and replaced when the log or a role changes
+	source      string        // address of the primary that a replica follows
+	unfollow    context.CancelFunc
 }
 
 // ack is what a primary knows about one replica.
@@ -47,16 +54,9 @@
 
 func newNode(c Config, now time.Time) *node {
 	n := &node{
-		config: c, db: newTables(), role: group.ReplicaRole, heard: now, fresh: now,
+		config: c, db: newTables(), role: group.ReplicaRole, heard: now, asOf: now.UnixNano(),
 		acks: map[ident.Endpoint]ack{}, changed: make(chan struct{}), unfollow: func() {},
-		voting: !c.Rejoin,
-	}
-	if c.Rejoin {
-		return n
-	}
-	n.term, n.sealed = FirstTerm, FirstTerm
-	if c.Primary == c.Name {
-		n.lead(FirstTerm, now)
+		incarnation: rand.Uint64(), met: map[ident.Endpoint]uint64{}, started: now,
 	}
 	return n
 }
@@ -83,7 +83,7 @@
 	n.confirmed = 0
 	n.applyAll()
 	n.termStart = n.log.last().Position + 1
-	n.append(record{Term: term, Position: n.termStart, at: now})
+	n.append(record{Term: term, Position: n.termStart, At: now.UnixNano()})
 }
 
 // append adds a record of the primary itself. The mutex is held.
@@ -94,8 +94,15 @@
 	n.signal()
 }
 
-func (n *node) applyAll() {
+func (n *node) applyAll() { n.applyUntil(math.MaxInt64) }
+
+// applyUntil applies the records that were committed up to a time of the
+// primary's clock, in nanoseconds. The mutex is held.
+func (n *node) applyUntil(at int64) {
 	for _, r := range n.log.after(n.applied) {
+		if r.At > at {
+			return
+		}
 		n.db.apply(&r)
 		n.applied = r.Position
 	}
@@ -123,6 +130,9 @@
 
 // serving returns why the node refuses all work, or nil. The mutex is held.
 func (n *node) serving() error {
+	if n.term == 0 {
+		return fail(group.CodeSealed, "endpoint %s is starting", n.config.Name)
+	}
 	if n.sealed > n.term {
 		return fail(group.CodeSealed, "endpoint %s has sealed term %d", n.config.Name, n.sealed)
 	}
@@ -157,7 +167,11 @@
 // ages too. The mutex is held.
 func (n *node) dataAge(now time.Time) time.Duration {
 	if n.role == group.ReplicaRole {
-		return max(0, now.Sub(n.fresh))
+		asOf := n.asOf
+		if n.applied < n.log.last().Position {
+			asOf = min(asOf, n.log.after(n.applied)[0].At)
+		}
+		return max(0, now.Sub(time.Unix(0, asOf)))
 	}
 	sent := []time.Time{now}
 	for _, a := range n.acks {
@@ -207,6 +221,17 @@
 	return nil
 }
 
+// lastWrite returns the confirmed position as far as it says something about
+// mark: zero when the log has lost the mark's record.
+func (n *node) lastWrite(m ident.Mark) ident.Position {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role != group.PrimaryRole || (!m.Zero() && !n.log.holds(m)) {
+		return 0
+	}
+	return n.confirmed
+}
+
 func (n *node) currentTerm() ident.Term {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/stand/endpt/record.go
+++ b/internal/stand/endpt/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
@@ -30,7 +29,7 @@
 	Position ident.Position
 	Writes   []write
 	Once     []onceEntry
-	at       time.Time // of the commit, on the primary
+	At       int64 // of the commit, in nanoseconds of the primary's clock
 }
 
 // run is a stretch of records of one term.
@@ -87,6 +86,11 @@
 	return 0, false
 }
 
+// holds reports whether the log has the very record that the mark names.
+func (h *history) holds(m ident.Mark) bool {
+	return m.Position <= h.last().Position && termAt(h.runs, m.Position) == m.Term
+}
+
 // termAt returns the term of the record at position, given a log's runs.
 func termAt(runs []run, p ident.Position) ident.Term {
 	i := sort.Search(len(runs), func(i int) bool { return runs[i].Start > p })
--- a/internal/stand/endpt/server.go
+++ b/internal/stand/endpt/server.go
@@ -54,7 +54,11 @@
 	if s.control != nil {
 		s.tasks.Go(s.serveControl)
 	}
-	s.join()
+	if len(c.Peers) > 0 {
+		s.tasks.Go(s.join)
+	} else if err := s.found(); err != nil {
+		return nil, errors.CombineErrors(err, s.Close())
+	}
 	klog.InfoS("Endpoint started", "endpoint", c.Name, "address", s.Addr(), "primary", c.Primary)
 	return s, nil
 }
@@ -77,13 +81,6 @@
 	return nil
 }
 
-// join starts the stream of a replica.
-func (s *Server) join() {
-	if s.config.Primary != s.config.Name {
-		_ = s.follow(FirstTerm, s.config.Peers[s.config.Primary])
-	}
-}
-
 // follow makes the endpoint a replica of the primary at address.
 func (s *Server) follow(term ident.Term, address string) error {
 	return s.node.follow(term, address, func() context.CancelFunc {
@@ -136,8 +133,11 @@
 	if _, err := io.ReadFull(c, preamble[:]); err != nil {
 		return errors.CombineErrors(c.Close(), nil)
 	}
-	if binary.BigEndian.Uint32(preamble[4:]) == replicationCode {
+	switch binary.BigEndian.Uint32(preamble[4:]) {
+	case replicationCode:
 		return s.feed(ctx, c)
+	case probeCode:
+		return s.answerProbe(ctx, c)
 	}
 	p := &prefixed{Conn: c, rest: io.MultiReader(bytes.NewReader(preamble[:]), c)}
 	l := newLink(s.tasks, p, s.faults.callerLatency, &s.faults.frozen, &s.faults.callers)
--- a/internal/stand/endpt/stream.go
+++ b/internal/stand/endpt/stream.go
@@ -29,16 +29,19 @@
 
 // followAsk opens a stream: a replica tells its log.
 type followAsk struct {
-	Name ident.Endpoint
-	Term ident.Term
-	Runs []run
-	Last ident.Position
+	Name        ident.Endpoint
+	Incarnation uint64
+	Term        ident.Term
+	Runs        []run
+	Last        ident.Position
 }
 
 // followGive answers: the replica keeps its log up to Keep.
 type followGive struct {
-	Term ident.Term
-	Keep ident.Position
+	Name        ident.Endpoint
+	Incarnation uint64
+	Term        ident.Term
+	Keep        ident.Position
 }
 
 // batch carries records and the time up to which they are complete.
@@ -59,6 +62,23 @@
 	Sent     int64 // echoed from the batch
 }
 
+// dialPeer opens a connection to another endpoint of the group.
+func (s *Server) dialPeer(ctx context.Context, address string, code uint32) (net.Conn, error) {
+	s.faults.group.wait(ctx)
+	s.faults.frozen.wait(ctx)
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial peer")
+	}
+	preamble := binary.BigEndian.AppendUint32(nil, preambleBytes)
+	preamble = binary.BigEndian.AppendUint32(preamble, code)
+	if _, err := c.Write(preamble); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "greet peer"), c.Close())
+	}
+	return c, nil
+}
+
 // followLoop keeps a stream to the primary at address until ctx ends.
 func (s *Server) followLoop(ctx context.Context, term ident.Term, address string) error {
 	for ctx.Err() == nil {
@@ -69,21 +89,12 @@
 }
 
 func (s *Server) followOnce(ctx context.Context, term ident.Term, address string) error {
-	s.faults.group.wait(ctx)
-	s.faults.frozen.wait(ctx)
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := s.dialPeer(ctx, address, replicationCode)
 	if err != nil {
-		return errors.Wrap(err, "dial primary")
+		return err
 	}
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	defer func() { _ = c.Close() }()
-	var preamble [preambleBytes]byte
-	binary.BigEndian.PutUint32(preamble[:], preambleBytes)
-	binary.BigEndian.PutUint32(preamble[4:], replicationCode)
-	if _, err := c.Write(preamble[:]); err != nil {
-		return errors.Wrap(err, "greet primary")
-	}
 	in, out := cbor.NewDecoder(c), cbor.NewEncoder(c)
 	if err := out.Encode(s.node.ask(term)); err != nil {
 		return errors.Wrap(err, "send log position")
@@ -108,7 +119,7 @@
 		if s.faults.group.closed() {
 			return errStream
 		}
-		a, err := s.node.take(b, time.Now())
+		a, err := s.node.take(b, s.faults.applyLag(), time.Now())
 		if err != nil {
 			return err
 		}
@@ -122,7 +133,10 @@
 func (n *node) ask(term ident.Term) followAsk {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return followAsk{Name: n.config.Name, Term: term, Runs: slices.Clone(n.log.runs), Last: n.log.last().Position}
+	return followAsk{
+		Name: n.config.Name, Incarnation: n.incarnation, Term: term,
+		Runs: slices.Clone(n.log.runs), Last: n.log.last().Position,
+	}
 }
 
 // following returns an error unless the node is a replica in term. The mutex
@@ -148,6 +162,7 @@
 		n.log.truncate(g.Keep)
 		n.rebuild()
 	}
+	n.meet(g.Name, g.Incarnation)
 	n.heard = now
 	return nil
 }
@@ -159,7 +174,7 @@
 }
 
 // take appends and applies a batch and returns the acknowledgement.
-func (n *node) take(b batch, now time.Time) (batchAck, error) {
+func (n *node) take(b batch, lag time.Duration, now time.Time) (batchAck, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err := n.following(b.Term); err != nil {
@@ -172,13 +187,18 @@
 		n.log.push(r)
 	}
 	n.heard = now
-	n.applyAll()
+	n.applyUntil(now.Add(-lag).UnixNano())
 	// The log is a prefix of the primary's from here on; before the term's
 	// first record it may lack what an earlier term confirmed.
 	if n.log.last().Term == b.Term {
 		n.synced = true
-		n.fresh = time.Unix(0, b.AsOf)
+		n.asOf = b.AsOf
+		n.enfranchise(b.Confirmed, now)
 	}
 	n.signal()
-	return batchAck{Term: b.Term, Position: n.log.last().Position, Sent: b.Sent}, nil
+	a := batchAck{Term: b.Term, Sent: b.Sent}
+	if n.voting {
+		a.Position = n.log.last().Position
+	}
+	return a, nil
 }
--- a/internal/stand/endpt/terms.go
+++ b/internal/stand/endpt/terms.go
@@ -20,7 +20,7 @@
 		return group.Status{}, sealedError(term, n.sealed)
 	}
 	if !n.voting {
-		return group.Status{}, fail(group.CodeSealed, "endpoint %s has not caught up since its restart", n.config.Name)
+		return group.Status{}, fail(group.CodeSealed, "endpoint %s has not caught up since its start", n.config.Name)
 	}
 	n.sealed = term
 	n.stopFollowing()
--- a/internal/stand/endpt/txn.go
+++ b/internal/stand/endpt/txn.go
@@ -129,7 +129,7 @@
 
 // record returns the transaction as a record of the log.
 func (t *txn) record(m ident.Mark, now time.Time) record {
-	r := record{Term: m.Term, Position: m.Position, at: now}
+	r := record{Term: m.Term, Position: m.Position, At: now.UnixNano()}
 	for _, w := range t.writes {
 		image := write{Table: w.table, Key: w.key, Deleted: w.values == nil}
 		for _, c := range w.columns {
