--- a/cmd/stand/endpoint.go
+++ b/cmd/stand/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -23,12 +24,14 @@
 			&cli.StringFlag{Name: "peers", Usage: "name=address of the group's endpoints, separated by commas"},
 			&cli.StringFlag{Name: "primary", Required: true, Usage: "name of the first primary"},
 			&cli.BoolFlag{Name: "rejoin", Usage: "replace a process of that name which was killed"},
+			&cli.DurationFlag{Name: "rejoin-quiet", Value: 2 * time.Second, Usage: "no vote for so long after a rejoin"},
 			&cli.IntFlag{Name: "slots", Value: 2, Usage: "statements that run at once"},
 			&cli.IntFlag{Name: "connections", Value: 16, Usage: "connections that are accepted"},
 			&cli.DurationFlag{Name: "connect-time", Usage: "set-up time of a connection"},
 			&cli.DurationFlag{Name: "latency", Usage: "one way, for callers"},
 			&cli.DurationFlag{Name: "service-time", Usage: "of each statement"},
 			&cli.DurationFlag{Name: "replication-lag", Usage: "from commit until a replica receives it"},
+			&cli.DurationFlag{Name: "apply-lag", Usage: "from commit until a replica shows what it holds"},
 			&cli.StringFlag{Name: "user", Usage: "user name of the proxies; empty accepts any"},
 			&cli.StringFlag{Name: "password", Usage: "password of the proxies; empty asks for none"},
 		},
@@ -48,12 +51,14 @@
 		Peers:          peers,
 		Primary:        ident.Endpoint(c.String("primary")),
 		Rejoin:         c.Bool("rejoin"),
+		RejoinQuiet:    c.Duration("rejoin-quiet"),
 		Slots:          c.Int("slots"),
 		Connections:    c.Int("connections"),
 		ConnectTime:    c.Duration("connect-time"),
 		Latency:        c.Duration("latency"),
 		ServiceTime:    c.Duration("service-time"),
 		ReplicationLag: c.Duration("replication-lag"),
+		ApplyLag:       c.Duration("apply-lag"),
 		User:           c.String("user"),
 		Password:       c.String("password"),
 	})
--- a/internal/stand/endpt/config.go
+++ b/internal/stand/endpt/config.go
@@ -36,6 +36,9 @@
 	// Rejoin starts the endpoint as the successor of a killed process, even
 	// when no peer tells that there was one.
 	Rejoin bool
+	// RejoinQuiet is how long a successor neither seals nor acknowledges, so
+	// that a promotion that counts on a seal of its predecessor is over.
+	RejoinQuiet time.Duration
 
 	Slots          int           // statements that run at once
 	Connections    int           // connections that are accepted
--- a/internal/stand/endpt/control.go
+++ b/internal/stand/endpt/control.go
@@ -27,6 +27,11 @@
 	Slow           *envdoc.Duration `json:",omitempty"` // added to each statement
 	CutAnswers     *int64           `json:",omitempty"` // answers to cut in the middle
 	LoseAnswers    *int64           `json:",omitempty"` // answers to lose after a commit
+	// DropCallers ends every connection of a caller at once; it is an action
+	// and not a state.
+	DropCallers bool `json:",omitempty"`
+	// Watch lists texts whose arrival from callers is counted.
+	Watch []string `json:",omitempty"`
 }
 
 // SetFaults changes the faults whose fields are set.
@@ -42,6 +47,12 @@
 			to.Store(int64(*from))
 		}
 	}
+	if f.Watch != nil {
+		s.faults.watch.Store(&f.Watch)
+	}
+	if f.DropCallers {
+		s.dropCallers()
+	}
 	if f.CutAnswers != nil {
 		s.faults.cutAnswers.Store(*f.CutAnswers)
 	}
@@ -50,6 +61,15 @@
 	}
 }
 
+func (s *Server) dropCallers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.sessions {
+		_ = x.link.Conn.Close()
+		_ = x.link.Close()
+	}
+}
+
 func setGate(g *gate, shut *bool) {
 	if shut != nil {
 		g.set(*shut)
--- a/internal/stand/endpt/counters.go
+++ b/internal/stand/endpt/counters.go
@@ -7,13 +7,19 @@
 
 // Counters tell what an endpoint has seen.
 type Counters struct {
-	// Statements counts statements by what they do, such as insert.
+	// Statements counts the statements that ran, by what they do, such as
+	// insert, or by the function that they call.
 	Statements map[string]int64
+	// Failures counts the statements that failed, by SQLSTATE.
+	Failures map[string]int64
 	// Connections counts callers that sent a startup message.
 	Connections int64
 	// ForeignCredentials counts callers whose name or password was not the
 	// one in the settings.
 	ForeignCredentials int64
+	// Watched counts the chunks of input that held a watched text, such as
+	// the key of a caller.
+	Watched int64
 }
 
 type counters struct {
@@ -21,12 +27,22 @@
 	state Counters
 }
 
-func newCounters() *counters { return &counters{state: Counters{Statements: map[string]int64{}}} }
+func newCounters() *counters {
+	return &counters{state: Counters{Statements: map[string]int64{}, Failures: map[string]int64{}}}
+}
 
-func (c *counters) statement(v verb) {
+func (c *counters) statement(st *statement, err error) {
+	kind := string(st.verb)
+	if st.verb == functionVerb {
+		kind = st.name
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.Statements[string(v)]++
+	if err != nil {
+		c.state.Failures[response(err).Code]++
+		return
+	}
+	c.state.Statements[kind]++
 }
 
 func (c *counters) connection() {
@@ -41,10 +57,17 @@
 	c.state.ForeignCredentials++
 }
 
+func (c *counters) watchedText() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Watched++
+}
+
 func (c *counters) read() Counters {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := c.state
 	out.Statements = maps.Clone(c.state.Statements)
+	out.Failures = maps.Clone(c.state.Failures)
 	return out
 }
--- a/internal/stand/endpt/exec.go
+++ b/internal/stand/endpt/exec.go
@@ -21,7 +21,12 @@
 // run executes one statement, in a new implicit transaction when none is
 // open.
 func (x *session) run(ctx context.Context, st *statement, args []*string) (*result, error) {
-	x.server.counters.statement(st.verb)
+	r, err := x.attempt(ctx, st, args)
+	x.server.counters.statement(st, err)
+	return r, err
+}
+
+func (x *session) attempt(ctx context.Context, st *statement, args []*string) (*result, error) {
 	switch st.verb {
 	case commitVerb:
 		return x.end()
--- a/internal/stand/endpt/faults.go
+++ b/internal/stand/endpt/faults.go
@@ -18,6 +18,8 @@
 	// cutAnswers and loseAnswers count answers that are still to be hurt.
 	cutAnswers  atomic.Int64
 	loseAnswers atomic.Int64
+	// watch holds texts that must not arrive from callers.
+	watch atomic.Pointer[[]string]
 }
 
 func newFaults(c Config) *faults {
--- a/internal/stand/endpt/join.go
+++ b/internal/stand/endpt/join.go
@@ -18,9 +18,6 @@
 	probeTimeout = 100 * time.Millisecond
 	// joinWait is how long a new group waits for its last members.
 	joinWait = 300 * time.Millisecond
-	// rejoinQuiet is how long a successor neither seals nor acknowledges, so
-	// that a promotion that counts on the seal of its predecessor is over.
-	rejoinQuiet = 2 * time.Second
 )
 
 // probe asks a peer what it knows; it tells who asks.
@@ -176,7 +173,7 @@
 // enfranchise lets a successor vote that has caught up with what is
 // confirmed. The mutex is held.
 func (n *node) enfranchise(confirmed ident.Position, now time.Time) {
-	if n.log.last().Position >= confirmed && now.Sub(n.started) >= rejoinQuiet {
+	if n.log.last().Position >= confirmed && now.Sub(n.started) >= n.config.RejoinQuiet {
 		n.voting = true
 	}
 }
--- a/internal/stand/endpt/node.go
+++ b/internal/stand/endpt/node.go
@@ -212,12 +212,12 @@
 	if err := n.serving(); err != nil {
 		return err
 	}
-	if n.role != group.PrimaryRole || t.readOnly {
-		return fail(codeReadOnly, "cannot execute a write in a read-only transaction")
-	}
 	if t.term != n.term {
 		return fail(group.CodeSealed, "the transaction began in term %d, before term %d", t.term, n.term)
 	}
+	if n.role != group.PrimaryRole || t.readOnly {
+		return fail(codeReadOnly, "cannot execute a write in a read-only transaction")
+	}
 	return nil
 }
 
--- a/internal/stand/endpt/parsesel.go
+++ b/internal/stand/endpt/parsesel.go
@@ -77,6 +77,9 @@
 func (p *parser) call(s *statement) (*statement, error) {
 	s.table = p.name()
 	if strings.HasPrefix(s.table, schema) && p.peek() == (lexeme{symbolToken, "("}) {
+		if !s.all {
+			return nil, fail(codeUnsupported, "only SELECT * is offered for functions")
+		}
 		return p.function(s.table)
 	}
 	if err := p.where(s); err != nil {
--- a/internal/stand/endpt/server.go
+++ b/internal/stand/endpt/server.go
@@ -140,6 +140,7 @@
 		return s.answerProbe(ctx, c)
 	}
 	p := &prefixed{Conn: c, rest: io.MultiReader(bytes.NewReader(preamble[:]), c)}
+	p.rest = &watcher{source: p.rest, server: s}
 	l := newLink(s.tasks, p, s.faults.callerLatency, &s.faults.frozen, &s.faults.callers)
 	defer func() { _ = l.Close() }()
 	if err := newSession(s, l).serve(ctx); err != nil {
