Tell a caller's own syntax error from a failed check in a simple query

Cause: the endpoint reads the whole text before it runs the prelude, so the error arrived while the check's answer was due. Found by TestRefusalsSayWhy.

--- a/internal/back/conn.go
+++ b/internal/back/conn.go
@@ -48,6 +48,7 @@
 	secret   []byte
 	expects  []expect
 	calls    []call
+	prefix   int // bytes of the prelude ahead of a simple query
 }
 
 // Dial opens and authenticates a connection.
--- a/internal/back/run.go
+++ b/internal/back/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/frame"
 	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
@@ -191,7 +194,7 @@
 	if err := decodeError(body); !errors.As(err, &failure) {
 		return &LostError{Sent: stmt.Some, cause: err}
 	}
-	if in.expects[0].check {
+	if in.expects[0].check && (in.conn.prefix == 0 || isCheck(failure.Code)) {
 		in.refuse(failure)
 	} else if err := in.answer(failure, body); err != nil {
 		return err
@@ -207,13 +210,35 @@
 	in.result.Refused = failure
 }
 
+// isCheck reports whether a code is one of the prelude's functions. In a simple
+// query the endpoint reads the whole text before it runs the prelude, so that
+// any other error is about the caller's part.
+func isCheck(code fault.Code) bool { return strings.HasPrefix(string(code), "MR") }
+
 func (in *intake) answer(failure *ServerError, body []byte) error {
 	if in.result.Failed == nil {
 		in.result.Failed = failure
 	}
+	if in.conn.prefix > 0 {
+		body = shift(body, in.conn.prefix)
+	}
 	return in.sink.Relay('E', body)
 }
 
+// shift moves the place that an error names back by the prelude's length.
+func shift(body []byte, by int) []byte {
+	var m pgproto3.ErrorResponse
+	if m.Decode(body) != nil || int(m.Position) <= by {
+		return body
+	}
+	m.Position -= int32(by)
+	encoded, err := m.Encode(nil)
+	if err != nil {
+		return body
+	}
+	return encoded[frame.HeaderBytes:]
+}
+
 // skip drops the answers up to the next ReadyForQuery. Statements whose Parse
 // is among them are not known on the connection.
 func (in *intake) skip() {
--- a/internal/back/send.go
+++ b/internal/back/send.go
@@ -21,7 +21,7 @@
 
 // encode fills c.buf with the batch and c.expects with the answers it owes.
 func (c *Conn) encode(b *Batch, p *Prelude) error {
-	c.buf, c.expects = c.buf[:0], c.expects[:0]
+	c.buf, c.expects, c.prefix = c.buf[:0], c.expects[:0], 0
 	if c.dirty && c.status == 'I' {
 		c.reset()
 	}
@@ -53,6 +53,7 @@
 		text = c.calls[i].text(text)
 		c.expects = append(c.expects, expect{kind: 'C', hidden: true, check: true})
 	}
+	c.prefix = len(text)
 	c.query(string(append(text, sql...)))
 	c.expects = append(c.expects, expect{kind: 'Z'})
 	return nil
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -12,9 +12,11 @@
 	"github.com/cockroachdb/errors"
 )
 
+// HeaderBytes is the length of a frame's type and length.
+const HeaderBytes = 5
+
 // Sizes of the protocol, in bytes.
 const (
-	headerBytes = 5
 	lengthBytes = 4
 	bufferBytes = 8 << 10
 	keepBytes   = 64 << 10 // a larger body buffer is not kept
@@ -52,7 +54,7 @@
 
 // Next reads one frame. The body is valid until the next call.
 func (r *Reader) Next() (kind byte, body []byte, err error) {
-	header, err := r.source.Peek(headerBytes)
+	header, err := r.source.Peek(HeaderBytes)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "read frame header")
 	}
@@ -61,7 +63,7 @@
 	if err != nil {
 		return kind, nil, err
 	}
-	if _, err := r.source.Discard(headerBytes); err != nil {
+	if _, err := r.source.Discard(HeaderBytes); err != nil {
 		return kind, nil, errors.Wrap(err, "read frame header")
 	}
 	body, err = r.read(size)
