--- /dev/null
+++ b/scripts/set.sh
@@ -0,0 +1,46 @@
+# Functions to run a set of processes from a directory that `stand layout`
+# wrote. Sourced by the other scripts. Each process is restarted when it ends,
+# until the set stops; its present process id stands in $SET_DIR/pids/NAME.
+
+SET_BIN=${SET_BIN:-bin}
+
+# run_process NAME PROGRAM ARGS... keeps one process running.
+run_process() {
+  local name=$1 program=$2 again=""
+  shift 2
+  trap 'kill "$child" 2>/dev/null; wait "$child" 2>/dev/null; exit 0' TERM
+  while :; do
+    "$SET_BIN/$program" "$@" $again >>"$SET_DIR/logs/$name" 2>&1 &
+    child=$!
+    echo "$child" >"$SET_DIR/pids/$name"
+    wait "$child"
+    [ -e "$SET_DIR/stop" ] && return 0
+    [ "$1" = endpoint ] && again="--rejoin"
+    sleep 0.3
+  done
+}
+
+# start_set starts every process of the list.
+start_set() {
+  mkdir -p "$SET_DIR/logs" "$SET_DIR/pids"
+  SET_RUNNERS=""
+  while IFS=$'\t' read -r -a line; do
+    run_process "${line[@]}" &
+    SET_RUNNERS="$SET_RUNNERS $!"
+  done <"$SET_DIR/processes"
+}
+
+# stop_set ends every process and waits. Processes that were paused are woken.
+stop_set() {
+  touch "$SET_DIR/stop"
+  local file pid
+  for file in "$SET_DIR"/pids/*; do
+    [ -e "$file" ] || continue
+    pid=$(cat "$file")
+    kill -CONT "$pid" 2>/dev/null
+  done
+  # shellcheck disable=SC2086
+  kill -TERM $SET_RUNNERS 2>/dev/null
+  # shellcheck disable=SC2086
+  wait $SET_RUNNERS 2>/dev/null
+}
