--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,105 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	callTimeout    = 3 * time.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// ErrUnreachable reports an instance that gave no answer in time.
+var ErrUnreachable = errors.New("instance unreachable")
+
+// Client calls the administration servers of instances.
+type Client struct {
+	http  *http.Client
+	token string
+}
+
+// NewClient returns a client whose writes are authorised by the peers' secret.
+func NewClient(secret string) *Client {
+	return &Client{
+		http:  &http.Client{Transport: &http.Transport{}, Timeout: callTimeout},
+		token: Token(secret),
+	}
+}
+
+// Close gives back the connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Version asks the instance at address for the configuration in force.
+func (c *Client) Version(ctx context.Context, address string) (Version, error) {
+	return get[Version](ctx, c, address, "/v1/version", nil)
+}
+
+// Status asks the instance at address for its report.
+func (c *Client) Status(ctx context.Context, address string) (Report, error) {
+	return get[Report](ctx, c, address, "/v1/status", nil)
+}
+
+// Events asks the instance at address for its records after since.
+func (c *Client) Events(ctx context.Context, address string, since uint64) (Events, error) {
+	return get[Events](ctx, c, address, "/v1/events", url.Values{"since": {strconv.FormatUint(since, 10)}})
+}
+
+// Invariants asks the instance at address which assertions did not hold.
+func (c *Client) Invariants(ctx context.Context, address string) (Invariants, error) {
+	return get[Invariants](ctx, c, address, "/v1/invariants", nil)
+}
+
+// Drain asks the instance at address for a graceful stop.
+func (c *Client) Drain(ctx context.Context, address, reason string) error {
+	body, err := json.Marshal(Drain{Reason: reason})
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/drain", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	request.Header.Set("Authorization", bearer+c.token)
+	return c.do(request, &Drain{})
+}
+
+func get[T any](ctx context.Context, c *Client, address, path string, query url.Values) (T, error) {
+	var out T
+	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return out, errors.Wrap(err, "build request")
+	}
+	err = c.do(request, &out)
+	return out, err
+}
+
+func (c *Client) do(request *http.Request, out any) error {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	d := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
+	if response.StatusCode >= http.StatusBadRequest {
+		var e Error
+		if d.Decode(&e) != nil {
+			return errors.Newf("status %s", response.Status)
+		}
+		return &e
+	}
+	if err := d.Decode(out); err != nil {
+		return fmt.Errorf("%w: broken answer: %w", ErrUnreachable, err)
+	}
+	return nil
+}
--- a/internal/store/proof_test.go
+++ b/internal/store/proof_test.go
@@ -30,22 +30,26 @@
 	err    error
 }
 
-// race lets every operator accept on the same base at once. An operator whose
-// outcome is unknown repeats the same change until it is known.
+// run accepts until the outcome is known, each time with the same change.
+func (a *attempt) run(ctx context.Context, p *store.Platform, base ident.Version, name string) {
+	text := fmt.Appendf(nil, "text of %s", a.change)
+	for ctx.Err() == nil {
+		a.head, a.err = p.Documents.Accept(ctx, trial, base, author(string(a.change), name), text)
+		if !errors.Is(a.err, store.ErrUnavailable) {
+			return
+		}
+	}
+}
+
+// race lets every operator accept on the same base at once.
 func race(ctx context.Context, p *store.Platform, base ident.Version) []attempt {
 	attempts := make([]attempt, operators)
 	var g errgroup.Group
 	for i := range operators {
+		attempts[i].change = ident.Change(fmt.Sprintf("%d-%d", base, i))
 		g.Go(func() error {
-			a := &attempts[i]
-			a.change = ident.Change(fmt.Sprintf("%d-%d", base, i))
-			for {
-				text := fmt.Appendf(nil, "text of %s", a.change)
-				a.head, a.err = p.Documents.Accept(ctx, trial, base, author(string(a.change), fmt.Sprint("operator ", i)), text)
-				if !errors.Is(a.err, store.ErrUnavailable) || ctx.Err() != nil {
-					return nil
-				}
-			}
+			attempts[i].run(ctx, p, base, fmt.Sprint("operator ", i))
+			return nil
 		})
 	}
 	_ = g.Wait()
