--- /dev/null
+++ b/internal/fleet/loop.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// loop feeds the deciders and carries out their commands.
+func (f *Fleet) loop(ctx context.Context) error {
+	t := time.NewTicker(f.options.tick)
+	defer t.Stop()
+	f.update(f.tick())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-f.inbox:
+			f.update(m)
+		case <-t.C:
+			f.update(f.tick())
+		}
+	}
+}
+
+func (f *Fleet) tick() Tick { return Tick{Connected: f.ports.Mesh.Connected()} }
+
+func (f *Fleet) update(m Msg) {
+	now := time.Now()
+	for _, c := range f.members.Update(m, now) {
+		f.carryOut(c, now)
+	}
+	for _, c := range f.spread.Update(m, now) {
+		f.carryOut(c, now)
+	}
+	f.publish(m, now)
+}
+
+func (f *Fleet) publish(m Msg, now time.Time) {
+	until := int64(math.MinInt64)
+	if u := f.spread.TrustedUntil(); !u.IsZero() {
+		until = int64(u.Sub(f.base))
+	}
+	f.until.Store(until)
+	if _, ok := m.(Tick); !ok {
+		return
+	}
+	inForce := f.spread.InForce()
+	f.inForce.Store(&inForce)
+	f.stats.show(f, now)
+}
+
+func (f *Fleet) carryOut(c Cmd, now time.Time) {
+	switch c := c.(type) {
+	case Apply:
+		f.applyDocument(c)
+	case Record:
+		f.record(c, now)
+	case Prepared:
+		f.waiters.answer(c.ID)
+	case MembersChanged:
+		f.membersChanged(c, now)
+	case LiveChanged:
+		f.live.Store(&c.Instances)
+	case SendHead:
+		c.Head.Stamp = f.ports.Log.Now(now)
+		f.ports.Mesh.Send(c.To, c.Head)
+	case AskText:
+		f.ports.Mesh.Send(c.To, peer.DocumentAsk{Version: c.Version})
+	case GiveText:
+		f.ports.Mesh.Send(c.To, peer.Document{Version: c.Version, Text: c.Text})
+	default:
+		f.reach(c)
+	}
+}
+
+func (f *Fleet) applyDocument(c Apply) {
+	if apply := f.apply.Load(); apply != nil {
+		(*apply)(c)
+	}
+	f.version.Store(uint64(c.Version))
+	klog.InfoS("Document in force", "version", c.Version, "change", c.Change)
+}
+
+func (f *Fleet) membersChanged(c MembersChanged, now time.Time) {
+	f.ports.Mesh.SetMembers(c.Members)
+	names := make([]ident.Instance, len(c.Members))
+	for i, n := range c.Members {
+		names[i] = n.Instance
+	}
+	for _, next := range f.spread.Update(Known{Instances: names}, now) {
+		f.carryOut(next, now)
+	}
+}
+
+// record puts a record on the time line, caused by the latest one of the kind
+// that it names.
+func (f *Fleet) record(c Record, now time.Time) {
+	subject := event.Subject{Peer: c.Peer}
+	f.refs[c.Kind] = f.ports.Log.Emit(now, c.Kind, subject, f.refs[c.After], c.Note)
+	klog.V(1).InfoS("Fleet event", "kind", c.Kind, "peer", c.Peer, "note", c.Note)
+}
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// MemberBounds holds the intervals and bounds of the membership.
+type MemberBounds struct {
+	// Renew is the time between two writes of the own row.
+	Renew time.Duration
+	// Poll is the time between two reads of all rows.
+	Poll time.Duration
+	// Life is how long a row that does not change still counts as a live
+	// instance.
+	Life time.Duration
+	// Remove is how long a row must be unchanged, and its instance be
+	// unconnected, before it is removed for it.
+	Remove time.Duration
+}
+
+// DefaultMemberBounds returns the bounds for tens of instances.
+func DefaultMemberBounds() MemberBounds {
+	return MemberBounds{
+		Renew:  2 * time.Second,
+		Poll:   2 * time.Second,
+		Life:   7 * time.Second,
+		Remove: time.Minute,
+	}
+}
+
+// RowsRead is the result of a ReadRows. Began is from before the read.
+type RowsRead struct {
+	Began time.Time
+	Rows  []store.Member
+	Err   error
+}
+
+// RowWritten is the result of a WriteRow.
+type RowWritten struct{ Err error }
+
+// Left tells that a peer said that it stops.
+type Left struct{ From ident.Instance }
+
+func (RowsRead) msg()   {}
+func (RowWritten) msg() {}
+func (Left) msg()       {}
+
+// ReadRows asks for all member rows.
+type ReadRows struct{}
+
+// WriteRow asks to write the own member row.
+type WriteRow struct{ Member store.Member }
+
+// RemoveRow asks to delete the row of an instance that is gone.
+type RemoveRow struct{ Instance ident.Instance }
+
+// MembersChanged gives the known instances and their addresses, the own one
+// included, in the order of their names.
+type MembersChanged struct{ Members []store.Member }
+
+// LiveChanged gives the live instances in order, the own one included.
+type LiveChanged struct{ Instances []ident.Instance }
+
+func (ReadRows) cmd()       {}
+func (WriteRow) cmd()       {}
+func (RemoveRow) cmd()      {}
+func (MembersChanged) cmd() {}
+func (LiveChanged) cmd()    {}
+
+// row is what is known of another instance.
+type row struct {
+	member  store.Member
+	changed time.Time // when a read began that first showed it as it is
+	left    bool
+	live    bool
+}
+
+// Members decides which instances exist and which are live. An instance is
+// live while its row changes, by the reader's monotonic clock, or while it is
+// connected. Through an outage of the store the connections alone decide. It
+// is not safe for concurrent use.
+type Members struct {
+	self      store.Member
+	bounds    MemberBounds
+	rows      map[ident.Instance]*row
+	connected []ident.Instance
+
+	told      bool // whether MembersChanged was ever given
+	reading   bool
+	writing   bool
+	nextRead  time.Time
+	nextWrite time.Time
+}
+
+// NewMembers returns the decider for the instance of the row self.
+func NewMembers(self store.Member, bounds MemberBounds) *Members {
+	return &Members{self: self, bounds: bounds, rows: make(map[ident.Instance]*row)}
+}
+
+// Update takes one input and returns what to do.
+func (m *Members) Update(msg Msg, now time.Time) []Cmd {
+	switch v := msg.(type) {
+	case Tick:
+		m.connected = v.Connected
+		return append(m.due(now), m.judge(now)...)
+	case RowsRead:
+		return append(m.rowsRead(v, now), m.judge(now)...)
+	case RowWritten:
+		m.writing = false
+	case Left:
+		if r := m.rows[v.From]; r != nil {
+			r.left = true
+		}
+		return m.judge(now)
+	}
+	return nil
+}
+
+func (m *Members) due(now time.Time) []Cmd {
+	var cmds []Cmd
+	if !m.writing && !now.Before(m.nextWrite) {
+		m.writing = true
+		m.nextWrite = now.Add(m.bounds.Renew)
+		m.self.Renewal++
+		cmds = append(cmds, WriteRow{Member: m.self})
+	}
+	if !m.reading && !now.Before(m.nextRead) {
+		m.reading = true
+		m.nextRead = now.Add(m.bounds.Poll)
+		cmds = append(cmds, ReadRows{})
+	}
+	return cmds
+}
+
+func (m *Members) rowsRead(v RowsRead, now time.Time) []Cmd {
+	m.reading = false
+	if v.Err != nil {
+		return nil
+	}
+	before := m.members()
+	seen := make(map[ident.Instance]bool, len(v.Rows))
+	for _, n := range v.Rows {
+		seen[n.Instance] = true
+		if n.Instance != m.self.Instance {
+			m.take(n, v.Began)
+		}
+	}
+	cmds := m.forget(seen)
+	if len(cmds) > 0 {
+		cmds = append(cmds, LiveChanged{Instances: m.live()})
+	}
+	cmds = append(cmds, m.remove(now)...)
+	if after := m.members(); !m.told || !slices.EqualFunc(before, after, sameAddress) {
+		m.told = true
+		cmds = append(cmds, MembersChanged{Members: after})
+	}
+	return cmds
+}
+
+// take notes a row as read. A new start cancels an earlier farewell.
+func (m *Members) take(n store.Member, began time.Time) {
+	r := m.rows[n.Instance]
+	if r == nil {
+		m.rows[n.Instance] = &row{member: n, changed: began}
+		return
+	}
+	if r.member.Start != n.Start {
+		r.left = false
+	}
+	if r.member != n {
+		r.member, r.changed = n, began
+	}
+}
+
+// forget drops the rows that were deleted.
+func (m *Members) forget(seen map[ident.Instance]bool) []Cmd {
+	var cmds []Cmd
+	for _, n := range m.names() {
+		if seen[n] {
+			continue
+		}
+		if m.rows[n].live {
+			cmds = append(cmds, Record{Kind: MemberLost, Peer: n, Note: "row deleted"})
+		}
+		delete(m.rows, n)
+	}
+	return cmds
+}
+
+// remove deletes rows of instances that are long gone. Only an instance in
+// touch with more than half of the known ones does so, so that a cut-off few
+// never shrink the number that makes a majority. The live instances try in an
+// order of their own for each row, with growing patience.
+func (m *Members) remove(now time.Time) []Cmd {
+	if 2*(m.touched()+1) <= len(m.rows)+1 {
+		return nil
+	}
+	var cmds []Cmd
+	live := m.live()
+	for _, n := range m.names() {
+		place := Place(string(n), live, m.self.Instance)
+		patience := m.bounds.Remove * time.Duration(1+place)
+		silent := now.Sub(m.rows[n].changed) >= patience
+		if silent && !slices.Contains(m.connected, n) {
+			cmds = append(cmds, RemoveRow{Instance: n})
+		}
+	}
+	return cmds
+}
+
+// touched counts the known instances that are connected.
+func (m *Members) touched() int {
+	count := 0
+	for _, n := range m.connected {
+		if m.rows[n] != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// judge decides anew who is live.
+func (m *Members) judge(now time.Time) []Cmd {
+	var cmds []Cmd
+	for _, n := range m.names() {
+		r := m.rows[n]
+		connected := slices.Contains(m.connected, n)
+		live := !r.left && (connected || now.Sub(r.changed) < m.bounds.Life)
+		if live == r.live {
+			continue
+		}
+		r.live = live
+		cmds = append(cmds, recordOf(n, r))
+	}
+	if len(cmds) > 0 {
+		cmds = append(cmds, LiveChanged{Instances: m.live()})
+	}
+	return cmds
+}
+
+func recordOf(n ident.Instance, r *row) Cmd {
+	switch {
+	case r.live:
+		return Record{Kind: MemberSeen, After: MemberLost, Peer: n}
+	case r.left:
+		return Record{Kind: MemberLost, After: MemberSeen, Peer: n, Note: "left"}
+	}
+	return Record{Kind: MemberLost, After: MemberSeen, Peer: n, Note: "silent"}
+}
+
+func (m *Members) live() []ident.Instance {
+	live := []ident.Instance{m.self.Instance}
+	for n, r := range m.rows {
+		if r.live {
+			live = append(live, n)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (m *Members) members() []store.Member {
+	all := []store.Member{m.self}
+	for _, r := range m.rows {
+		all = append(all, r.member)
+	}
+	slices.SortFunc(all, func(a, b store.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return all
+}
+
+// names returns the names of the other instances in order.
+func (m *Members) names() []ident.Instance { return slices.Sorted(maps.Keys(m.rows)) }
+
+func sameAddress(a, b store.Member) bool {
+	a.Renewal, b.Renewal = 0, 0
+	return a == b
+}
--- /dev/null
+++ b/internal/fleet/members_test.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// TestMembers runs the scripts in testdata/members. Each directive has the
+// time in whole milliseconds as its first argument:
+//
+//	tick 100 connected=(b,c)     time passes
+//	rows 100 began=50            a read of the rows in the input ends: name start renewal
+//	outage 100                   a read fails
+//	left 100 from=b              a peer says that it stops
+//	written 100                  the write of the own row ends
+func TestMembers(t *testing.T) {
+	datadriven.Walk(t, "testdata/members", func(t *testing.T, path string) {
+		m := NewMembers(store.Member{Instance: "a", Start: 1}, DefaultMemberBounds())
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			at, err := time.ParseDuration(d.CmdArgs[0].Key + "ms")
+			if err != nil {
+				d.Fatalf(t, "time: %v", err)
+			}
+			return printCmds(m.Update(memberInput(t, d), simEpoch.Add(at)))
+		})
+	})
+}
+
+func memberInput(t *testing.T, d *datadriven.TestData) Msg {
+	switch d.Cmd {
+	case "tick":
+		var connected []ident.Instance
+		if d.HasArg("connected") {
+			for _, n := range d.CmdArgs[1].Vals {
+				connected = append(connected, ident.Instance(n))
+			}
+		}
+		return Tick{Connected: connected}
+	case "rows":
+		var began int
+		d.ScanArgs(t, "began", &began)
+		return RowsRead{Began: simEpoch.Add(time.Duration(began) * time.Millisecond), Rows: parseRows(t, d)}
+	case "outage":
+		return RowsRead{Err: errSim}
+	case "left":
+		var from string
+		d.ScanArgs(t, "from", &from)
+		return Left{From: ident.Instance(from)}
+	case "written":
+		return RowWritten{}
+	}
+	d.Fatalf(t, "unknown directive %s", d.Cmd)
+	return nil
+}
+
+func parseRows(t *testing.T, d *datadriven.TestData) []store.Member {
+	var rows []store.Member
+	for line := range strings.Lines(d.Input) {
+		var m store.Member
+		if _, err := fmt.Sscan(line, &m.Instance, &m.Start, &m.Renewal); err != nil {
+			d.Fatalf(t, "row %q: %v", line, err)
+		}
+		rows = append(rows, m)
+	}
+	return rows
+}
+
+func printCmds(cmds []Cmd) string {
+	var b strings.Builder
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case ReadRows:
+			fmt.Fprintln(&b, "ReadRows")
+		case WriteRow:
+			fmt.Fprintln(&b, "WriteRow renewal", c.Member.Renewal)
+		case RemoveRow:
+			fmt.Fprintln(&b, "RemoveRow", c.Instance)
+		case MembersChanged:
+			fmt.Fprint(&b, "MembersChanged")
+			for _, n := range c.Members {
+				fmt.Fprint(&b, " ", n.Instance, "/", n.Start)
+			}
+			fmt.Fprintln(&b)
+		case LiveChanged:
+			fmt.Fprintln(&b, "LiveChanged", c.Instances)
+		case Record:
+			fmt.Fprintln(&b, strings.TrimSpace(fmt.Sprint("Record ", c.Kind, " ", c.Peer, " ", c.Note)))
+		}
+	}
+	return b.String()
+}
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -257,3 +257,21 @@
 	const fifth = 5
 	return d - d/fifth + time.Duration(s.random.Int64N(int64(2*d/fifth)+1))
 }
+
+// InForce returns the version in force on each known instance, in order: the
+// own one, and what the others told last.
+func (s *Spread) InForce() []InForce {
+	all := make([]InForce, 0, len(s.known))
+	for _, n := range s.known {
+		v := InForce{Instance: n}
+		if c := s.contacts[n]; c != nil {
+			v.Version = c.version
+			v.InTouch = s.last.Sub(c.at) < s.bounds.Contact
+		}
+		if n == s.self {
+			v.Version, v.InTouch = s.current.version, true
+		}
+		all = append(all, v)
+	}
+	return all
+}
