--- /dev/null
+++ b/internal/stand/endpt/record_test.go
@@ -0,0 +1,83 @@
+package endpt
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// naiveCommon compares two logs record by record from the end.
+func naiveCommon(a, b []ident.Term) ident.Position {
+	for p := min(len(a), len(b)); p > 0; p-- {
+		if a[p-1] == b[p-1] {
+			return ident.Position(p)
+		}
+	}
+	return 0
+}
+
+func drawTerms(t *rapid.T, label string) []ident.Term {
+	steps := rapid.SliceOfN(rapid.IntRange(0, 2), 0, 12).Draw(t, label)
+	term, out := ident.Term(1), []ident.Term(nil)
+	for _, s := range steps {
+		term += ident.Term(s)
+		out = append(out, term)
+	}
+	return out
+}
+
+func logOf(terms []ident.Term) *history {
+	h := &history{}
+	for i, m := range terms {
+		h.push(record{Term: m, Position: ident.Position(i + 1)})
+	}
+	return h
+}
+
+func TestCommonPrefixAgreesWithTheNaiveVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawTerms(t, "a"), drawTerms(t, "b")
+		x, y := logOf(a), logOf(b)
+		got := common(x.runs, x.last().Position, y.runs, y.last().Position)
+		if want := naiveCommon(a, b); got != want {
+			t.Fatalf("common of %v and %v is %d, want %d", a, b, got, want)
+		}
+		x.truncate(got)
+		if x.last().Position != got || termAt(x.runs, got) != x.last().Term {
+			t.Fatalf("truncated to %v", x.last())
+		}
+	})
+}
+
+func TestBoundMapsMarksOfEndedTerms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := drawTerms(t, "log")
+		h := logOf(terms)
+		m := ident.Mark{
+			Term:     ident.Term(rapid.IntRange(1, 20).Draw(t, "term")),
+			Position: ident.Position(rapid.IntRange(1, 20).Draw(t, "position")),
+		}
+		want, known := naiveBound(terms, m)
+		got, ok := h.bound(m)
+		if ok != known || got != want {
+			t.Fatalf("bound of %v in %v is %d %v, want %d %v", m, terms, got, ok, want, known)
+		}
+	})
+}
+
+// naiveBound walks the log to the first record of a later term.
+func naiveBound(terms []ident.Term, m ident.Mark) (ident.Position, bool) {
+	known := false
+	for i, term := range terms {
+		if term > m.Term {
+			return min(m.Position, ident.Position(i)), true
+		}
+		known = term == m.Term
+	}
+	if known {
+		return m.Position, true
+	}
+	return 0, false
+}
