--- a/cmd/marjoramrudder/proxy.go
+++ b/cmd/marjoramrudder/proxy.go
@@ -31,9 +31,14 @@
 	if err != nil {
 		return errors.Wrap(err, "build proxy")
 	}
-	proxy.Start()
-	<-ctx.Done()
-	klog.InfoS("Stopping", "instance", settings.Instance)
-	err = proxy.Drain(context.Background())
-	return errors.CombineErrors(err, proxy.Close())
+	if err := proxy.Start(); err != nil {
+		return errors.CombineErrors(err, proxy.Close())
+	}
+	reason := "signal"
+	select {
+	case <-ctx.Done():
+	case reason = <-proxy.Asked():
+	}
+	klog.InfoS("Stopping", "instance", settings.Instance, "reason", reason)
+	return proxy.Stop(context.Background())
 }
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -125,7 +125,7 @@
 	}
 	p, err := entry.Build(settings)
 	g.Expect(err).NotTo(HaveOccurred())
-	p.Start()
+	g.Expect(p.Start()).To(Succeed())
 	s.proxies = append(s.proxies, p)
 	s.addresses = append(s.addresses, settings.Listen.Callers)
 	s.t.Cleanup(func() { g.Expect(p.Close()).To(Succeed()) })
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -11,9 +11,11 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/back"
 	"github.com/marjoramrudder/marjoramrudder/internal/conf"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/fleet"
 	"github.com/marjoramrudder/marjoramrudder/internal/front"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
 )
 
 // The providers below build the parts of a Proxy; wire.go lists them.
@@ -22,15 +24,38 @@
 
 func providePlatform(s *conf.Settings) (*store.Platform, error) { return store.Open(s.Platform) }
 
-func provideMesh(s *conf.Settings, router *peer.Router, events *event.Log) (*peer.Mesh, error) {
+func provideMesh(s *conf.Settings, started start, router *peer.Router, events *event.Log) (*peer.Mesh, error) {
 	listener, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	hello := peer.Hello{Instance: s.Instance, Environment: s.Environment, Start: uint64(time.Now().UnixNano())}
+	hello := peer.Hello{Instance: s.Instance, Environment: s.Environment, Start: uint64(started)}
 	return peer.NewMesh(hello, listener, s.Peers.Secret, router, events)
 }
 
+// start tells the processes of one instance name apart.
+type start uint64
+
+func provideStart() start { return start(time.Now().UnixNano()) }
+
+func provideFleet(s *conf.Settings, started start, platform *store.Platform, mesh *peer.Mesh, events *event.Log) *fleet.Fleet {
+	self := store.Member{
+		Instance:   s.Instance,
+		DataCentre: s.DataCentre,
+		Peer:       s.Listen.Peers,
+		Admin:      s.Listen.Admin,
+		Start:      uint64(started),
+	}
+	ports := fleet.Ports{
+		Documents: platform.Documents,
+		Members:   platform.Members,
+		Mesh:      mesh,
+		Log:       events,
+		Parse:     envdoc.Parse,
+	}
+	return fleet.New(self, s.Environment, ports)
+}
+
 func provideQuota(s *conf.Settings, platform *store.Platform, mesh *peer.Mesh, events *event.Log) *acct.Keeper {
 	return acct.NewKeeper(s.Instance, s.Environment, platform.Leases, mesh, events, acct.WithLease(s.Limits.LeaseLength.Std()))
 }
@@ -45,7 +70,7 @@
 // one endpoint.
 const waitersPerAccount = 512
 
-func provideFront(s *conf.Settings, quota *acct.Keeper, table *front.Table, events *event.Log) (*front.Server, error) {
+func provideFront(s *conf.Settings, quota *acct.Keeper, fleet *fleet.Fleet, table *front.Table, events *event.Log) (*front.Server, error) {
 	options := front.DefaultOptions()
 	options.Callers = s.Limits.Callers
 	options.RequestTimeout = s.Limits.RequestTimeout.Std()
@@ -62,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	return front.NewServer(listener, quota.Gate(), table, events, options), nil
+	return front.NewServer(listener, guard{Gate: quota.Gate(), trusted: fleet.Trusted}, table, events, options), nil
 }
 
 func provideTable() *front.Table { return &front.Table{} }
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -4,25 +4,28 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/acct"
+	"github.com/marjoramrudder/marjoramrudder/internal/admin"
 	"github.com/marjoramrudder/marjoramrudder/internal/conf"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/fleet"
 	"github.com/marjoramrudder/marjoramrudder/internal/front"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
-	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
-	pollEvery    = time.Second
-	tendEvery    = time.Second
+	tendEvery    = 100 * time.Millisecond
+	listEvery    = time.Second
 	controlIdle  = 3 * time.Second
 	eventRecords = 8192
 )
@@ -33,82 +36,116 @@
 	events   *event.Log
 	platform *store.Platform
 	mesh     *peer.Mesh
+	fleet    *fleet.Fleet
 	quota    *acct.Keeper
 	sites    *Sites
 	front    *front.Server
+	admin    *admin.Server
 	group    *tasks.Group
-	version  ident.Version
+	stop     chan string
+	draining atomic.Bool
+	change   atomic.Pointer[ident.Change]
+}
+
+// Parts are what a Proxy is composed of.
+type Parts struct {
+	Settings *conf.Settings
+	Events   *event.Log
+	Platform *store.Platform
+	Router   *peer.Router
+	Mesh     *peer.Mesh
+	Fleet    *fleet.Fleet
+	Quota    *acct.Keeper
+	Sites    *Sites
+	Front    *front.Server
 }
 
 // NewProxy returns a process that is not started yet.
-func NewProxy(settings *conf.Settings, events *event.Log, platform *store.Platform, router *peer.Router, mesh *peer.Mesh, quota *acct.Keeper, sites *Sites, server *front.Server) *Proxy {
-	peer.Handle(router, sites.Receive)
-	peer.Handle(router, func(from ident.Instance, m peer.TokenAsk, now time.Time) { quota.Receive(from, m, now) })
-	peer.Handle(router, func(from ident.Instance, m peer.TokenGive, now time.Time) { quota.Receive(from, m, now) })
-	return &Proxy{
-		settings: settings,
-		events:   events,
-		platform: platform,
-		mesh:     mesh,
-		quota:    quota,
-		sites:    sites,
-		front:    server,
+func NewProxy(parts Parts) *Proxy {
+	p := &Proxy{
+		settings: parts.Settings,
+		events:   parts.Events,
+		platform: parts.Platform,
+		mesh:     parts.Mesh,
+		fleet:    parts.Fleet,
+		quota:    parts.Quota,
+		sites:    parts.Sites,
+		front:    parts.Front,
 		group:    tasks.New(context.Background()),
+		stop:     make(chan string, 1),
 	}
+	p.fleet.Register(parts.Router)
+	p.fleet.SetApply(p.apply)
+	peer.Handle(parts.Router, p.sites.Receive)
+	peer.Handle(parts.Router, func(from ident.Instance, m peer.TokenAsk, now time.Time) { p.quota.Receive(from, m, now) })
+	peer.Handle(parts.Router, func(from ident.Instance, m peer.TokenGive, now time.Time) { p.quota.Receive(from, m, now) })
+	return p
 }
 
-// Start begins to serve.
-func (p *Proxy) Start() {
+// Start begins to serve. It fails when the administration address is taken.
+func (p *Proxy) Start() error {
+	var err error
+	config := admin.Config{Address: p.settings.Listen.Admin, Secret: p.settings.Peers.Secret}
+	p.admin, err = admin.Start(context.Background(), config, p, p, p.events)
+	if err != nil {
+		return errors.Wrap(err, "start administration")
+	}
 	p.mesh.Start()
+	p.fleet.Start()
 	p.quota.Start(context.Background())
-	p.group.Go(p.poll)
 	p.group.Go(p.tend)
+	p.group.Go(p.list)
 	p.front.Start()
 	klog.InfoS("Serving callers", "instance", p.settings.Instance, "environment", p.settings.Environment, "address", p.settings.Listen.Callers)
+	return nil
+}
+
+// apply puts a document in force.
+func (p *Proxy) apply(a fleet.Apply) {
+	p.sites.Apply(a.Document)
+	p.quota.SetDocument(a.Document, a.Version)
+	p.change.Store(&a.Change)
+	klog.InfoS("Document applied", "version", a.Version, "change", a.Change)
 }
 
-// poll reads the head of the environment and applies what is new.
-func (p *Proxy) poll(ctx context.Context) error {
+// tend tells the parts which instances are live, and closes idle control
+// connections.
+func (p *Proxy) tend(ctx context.Context) error {
+	var told []ident.Instance
 	for ctx.Err() == nil {
-		if err := p.refresh(ctx); err != nil {
-			klog.InfoS("Document not read", "err", err)
+		if live := p.fleet.Live(); !slices.Equal(live, told) {
+			told = live
+			p.sites.SetLive(live)
+			p.quota.SetPeers(live)
 		}
-		wait(ctx, pollEvery)
+		p.sites.CloseIdle(time.Now().Add(-controlIdle))
+		wait(ctx, tendEvery)
 	}
 	return nil
 }
 
-func (p *Proxy) refresh(ctx context.Context) error {
-	head, err := p.platform.Documents.Head(ctx, p.settings.Environment)
-	if err != nil || head.Version <= p.version {
-		return err
-	}
-	text, err := p.platform.Documents.Text(ctx, p.settings.Environment, head.Version)
-	if err != nil {
-		return err
-	}
-	doc, err := envdoc.Parse(text)
-	if err != nil {
-		return errors.Wrapf(err, "version %d", head.Version)
+// list reads the platform's list, for the endpoints that leave.
+func (p *Proxy) list(ctx context.Context) error {
+	for ctx.Err() == nil {
+		listed, err := p.platform.Directory.List(ctx)
+		if err != nil {
+			klog.V(2).InfoS("List not read", "err", err)
+		} else {
+			p.sites.SetLeaving(leavingOf(listed))
+		}
+		wait(ctx, listEvery)
 	}
-	p.apply(doc, head.Version)
 	return nil
 }
 
-func (p *Proxy) apply(doc *envdoc.Document, version ident.Version) {
-	p.sites.Apply(doc)
-	p.quota.SetDocument(doc, version)
-	p.version = version
-	klog.InfoS("Document applied", "version", version)
-}
-
-// tend does the regular upkeep.
-func (p *Proxy) tend(ctx context.Context) error {
-	for ctx.Err() == nil {
-		p.sites.CloseIdle(time.Now().Add(-controlIdle))
-		wait(ctx, tendEvery)
+func leavingOf(listed []store.Listed) map[ident.Endpoint]bool {
+	leaving := make(map[ident.Endpoint]bool)
+	for _, l := range listed {
+		if l.Leaving {
+			leaving[ident.Endpoint(l.Name)] = true
+		}
 	}
-	return nil
+	return leaving
 }
 
 func wait(ctx context.Context, d time.Duration) {
@@ -120,11 +157,25 @@
 	}
 }
 
-// Drain stops the process gracefully: callers first, then what they used.
-func (p *Proxy) Drain(ctx context.Context) error {
+// Drain implements admin.Drainer: it asks for a graceful stop.
+func (p *Proxy) Drain(reason string) {
+	select {
+	case p.stop <- reason:
+	default:
+	}
+}
+
+// Asked returns the channel that gives the reason of a stop that an operator
+// asked for.
+func (p *Proxy) Asked() <-chan string { return p.stop }
+
+// Stop ends the process gracefully: callers first, then what they used.
+func (p *Proxy) Stop(ctx context.Context) error {
+	p.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Limits.DrainTimeout.Std())
 	defer cancel()
-	return errors.Wrap(p.front.Drain(ctx), "drain callers")
+	err := errors.Wrap(p.front.Drain(ctx), "drain callers")
+	return errors.CombineErrors(err, p.Close())
 }
 
 // Close ends everything and waits.
@@ -133,6 +184,10 @@
 	err = errors.CombineErrors(err, p.group.Close())
 	err = errors.CombineErrors(err, p.quota.Close())
 	err = errors.CombineErrors(err, p.sites.Close())
+	err = errors.CombineErrors(err, p.fleet.Close())
 	err = errors.CombineErrors(err, p.mesh.Close())
+	if p.admin != nil {
+		err = errors.CombineErrors(err, p.admin.Close())
+	}
 	return errors.CombineErrors(err, p.platform.Close())
 }
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -15,11 +15,14 @@
 		provideEvents,
 		providePlatform,
 		peer.NewRouter,
+		provideStart,
 		provideMesh,
+		provideFleet,
 		provideQuota,
 		provideTable,
 		provideSites,
 		provideFront,
+		wire.Struct(new(Parts), "*"),
 		NewProxy,
 	))
 }
--- a/internal/entry/wire_gen.go
+++ b/internal/entry/wire_gen.go
@@ -21,17 +21,30 @@
 		return nil, err
 	}
 	router := peer.NewRouter()
-	mesh, err := provideMesh(settings, router, log)
+	entryStart := provideStart()
+	mesh, err := provideMesh(settings, entryStart, router, log)
 	if err != nil {
 		return nil, err
 	}
+	fleet := provideFleet(settings, entryStart, platform, mesh, log)
 	keeper := provideQuota(settings, platform, mesh, log)
 	table := provideTable()
 	sites := provideSites(settings, platform, mesh, log, table)
-	server, err := provideFront(settings, keeper, table, log)
+	server, err := provideFront(settings, keeper, fleet, table, log)
 	if err != nil {
 		return nil, err
 	}
-	proxy := NewProxy(settings, log, platform, router, mesh, keeper, sites, server)
+	parts := Parts{
+		Settings: settings,
+		Events:   log,
+		Platform: platform,
+		Router:   router,
+		Mesh:     mesh,
+		Fleet:    fleet,
+		Quota:    keeper,
+		Sites:    sites,
+		Front:    server,
+	}
+	proxy := NewProxy(parts)
 	return proxy, nil
 }
