--- a/internal/stand/endpt/exec.go
+++ b/internal/stand/endpt/exec.go
@@ -146,4 +146,3 @@
 	}
 	return out
 }
-
