--- /dev/null
+++ b/internal/oper/fleet.go
@@ -0,0 +1,141 @@
+package oper
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/admin"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// parallelAsks bounds the instances that are asked at once.
+	parallelAsks = 64
+	pollInterval = 200 * time.Millisecond
+)
+
+// ErrNotInForce reports a version that some instance did not put in force in
+// time. It is accepted all the same, and every instance will follow.
+var ErrNotInForce = errors.New("accepted, but not in force everywhere in time")
+
+// Fleet asks the instances of an environment.
+type Fleet struct {
+	Members store.Members
+	Client  *admin.Client
+}
+
+// Answer is what one instance said.
+type Answer[T any] struct {
+	Member store.Member
+	Value  T
+	Err    error
+}
+
+// ask asks every member of the environment, several at once.
+func ask[T any](ctx context.Context, f *Fleet, env ident.Environment, question func(ctx context.Context, address string) (T, error)) ([]Answer[T], error) {
+	members, err := f.Members.All(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(members, func(a, b store.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	answers := make([]Answer[T], len(members))
+	var g errgroup.Group
+	g.SetLimit(parallelAsks)
+	for i, m := range members {
+		g.Go(func() error {
+			value, err := question(ctx, m.Admin)
+			answers[i] = Answer[T]{m, value, err}
+			return nil
+		})
+	}
+	return answers, g.Wait()
+}
+
+// Status asks every instance for its report.
+func (f *Fleet) Status(ctx context.Context, env ident.Environment) ([]Answer[admin.Report], error) {
+	return ask(ctx, f, env, f.Client.Status)
+}
+
+// Events asks every instance for its records after since.
+func (f *Fleet) Events(ctx context.Context, env ident.Environment, since uint64) ([]Answer[admin.Events], error) {
+	return ask(ctx, f, env, func(ctx context.Context, address string) (admin.Events, error) {
+		return f.Client.Events(ctx, address, since)
+	})
+}
+
+// Spread tells on how many instances a version is in force.
+type Spread struct {
+	Version   ident.Version
+	InForce   int
+	Instances int
+	// Behind names the instances that have an older version in force.
+	Behind []ident.Instance
+	// Unreachable names the instances that did not answer.
+	Unreachable []ident.Instance
+}
+
+// Everywhere reports whether every instance has the version in force.
+func (s Spread) Everywhere() bool { return s.InForce == s.Instances }
+
+// Spread asks every instance once.
+func (f *Fleet) Spread(ctx context.Context, env ident.Environment, version ident.Version) (Spread, error) {
+	answers, err := ask(ctx, f, env, f.Client.Version)
+	if err != nil {
+		return Spread{}, err
+	}
+	s := Spread{Version: version, Instances: len(answers)}
+	for _, a := range answers {
+		switch {
+		case a.Err != nil:
+			s.Unreachable = append(s.Unreachable, a.Member.Instance)
+		case a.Value.Version < version:
+			s.Behind = append(s.Behind, a.Member.Instance)
+		default:
+			s.InForce++
+		}
+	}
+	return s, nil
+}
+
+// AwaitInForce asks until the version is in force on every instance or ctx
+// ends, and calls progress whenever the count changes. It returns the last
+// count, with ErrNotInForce when it is not whole.
+func (f *Fleet) AwaitInForce(ctx context.Context, env ident.Environment, version ident.Version, progress func(Spread)) (Spread, error) {
+	last := Spread{Version: version}
+	asked := false
+	for {
+		s, err := f.Spread(ctx, env, version)
+		if ctx.Err() != nil {
+			return last, errors.CombineErrors(ErrNotInForce, err) // cut answers say nothing
+		}
+		if err == nil {
+			if !asked || s.InForce != last.InForce || s.Instances != last.Instances {
+				progress(s)
+			}
+			last, asked = s, true
+		}
+		if asked && last.Everywhere() {
+			return last, nil
+		}
+		if !pause(ctx, pollInterval) {
+			return last, errors.CombineErrors(ErrNotInForce, err)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/pkg/envdoc/keyring.go
+++ b/pkg/envdoc/keyring.go
@@ -52,6 +52,18 @@
 	})
 }
 
+// WithdrawKeys returns a copy of the document in which no key is in force for
+// account.
+func (d *Document) WithdrawKeys(account ident.Account) (*Document, error) {
+	return d.withAccount(account, func(a *Account) error {
+		if len(a.Keys) == 0 {
+			return ErrNoKey
+		}
+		a.Keys = nil
+		return nil
+	})
+}
+
 // withAccount returns a copy of the document with one account changed.
 func (d *Document) withAccount(name ident.Account, change func(a *Account) error) (*Document, error) {
 	i := slices.IndexFunc(d.Accounts, func(a Account) bool { return a.Name == name })
