--- a/scripts/set.sh
+++ b/scripts/set.sh
@@ -23,24 +23,29 @@
 # start_set starts every process of the list.
 start_set() {
   mkdir -p "$SET_DIR/logs" "$SET_DIR/pids"
-  SET_RUNNERS=""
+  SET_PROXIES="" SET_OTHERS=""
   while IFS=$'\t' read -r -a line; do
     run_process "${line[@]}" &
-    SET_RUNNERS="$SET_RUNNERS $!"
+    case ${line[1]} in
+      marjoramrudder) SET_PROXIES="$SET_PROXIES $!" ;;
+      *) SET_OTHERS="$SET_OTHERS $!" ;;
+    esac
   done <"$SET_DIR/processes"
 }
 
-# stop_set ends every process and waits. Processes that were paused are woken.
+# stop_set wakes what was paused and ends every process: the proxies first, as
+# they tell the platform that they leave.
 stop_set() {
   touch "$SET_DIR/stop"
-  local file pid
+  local file
   for file in "$SET_DIR"/pids/*; do
-    [ -e "$file" ] || continue
-    pid=$(cat "$file")
-    kill -CONT "$pid" 2>/dev/null
+    [ -e "$file" ] && kill -CONT "$(cat "$file")" 2>/dev/null
   done
   # shellcheck disable=SC2086
-  kill -TERM $SET_RUNNERS 2>/dev/null
-  # shellcheck disable=SC2086
-  wait $SET_RUNNERS 2>/dev/null
+  {
+    kill -TERM $SET_PROXIES 2>/dev/null
+    wait $SET_PROXIES 2>/dev/null
+    kill -TERM $SET_OTHERS 2>/dev/null
+    wait $SET_OTHERS 2>/dev/null
+  }
 }
