--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -36,7 +36,7 @@
 
 // set is a platform, one database group and some proxies in this process.
 type set struct {
-	t         *testing.T
+	t         testing.TB
 	platform  *plat.Server
 	endpoints map[ident.Endpoint]*endpt.Server
 	document  *envdoc.Document
@@ -44,7 +44,7 @@
 	addresses []string
 }
 
-func newSet(t *testing.T, proxies int) *set {
+func newSet(t testing.TB, proxies int, changes ...func(*envdoc.Document)) *set {
 	t.Helper()
 	g := NewWithT(t)
 	s := &set{t: t, endpoints: map[ident.Endpoint]*endpt.Server{}}
@@ -53,6 +53,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = s.platform.Close() })
 	s.startGroup()
+	for _, c := range changes {
+		c(s.document)
+	}
 	s.accept(1)
 	for i := range proxies {
 		s.startProxy(i)
@@ -91,6 +94,9 @@
 	}
 }
 
+// generous lifts the quota out of the way.
+func generous(d *envdoc.Document) { d.Accounts[0].Rate, d.Accounts[0].Burst = 1_000_000, 1_000_000 }
+
 // accept puts the document in force as version base+1.
 func (s *set) accept(version ident.Version) {
 	g := NewWithT(s.t)
@@ -104,7 +110,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = l.Close() }()
