Announce a version to the instances before an operator writes it

Without it, an instance in touch with most others but cut off from the store would go on to honour a key that an operator with access to the store withdrew.

--- a/cmd/marjoramrudder/session.go
+++ b/cmd/marjoramrudder/session.go
@@ -63,7 +63,11 @@
 }
 
 func (s *session) editor(c *cli.Command) *oper.Editor {
-	return &oper.Editor{Documents: s.platform.Documents, Author: c.String("author")}
+	e := &oper.Editor{Documents: s.platform.Documents, Author: c.String("author")}
+	if !c.Bool("unannounced") {
+		e.Announce = s.fleet.Announce
+	}
+	return e
 }
 
 // Close gives back the connections.
@@ -101,6 +105,7 @@
 func changeFlags() []cli.Flag {
 	return append(settingsFlags(),
 		&cli.StringFlag{Name: "author", Usage: "`NAME` that the history shows", Sources: cli.EnvVars(authorVariable), Value: "unknown"},
+		&cli.BoolFlag{Name: "unannounced", Usage: "write although no instance can tell the others; only while all instances are down"},
 		&cli.DurationFlag{Name: "wait", Usage: "longest `SPAN` to wait until the version is in force everywhere; 0s does not wait", Value: defaultWait},
 	)
 }
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -61,16 +63,27 @@
 
 // Drain asks the instance at address for a graceful stop.
 func (c *Client) Drain(ctx context.Context, address, reason string) error {
-	body, err := json.Marshal(Drain{Reason: reason})
+	return c.post(ctx, address, "/v1/drain", &Drain{Reason: reason})
+}
+
+// Prepare asks the instance at address to announce a version. The version may
+// be written when it returns nil.
+func (c *Client) Prepare(ctx context.Context, address string, version ident.Version) error {
+	return c.post(ctx, address, "/v1/prepare", &Prepare{Version: version})
+}
+
+// post sends body, which the instance answers with itself.
+func (c *Client) post(ctx context.Context, address, path string, body any) error {
+	text, err := json.Marshal(body)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/drain", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(text))
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
 	request.Header.Set("Authorization", bearer+c.token)
-	return c.do(request, &Drain{})
+	return c.do(request, body)
 }
 
 func get[T any](ctx context.Context, c *Client, address, path string, query url.Values) (T, error) {
--- a/internal/admin/report.go
+++ b/internal/admin/report.go
@@ -5,6 +5,7 @@
 package admin
 
 import (
+	"context"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
@@ -20,10 +21,14 @@
 	Ready(now time.Time) error
 }
 
-// Drainer starts a graceful stop.
-type Drainer interface {
-	// Drain asks for the stop and returns at once. A repeat changes nothing.
+// Control carries out what operators ask of the running instance.
+type Control interface {
+	// Drain asks for a graceful stop and returns at once. A repeat changes
+	// nothing.
 	Drain(reason string)
+	// Prepare announces that version may be written now. It returns an error
+	// when too few instances could be told of it.
+	Prepare(ctx context.Context, version ident.Version) error
 }
 
 // Version is the configuration that an instance has in force. Version 0 says
@@ -96,6 +101,10 @@
 // Drain is the body of a request for a graceful stop.
 type Drain struct{ Reason string }
 
+// Prepare is the body of an announcement: the version that an operator is about
+// to write.
+type Prepare struct{ Version ident.Version }
+
 // Code tells the errors of the server apart.
 type Code string
 
@@ -105,6 +114,7 @@
 	Unauthorised Code = "Unauthorised"
 	NotFound     Code = "NotFound"
 	NotReady     Code = "NotReady"
+	OutOfTouch   Code = "OutOfTouch"
 )
 
 // Error is the body of every answer that is not a success.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -42,13 +42,13 @@
 	server   *http.Server
 	token    string
 	source   Source
-	drainer  Drainer
+	control  Control
 	log      *event.Log
 	group    *tasks.Group
 }
 
 // Start listens and serves until Close.
-func Start(ctx context.Context, config Config, source Source, drainer Drainer, log *event.Log) (*Server, error) {
+func Start(ctx context.Context, config Config, source Source, control Control, log *event.Log) (*Server, error) {
 	l, err := net.Listen("tcp", config.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for administration")
@@ -57,7 +57,7 @@
 		listener: l,
 		token:    Token(config.Secret),
 		source:   source,
-		drainer:  drainer,
+		control:  control,
 		log:      log,
 		group:    tasks.New(ctx),
 	}
@@ -106,7 +106,8 @@
 	mux.HandleFunc("GET /v1/status", s.status)
 	mux.HandleFunc("GET /v1/events", s.events)
 	mux.HandleFunc("GET /v1/invariants", s.invariants)
-	mux.HandleFunc("POST /v1/drain", s.drain)
+	mux.HandleFunc("POST /v1/drain", write(s, s.drain))
+	mux.HandleFunc("POST /v1/prepare", write(s, s.prepare))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		fail(w, http.StatusNotFound, NotFound, r.Method+" "+r.URL.Path)
 	})
@@ -156,24 +157,40 @@
 	answer(w, http.StatusOK, Invariants{Broken: assert.Broken(), Reports: assert.Reports()})
 }
 
-func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
-	if !s.authorised(r) {
-		w.Header().Set("WWW-Authenticate", "Bearer")
-		fail(w, http.StatusUnauthorized, Unauthorised, "an administration write needs the bearer token")
-		return
-	}
-	var body Drain
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&body); err != nil {
-		fail(w, http.StatusBadRequest, BadRequest, err.Error())
-		return
+// write guards a handler that changes something: it asks for the bearer token
+// and decodes the body strictly.
+func write[T any](s *Server, handle func(w http.ResponseWriter, r *http.Request, body T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.authorised(r) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			fail(w, http.StatusUnauthorized, Unauthorised, "an administration write needs the bearer token")
+			return
+		}
+		var body T
+		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&body); err != nil {
+			fail(w, http.StatusBadRequest, BadRequest, err.Error())
+			return
+		}
+		handle(w, r, body)
 	}
+}
+
+func (s *Server) drain(w http.ResponseWriter, _ *http.Request, body Drain) {
 	s.log.Emit(time.Now(), drainAsked, event.Subject{}, event.Ref{}, body.Reason)
-	s.drainer.Drain(body.Reason)
+	s.control.Drain(body.Reason)
 	answer(w, http.StatusAccepted, body)
 }
 
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request, body Prepare) {
+	if err := s.control.Prepare(r.Context(), body.Version); err != nil {
+		fail(w, http.StatusServiceUnavailable, OutOfTouch, err.Error())
+		return
+	}
+	answer(w, http.StatusOK, body)
+}
+
 func fail(w http.ResponseWriter, status int, code Code, message string) {
 	answer(w, status, &Error{Code: code, Message: message})
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -14,17 +14,19 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/admin"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const secret = "0123456789abcdef"
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// instance is a Source and a Drainer.
+// instance is a Source and a Control.
 type instance struct {
 	version  admin.Version
 	notReady error
 	drained  []string
+	prepared []ident.Version
 }
 
 func (i *instance) Version() admin.Version { return i.version }
@@ -42,6 +44,11 @@
 
 func (i *instance) Drain(reason string) { i.drained = append(i.drained, reason) }
 
+func (i *instance) Prepare(_ context.Context, version ident.Version) error {
+	i.prepared = append(i.prepared, version)
+	return nil
+}
+
 func start(t *testing.T) (*instance, *event.Log, *admin.Server, *admin.Client) {
 	t.Helper()
 	i := &instance{version: admin.Version{Instance: "p1", Environment: "trial", Version: 4, Change: "c"}}
@@ -86,7 +93,7 @@
 	g.Expect(fetch(t, http.MethodGet, s, "/metrics", "", "")).To(ContainSubstring("process_"))
 }
 
-func TestDrainNeedsTheToken(t *testing.T) {
+func TestWritesNeedTheToken(t *testing.T) {
 	g := NewWithT(t)
 	i, log, s, c := start(t)
 	for _, shown := range []string{"", "Bearer ", "Bearer " + admin.Token("another secret."), admin.Token(secret)} {
@@ -97,6 +104,9 @@
 	g.Expect(i.drained).To(Equal([]string{"replaced"}))
 	records, _ := log.Since(0)
 	g.Expect(records).To(HaveLen(1))
+	g.Expect(fetch(t, http.MethodPost, s, "/v1/prepare", "", `{"Version":4}`)).To(HavePrefix("401"))
+	g.Expect(c.Prepare(t.Context(), s.Addr(), 4)).To(Succeed())
+	g.Expect(i.prepared).To(Equal([]ident.Version{4}))
 }
 
 func TestMalformedInputIsRefused(t *testing.T) {
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// Drain implements admin.Drainer: it asks for a graceful stop.
+// Drain implements admin.Control: it asks for a graceful stop.
 func (p *Proxy) Drain(reason string) {
 	select {
 	case p.stop <- reason:
@@ -165,6 +165,11 @@
 	}
 }
 
+// Prepare implements admin.Control.
+func (p *Proxy) Prepare(ctx context.Context, version ident.Version) error {
+	return p.fleet.Prepare(ctx, version)
+}
+
 // Asked returns the channel that gives the reason of a stop that an operator
 // asked for.
 func (p *Proxy) Asked() <-chan string { return p.stop }
--- a/internal/oper/editor.go
+++ b/internal/oper/editor.go
@@ -57,8 +57,15 @@
 type Editor struct {
 	Documents store.Documents
 	Author    string
+	// Announce tells the instances of a version ahead of each try to write
+	// it; nil tells nobody.
+	Announce func(ctx context.Context, env ident.Environment, version ident.Version) error
 }
 
+// acceptTimeout bounds one try to write, so that it has ended well before the
+// announcement runs out.
+const acceptTimeout = 10 * time.Second
+
 // Current is the document in force in an environment.
 type Current struct {
 	Head     store.Head // zero before the first version
@@ -88,7 +95,7 @@
 func (e *Editor) Put(ctx context.Context, env ident.Environment, base ident.Version, text []byte, now time.Time) (store.Head, error) {
 	wanted := store.Head{Change: NewChange(), Author: e.Author, At: now.UTC()}
 	for {
-		head, err := e.Documents.Accept(ctx, env, base, wanted, text)
+		head, err := e.accept(ctx, env, base, wanted, text)
 		switch {
 		case err == nil:
 			return head, nil
@@ -102,6 +109,18 @@
 	}
 }
 
+// accept announces the version and tries to write it once.
+func (e *Editor) accept(ctx context.Context, env ident.Environment, base ident.Version, wanted store.Head, text []byte) (store.Head, error) {
+	if e.Announce != nil {
+		if err := e.Announce(ctx, env, base+1); err != nil {
+			return store.Head{}, errors.Wrapf(err, "announce %s version %d", env, base+1)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	return e.Documents.Accept(ctx, env, base, wanted, text)
+}
+
 // Edit applies change to the document in force and accepts the result. When
 // another author is first, it applies change to that author's document.
 func (e *Editor) Edit(ctx context.Context, env ident.Environment, now time.Time, change func(*envdoc.Document) (*envdoc.Document, error)) (store.Head, error) {
