--- a/internal/fleet/bounds.go
+++ b/internal/fleet/bounds.go
@@ -19,7 +19,8 @@
 	Contact time.Duration
 	// Announce is how long after its announcement a document may be written.
 	Announce time.Duration
-	// Fetch is how long one source may take to give a text.
+	// Fetch is how long a source may take to give a text before the next one
+	// is asked.
 	Fetch time.Duration
 }
 
@@ -32,6 +33,6 @@
 		Evidence:  6 * time.Second,
 		Contact:   2500 * time.Millisecond,
 		Announce:  15 * time.Second,
-		Fetch:     time.Second,
+		Fetch:     500 * time.Millisecond,
 	}
 }
--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
@@ -17,9 +18,10 @@
 	next  time.Time
 }
 
-// fetchDue asks the next source when the one before it did not answer in time:
-// the one that told of the version, then the object store and the peers that
-// have the version, in turn.
+// fetchDue asks for the wanted text when the question before was not answered
+// in time. The one that told of the version is asked first; then the peers
+// that have it are asked in turn, and the object store beside them, so that
+// one slow or cut-off source does not hold up the version.
 func (s *Spread) fetchDue(now time.Time) []Cmd {
 	if s.caughtUp() || now.Before(s.fetch.next) {
 		return nil
@@ -27,17 +29,31 @@
 	s.fetch.next = now.Add(s.bounds.Fetch)
 	try := s.fetch.tries
 	s.fetch.tries++
-	if try == 0 && s.fetch.from != "" {
-		return []Cmd{AskText{To: s.fetch.from, Version: s.wanted.version}}
+	var cmds []Cmd
+	if n, ok := s.holder(try); ok {
+		cmds = append(cmds, AskText{To: n, Version: s.wanted.version})
 	}
-	if n, ok := s.holder(try / 2); ok && try%2 == 0 {
-		return []Cmd{AskText{To: n, Version: s.wanted.version}}
+	if try > 0 || len(cmds) == 0 {
+		cmds = append(cmds, s.readText()...)
 	}
+	return cmds
+}
+
+// readText reads the object store unless a read of the version runs already.
+func (s *Spread) readText() []Cmd {
+	if s.reading == s.wanted.version {
+		return nil
+	}
+	s.reading = s.wanted.version
 	return []Cmd{ReadText{Version: s.wanted.version}}
 }
 
-// holder returns a connected peer that has the wanted version in force.
+// holder returns the peer to ask in the given turn: the one that told of the
+// wanted version, then the other connected ones that have it in force.
 func (s *Spread) holder(turn int) (ident.Instance, bool) {
+	if turn == 0 {
+		return s.fetch.from, s.fetch.from != ""
+	}
 	var holders []ident.Instance
 	for _, n := range s.connected {
 		if c := s.contacts[n]; c != nil && c.version == s.wanted.version {
@@ -47,7 +63,8 @@
 	if len(holders) == 0 {
 		return "", false
 	}
-	return holders[turn%len(holders)], true
+	first := slices.Index(holders, s.fetch.from) // -1 starts at 0 in turn 1
+	return holders[(first+turn)%len(holders)], true
 }
 
 func (s *Spread) textAsked(m TextAsked) []Cmd {
@@ -58,6 +75,9 @@
 }
 
 func (s *Spread) textGiven(m TextGiven, now time.Time) []Cmd {
+	if m.From == "" && m.Version == s.reading {
+		s.reading = 0
+	}
 	if m.Version != s.wanted.version || s.caughtUp() {
 		return nil
 	}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -86,6 +86,7 @@
 	accepted  []time.Time
 	paths     map[simPath]time.Time // since when each path is good
 
+	disturbed  bool // whether paths may have changed since they were traced
 	failures   []string
 	byMajority int // checks at which contacts alone gave trust
 	asked      uint64
@@ -97,6 +98,8 @@
 		off:    off,
 		now:    simEpoch,
 		paths:  make(map[simPath]time.Time),
+
+		disturbed: true,
 	}
 	for i := range size {
 		s.names = append(s.names, ident.Instance(fmt.Sprintf("proxy-%d", i)))
--- a/internal/fleet/simcheck_test.go
+++ b/internal/fleet/simcheck_test.go
@@ -71,6 +71,10 @@
 // tracePaths notes since when each path is good: to the store itself, noted as
 // via the node, or via a peer that reaches it.
 func (s *simulation) tracePaths() {
+	if !s.disturbed {
+		return
+	}
+	s.disturbed = false
 	for i := range s.nodes {
 		for via := range s.nodes {
 			p := simPath{node: i, via: via}
@@ -93,6 +97,7 @@
 
 // disturb brings one fault, or mends some, and comes again.
 func (s *simulation) disturb() {
+	s.disturbed = true
 	switch s.random.IntN(10) {
 	case 0:
 		s.out = !s.out
@@ -127,6 +132,7 @@
 // strike leaves the store to the author of a write alone, while some of those
 // that know of the write start anew.
 func (s *simulation) strike(author int) {
+	s.disturbed = true
 	side := s.random.Perm(len(s.nodes))
 	side[slices.Index(side, 0)] = side[author]
 	side[author] = 0
@@ -175,6 +181,7 @@
 			return
 		}
 		n.paused = false
+		s.disturbed = true
 		s.checkAll() // a request may come first
 		waiting := n.waiting
 		n.waiting = nil
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -67,6 +67,7 @@
 	contacts  map[ident.Instance]*contact
 	asks      []ask
 	fetch     fetch
+	reading   ident.Version // whose text the object store is asked for, 0 for none
 
 	polling  bool
 	nextPoll time.Time
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -12,6 +12,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 func TestMain(m *testing.M) {
@@ -93,3 +95,35 @@
 		})
 	}
 }
+
+// TestSpreadAsksTheNextSource covers a version that is told by a peer that
+// does not give the text: the next holder and the store are asked at the next
+// turn.
+func TestSpreadAsksTheNextSource(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSpread("a", 1, parseSim, DefaultBounds(), 1, simEpoch)
+	now := simEpoch
+	update := func(m Msg) []Cmd {
+		var asks []Cmd
+		for _, c := range s.Update(m, now) {
+			switch c.(type) {
+			case AskText, ReadText:
+				asks = append(asks, c)
+			}
+		}
+		return asks
+	}
+	tick := Tick{Connected: []ident.Instance{"b", "c"}}
+	head := peer.Head{Version: 5, Digest: digestOf(simText(5)), Start: 1}
+	update(tick)
+	g.Expect(update(HeadHeard{From: "c", Head: head})).To(Equal([]Cmd{AskText{To: "c", Version: 5}}))
+	g.Expect(update(HeadHeard{From: "b", Head: head})).To(BeEmpty())
+	now = now.Add(DefaultBounds().Fetch)
+	g.Expect(update(tick)).To(Equal([]Cmd{AskText{To: "b", Version: 5}, ReadText{Version: 5}}))
+	now = now.Add(DefaultBounds().Fetch)
+	g.Expect(update(tick)).To(Equal([]Cmd{AskText{To: "c", Version: 5}}))
+	g.Expect(update(TextGiven{From: "b", Version: 5, Text: []byte("forged")})).To(BeEmpty())
+	g.Expect(s.Version()).To(BeZero())
+	update(TextGiven{From: "c", Version: 5, Text: simText(5)})
+	g.Expect(s.Version()).To(Equal(ident.Version(5)))
+}
