--- a/internal/stand/endpt/table.go
+++ b/internal/stand/endpt/table.go
@@ -19,6 +19,55 @@
 	columns []string
 	rows    map[string]*row
 	order   []string
+	// indexes hold the keys of the rows by the value of a column. An index is
+	// made when a statement first asks for it.
+	indexes map[string]map[string][]string
+}
+
+func newTable() *table {
+	return &table{rows: map[string]*row{}, indexes: map[string]map[string][]string{}}
+}
+
+// keys returns the keys of the rows whose column has the value.
+func (b *table) keys(column, value string) []string {
+	index, ok := b.indexes[column]
+	if !ok {
+		index = map[string][]string{}
+		b.indexes[column] = index
+		for _, k := range b.order {
+			if v := b.rows[k].values[column]; v != nil {
+				index[*v] = append(index[*v], k)
+			}
+		}
+	}
+	return index[value]
+}
+
+// unlink takes a row out of the indexes.
+func (b *table) unlink(key string) {
+	old, ok := b.rows[key]
+	if !ok {
+		return
+	}
+	for c, index := range b.indexes {
+		if v := old.values[c]; v != nil {
+			index[*v] = slices.DeleteFunc(index[*v], func(k string) bool { return k == key })
+		}
+	}
+}
+
+// put makes r the row of key.
+func (b *table) put(key string, r *row) {
+	b.unlink(key)
+	if _, ok := b.rows[key]; !ok {
+		b.order = append(b.order, key)
+	}
+	b.rows[key] = r
+	for c, index := range b.indexes {
+		if v := r.values[c]; v != nil {
+			index[*v] = append(index[*v], key)
+		}
+	}
 }
 
 // tables is what a prefix of the log has made.
@@ -48,7 +97,7 @@
 func (t *tables) write(w *write, p ident.Position) {
 	b, ok := t.byName[w.Table]
 	if !ok {
-		b = &table{rows: map[string]*row{}}
+		b = newTable()
 		t.byName[w.Table] = b
 	}
 	if w.Deleted {
@@ -62,16 +111,14 @@
 			b.columns = append(b.columns, c)
 		}
 	}
-	if _, ok := b.rows[w.Key]; !ok {
-		b.order = append(b.order, w.Key)
-	}
-	b.rows[w.Key] = &row{values: values, version: p}
+	b.put(w.Key, &row{values: values, version: p})
 }
 
 func (b *table) remove(key string) {
 	if _, ok := b.rows[key]; !ok {
 		return
 	}
+	b.unlink(key)
 	delete(b.rows, key)
 	i := slices.Index(b.order, key)
 	b.order = slices.Delete(b.order, i, i+1)
--- a/internal/stand/endpt/txn.go
+++ b/internal/stand/endpt/txn.go
@@ -1,6 +1,7 @@
 package endpt
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,7 +52,7 @@
 	base   ident.Position
 }
 
-// scan returns the rows of a table that match, in order of insertion.
+// scan returns the rows of a table that match, the committed ones first.
 func (t *txn) scan(db *tables, name, column string, value *string, filtered bool) []visible {
 	var out []visible
 	add := func(v visible) {
@@ -60,25 +61,29 @@
 		}
 	}
 	b := db.byName[name]
-	if filtered && column == idColumn && value != nil {
-		t.visit(b, name, idKey(*value), add)
-		return out
-	}
-	if b != nil {
-		for _, k := range b.order {
-			if _, ok := b.rows[k]; ok {
-				t.visit(b, name, k, add)
-			}
-		}
+	keys := candidates(b, column, value, filtered)
+	for _, k := range keys {
+		t.visit(b, name, k, add)
 	}
 	for _, w := range t.writes {
-		if w.table == name && (b == nil || b.rows[w.key] == nil) {
+		if w.table == name && !slices.Contains(keys, w.key) {
 			t.visit(b, name, w.key, add)
 		}
 	}
 	return out
 }
 
+// candidates returns the keys of the committed rows that may match.
+func candidates(b *table, column string, value *string, filtered bool) []string {
+	switch {
+	case b == nil || filtered && value == nil:
+		return nil
+	case filtered:
+		return b.keys(column, *value)
+	}
+	return b.order
+}
+
 func (t *txn) visit(b *table, name, key string, add func(visible)) {
 	if w := t.find(name, key); w != nil {
 		if w.values != nil {
