--- /dev/null
+++ b/internal/stand/load/load_test.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// startDirect starts an endpoint that takes the place of a proxy: it knows no
+// request identifiers.
+func startDirect(t *testing.T) (*endpt.Server, Config) {
+	g := NewWithT(t)
+	servers, err := endpt.StartGroup(context.Background(), endpt.Config{Slots: 4, Connections: 64}, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { g.Expect(servers[0].Close()).To(Succeed()) })
+	return servers[0], Config{
+		Proxies: []string{servers[0].Addr()},
+		Accounts: []Account{
+			{Name: "shop", Rate: 1000, Burst: 1000, Offered: 200},
+			{Name: "chain", Rate: 1000, Burst: 1000, Offered: 100, Surge: Surge{Until: time.Second, Factor: 2}},
+		},
+		Targets:  []Target{{Group: "orders", Orders: "orders", Lookups: "orders"}},
+		Duration: time.Second, Seed: 1, Sessions: 2, Roam: 0.1,
+	}
+}
+
+func TestLoadKeepsItsBooks(t *testing.T) {
+	g := NewWithT(t)
+	_, c := startDirect(t)
+	g.Expect(Fill(context.Background(), c)).To(Succeed())
+	r, err := Run(context.Background(), c)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Broken.Sum()).To(BeZero(), "%v", r.Broken.Examples)
+	for _, rows := range [][]Row{r.Kinds, r.Accounts} {
+		var all int
+		for _, w := range rows {
+			g.Expect(w.Answered).To(BeNumerically(">", 0))
+			g.Expect(w.Answered + w.NotRun + w.Failed + w.Unknown).To(Equal(w.Sent))
+			all += w.Sent + w.Unsent
+		}
+		g.Expect(all).To(BeNumerically("~", 400, 100), "requests of Poisson processes of 400 in all")
+	}
+	var out bytes.Buffer
+	g.Expect(r.Print(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("broken promises"))
+}
+
+// TestRepeatWithoutRequestIdentifiersIsFound shows that the check fails on a
+// system without the mechanism: the endpoint runs the repeated order twice.
+func TestRepeatWithoutRequestIdentifiersIsFound(t *testing.T) {
+	g := NewWithT(t)
+	s, c := startDirect(t)
+	c.Mix = Mix{Orders: 1}
+	losses := int64(3)
+	s.SetFaults(endpt.Faults{LoseAnswers: &losses})
+	r, err := Run(context.Background(), c)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Broken.DoubledOrders).To(BeNumerically(">", 0))
+}
+
+func TestPlanDependsOnTheSeedAlone(t *testing.T) {
+	g := NewWithT(t)
+	_, c := startDirect(t)
+	c.Mix = DefaultMix
+	x, y := newPlan(&c, 1), newPlan(&c, 1)
+	c.Seed = 2
+	z := newPlan(&c, 1)
+	a, b, d := x.next(), y.next(), z.next()
+	g.Expect(a).To(Equal(b))
+	g.Expect(a).NotTo(Equal(d))
+}
+
+func TestLedgerFindsBrokenPromises(t *testing.T) {
+	g := NewWithT(t)
+	l := newLedger()
+	for id, o := range map[string]Outcome{"lost": Answered, "twice": Answered, "ran": NotRun, "open": Unknown, "fine": Answered} {
+		l.note(Order, id, o)
+	}
+	for id, o := range map[string]Outcome{"half": Unknown, "gone": Answered, "good": Answered, "kept": Failed} {
+		l.note(Booking, id, o)
+	}
+	var b Broken
+	l.check(found{
+		orders:    map[string]int{"twice": 2, "ran": 1, "fine": 1},
+		bookings:  map[string]int{"half": 1, "good": 1, "kept": 1},
+		movements: map[string]int{"good": 1, "kept": 1},
+	}, &b)
+	b.Examples = nil
+	g.Expect(b).To(Equal(Broken{LostOrders: 1, DoubledOrders: 1, RefusedRan: 2, HalfBookings: 1, LostBookings: 1}))
+}
+
+func TestMeterBlamesOnlyRefusalsInsideTheQuota(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	m := newMeter(&Account{Rate: 10, Burst: 2}, now)
+	g.Expect(m.inside(now)).To(BeTrue())
+	g.Expect(m.inside(now)).To(BeTrue())
+	g.Expect(m.inside(now)).To(BeFalse(), "beyond the burst")
+	g.Expect(m.inside(now.Add(150*time.Millisecond))).To(BeFalse(), "the proxies may count other requests")
+	g.Expect(m.inside(now.Add(500 * time.Millisecond))).To(BeTrue())
+	refused := verdict{NotRun, fault.OverLimit}
+	g.Expect(wrongful(refused, true)).To(BeTrue())
+	g.Expect(wrongful(refused, false)).To(BeFalse())
+}
+
+func TestGapCountsTheTimeAfterTheLastWrite(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(0, 0)
+	w := &gaps{}
+	w.note(start.Add(3 * time.Second))
+	w.note(start.Add(time.Second))
+	g.Expect(w.report("orders", start, 4*time.Second)).To(Equal(Gap{Group: "orders", Writes: 2, Longest: 2, From: 1}))
+	g.Expect((&gaps{}).report("orders", start, 4*time.Second).Longest).To(Equal(4.0))
+}
--- /dev/null
+++ b/internal/stand/load/plan.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is what a caller asks for.
+type Kind string
+
+// The kinds of requests.
+const (
+	Order   Kind = "order"   // one statement with a request identifier
+	Lookup  Kind = "lookup"  // rows of stock, on the lookup route
+	OwnRead Kind = "ownread" // the session's last order, on the order route
+	Booking Kind = "booking" // a transaction of two writes
+)
+
+var kinds = []Kind{Order, Lookup, OwnRead, Booking}
+
+// arrival is one request of the open loop.
+type arrival struct {
+	at     time.Duration // since the start
+	kind   Kind
+	target int
+	pick   uint64 // chooses the rows
+	number int    // within the account
+}
+
+// plan makes the arrivals of one account: a Poisson process whose rate a
+// surge changes. The same seed makes the same arrivals.
+type plan struct {
+	rng     *rand.Rand
+	account *Account
+	mix     Mix
+	targets int
+	at      time.Duration
+	number  int
+}
+
+func newPlan(c *Config, account int) *plan {
+	return &plan{
+		rng:     rand.New(rand.NewPCG(c.Seed, uint64(account))),
+		account: &c.Accounts[account],
+		mix:     c.Mix,
+		targets: len(c.Targets),
+	}
+}
+
+// next returns the next arrival.
+func (p *plan) next() arrival {
+	rate := p.account.offered(p.at)
+	p.at += time.Duration(p.rng.ExpFloat64() / rate * float64(time.Second))
+	p.number++
+	return arrival{at: p.at, kind: p.kind(), target: p.rng.IntN(p.targets), pick: p.rng.Uint64(), number: p.number}
+}
+
+func (p *plan) kind() Kind {
+	m := p.mix
+	n := p.rng.IntN(m.Orders + m.Lookups + m.OwnReads + m.Bookings)
+	for i, w := range []int{m.Orders, m.Lookups, m.OwnReads, m.Bookings} {
+		if n < w {
+			return kinds[i]
+		}
+		n -= w
+	}
+	return Lookup
+}
+
+// minOffered keeps the time to the next arrival finite.
+const minOffered = 1e-3
+
+func (a *Account) offered(at time.Duration) float64 {
+	rate := max(a.Offered, minOffered)
+	if a.surging(at) {
+		rate *= a.Surge.Factor
+	}
+	return rate
+}
+
+func (a *Account) surging(at time.Duration) bool {
+	return a.Surge.Factor > 0 && at >= a.Surge.From && at < a.Surge.Until
+}
--- /dev/null
+++ b/internal/stand/load/report.go
@@ -0,0 +1,110 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Report is what one run has shown.
+type Report struct {
+	Seed     uint64
+	Seconds  float64
+	Kinds    []Row
+	Accounts []Row
+	// Refusals counts errors by SQLSTATE; "connect" and "lost" stand for
+	// connections that failed or broke.
+	Refusals map[string]int
+	Gaps     []Gap
+	Broken   Broken
+}
+
+// Row holds the counts and delays of one kind of request or one account.
+// Delays are in milliseconds, from when the request was due.
+type Row struct {
+	Name     string
+	Sent     int
+	Answered int
+	NotRun   int
+	Failed   int
+	Unknown  int
+	Unsent   int // no caller was free to send it
+	Inside   int // inside the account's rate and burst
+	InTime   int // of those, answered in time
+	Wrongful int // of those, refused with SQLSTATE 53300
+	P50      float64
+	P99      float64
+	Max      float64
+}
+
+// InTimeShare returns the share of the requests inside the quota that were
+// answered in time.
+func (r *Row) InTimeShare() float64 {
+	if r.Inside == 0 {
+		return 1
+	}
+	return float64(r.InTime) / float64(r.Inside)
+}
+
+// Gap is the longest time, in seconds, without an acknowledged write.
+type Gap struct {
+	Group   ident.Group
+	Writes  int
+	Longest float64
+	From    float64 // since the start
+}
+
+// Worst returns the account that was served worst by the share of its
+// requests inside the quota that were answered in time.
+func (r *Report) Worst() Row {
+	return slices.MinFunc(r.Accounts, func(a, b Row) int {
+		switch x, y := a.InTimeShare(), b.InTimeShare(); {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+}
+
+// Print writes the report as tables.
+func (r *Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, rows := range [][]Row{r.Kinds, r.Accounts} {
+		_, _ = fmt.Fprintln(t, "name\tsent\tanswered\tnot run\tfailed\tunknown\tunsent\tinside\tin time\twrongful\tp50 ms\tp99 ms\tmax ms\t")
+		for i := range rows {
+			printRow(t, &rows[i])
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	_, _ = fmt.Fprintln(t, "group\twrites\tlongest gap s\tfrom s\t")
+	for _, g := range r.Gaps {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%.3f\t%.3f\t\n", g.Group, g.Writes, g.Longest, g.From)
+	}
+	for _, c := range slices.Sorted(maps.Keys(r.Refusals)) {
+		_, _ = fmt.Fprintf(t, "SQLSTATE %s\t%d\t\n", c, r.Refusals[c])
+	}
+	_, _ = fmt.Fprintf(t, "broken promises\t%d\t\n", r.Broken.Sum())
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "print report")
+	}
+	for _, e := range r.Broken.Examples {
+		if _, err := fmt.Fprintln(w, "broken:", e); err != nil {
+			return errors.Wrap(err, "print report")
+		}
+	}
+	return nil
+}
+
+func printRow(w io.Writer, r *Row) {
+	_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f %%\t%d\t%.1f\t%.1f\t%.1f\t\n",
+		r.Name, r.Sent, r.Answered, r.NotRun, r.Failed, r.Unknown, r.Unsent, r.Inside,
+		100*r.InTimeShare(), r.Wrongful, r.P50, r.P99, r.Max)
+}
--- /dev/null
+++ b/internal/stand/load/tally.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	lowestDelay    = int64(1)
+	highestDelay   = int64(time.Minute / time.Microsecond)
+	delayPrecision = 3 // significant digits
+)
+
+// count books the outcomes and delays of one kind or account.
+type count struct {
+	row   Row
+	delay *hdrhistogram.Histogram
+}
+
+func newCount(name string) *count {
+	return &count{row: Row{Name: name}, delay: hdrhistogram.New(lowestDelay, highestDelay, delayPrecision)}
+}
+
+// tally collects the outcomes of all requests.
+type tally struct {
+	mu       sync.Mutex
+	config   *Config
+	kinds    map[Kind]*count
+	accounts []*count
+	refusals map[string]int
+	broken   Broken
+}
+
+func newTally(c *Config) *tally {
+	t := &tally{config: c, kinds: map[Kind]*count{}, refusals: map[string]int{}}
+	for _, k := range kinds {
+		t.kinds[k] = newCount(string(k))
+	}
+	for _, a := range c.Accounts {
+		t.accounts = append(t.accounts, newCount(string(a.Name)))
+	}
+	return t
+}
+
+func (t *tally) add(account int, a arrival, v verdict, delay time.Duration, inside bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v.code != "" {
+		t.refusals[string(v.code)]++
+	}
+	for _, c := range []*count{t.kinds[a.kind], t.accounts[account]} {
+		c.add(v, delay, inside, t.config.InTime)
+	}
+}
+
+func (c *count) add(v verdict, delay time.Duration, inside bool, limit time.Duration) {
+	r := &c.row
+	r.Sent++
+	switch v.outcome {
+	case Answered:
+		r.Answered++
+		_ = c.delay.RecordValue(min(max(delay.Microseconds(), lowestDelay), highestDelay))
+	case NotRun:
+		r.NotRun++
+	case Failed:
+		r.Failed++
+	case Unknown:
+		r.Unknown++
+	}
+	if wrongful(v, inside) {
+		r.Wrongful++
+	}
+	if !inside {
+		return
+	}
+	r.Inside++
+	if v.outcome == Answered && delay <= limit {
+		r.InTime++
+	}
+}
+
+// unsent books a request that no caller was free to send. It is inside the
+// quota of nobody, for it never reached a proxy.
+func (t *tally) unsent(account int, a arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.kinds[a.kind].row.Unsent++
+	t.accounts[account].row.Unsent++
+}
+
+func (t *tally) noteBroken(err error) {
+	var wrong *answerError
+	if !errors.As(err, &wrong) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch b := &t.broken; {
+	case wrong.own:
+		b.note(&b.OwnWrites, "%s", wrong.text)
+	case wrong.foreign:
+		b.note(&b.ForeignAnswers, "%s", wrong.text)
+	default:
+		b.note(&b.PartialAnswers, "%s", wrong.text)
+	}
+}
+
+func (t *tally) report(c *Config) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &Report{Seed: c.Seed, Seconds: c.Duration.Seconds(), Refusals: t.refusals, Broken: t.broken}
+	for _, k := range kinds {
+		r.Kinds = append(r.Kinds, t.kinds[k].finish())
+	}
+	for _, a := range t.accounts {
+		r.Accounts = append(r.Accounts, a.finish())
+	}
+	return r
+}
+
+func (c *count) finish() Row {
+	c.row.P50 = millis(c.delay.ValueAtQuantile(50))
+	c.row.P99 = millis(c.delay.ValueAtQuantile(99))
+	c.row.Max = millis(c.delay.Max())
+	return c.row
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
+
+// report returns the longest time in which no write of a group was
+// acknowledged. The time before the first and after the last one counts.
+func (g *gaps) report(name ident.Group, start time.Time, length time.Duration) Gap {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	slices.SortFunc(g.acks, time.Time.Compare)
+	out := Gap{Group: name, Writes: len(g.acks)}
+	previous := start
+	for _, at := range append(slices.Clone(g.acks), start.Add(length)) {
+		if d := at.Sub(previous); d > time.Duration(out.Longest*float64(time.Second)) {
+			out.Longest, out.From = d.Seconds(), previous.Sub(start).Seconds()
+		}
+		previous = at
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/load/verify.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+)
+
+const (
+	verifyTimeout = 60 * time.Second
+	verifyPause   = 100 * time.Millisecond
+	fillTimeout   = 60 * time.Second
+)
+
+// verify reads each group through its primary and checks the ledgers.
+func (r *run) verify(ctx context.Context, report *Report) {
+	for i := range r.config.Targets {
+		f, err := r.read(ctx, i)
+		if err != nil {
+			b := &report.Broken
+			b.note(&b.Unverified, "group %s could not be read: %v", r.config.Targets[i].Group, err)
+			continue
+		}
+		r.ledgers[i].check(f, &report.Broken)
+	}
+}
+
+// read tries each proxy until one gives the whole content of a group.
+func (r *run) read(ctx context.Context, target int) (found, error) {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	c := newCaller(&r.config, 0, target, r.config.Sessions)
+	defer c.close()
+	for {
+		f, err := c.readAll(ctx)
+		if err == nil || ctx.Err() != nil {
+			return f, err
+		}
+		c.move()
+		sleepUntil(ctx, time.Now().Add(verifyPause))
+	}
+}
+
+// readAll reads in a transaction that may write, so that the primary runs it.
+func (c *caller) readAll(ctx context.Context) (found, error) {
+	var f found
+	conn, err := c.conn(ctx, c.target.Orders)
+	if err != nil {
+		return f, err
+	}
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		return f, errors.Wrap(err, "begin to verify")
+	}
+	defer func() { _ = tx.Rollback(context.WithoutCancel(ctx)) }()
+	for sql, to := range map[string]*map[string]int{
+		"SELECT order_id FROM orders":      &f.orders,
+		"SELECT booking_id FROM bookings":  &f.bookings,
+		"SELECT booking_id FROM movements": &f.movements,
+	} {
+		rows, err := tx.Query(ctx, sql)
+		if err != nil {
+			return f, errors.Wrap(err, "verify")
+		}
+		ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+		if err != nil {
+			return f, errors.Wrap(err, "verify")
+		}
+		*to = make(map[string]int, len(ids))
+		for _, id := range ids {
+			(*to)[id]++
+		}
+	}
+	return f, errors.Wrap(tx.Commit(ctx), "verify")
+}
+
+// Fill writes the stock that lookups read into every target, as the first
+// account, and waits until the lookup routes show it.
+func Fill(ctx context.Context, config Config) error {
+	c, err := config.checked()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, fillTimeout)
+	defer cancel()
+	for t := range c.Targets {
+		if err := newCaller(&c, 0, t, c.Sessions).fill(ctx); err != nil {
+			return errors.Wrapf(err, "fill group %s", c.Targets[t].Group)
+		}
+	}
+	return nil
+}
+
+func (c *caller) fill(ctx context.Context) error {
+	defer c.close()
+	for n := uint64(0); n < shelves; {
+		if err := c.fillShelf(ctx, n); err == nil {
+			n++
+			continue
+		} else if ctx.Err() != nil {
+			return err
+		}
+		c.move()
+		sleepUntil(ctx, time.Now().Add(verifyPause))
+	}
+	for ctx.Err() == nil {
+		if c.shown(ctx) {
+			return nil
+		}
+		sleepUntil(ctx, time.Now().Add(verifyPause))
+	}
+	return errors.Wrap(ctx.Err(), "await stock on the lookup route")
+}
+
+// fillShelf writes the rows of one shelf. Its request identifier keeps a
+// repeat from writing them twice.
+func (c *caller) fillShelf(ctx context.Context, shelf uint64) error {
+	conn, err := c.conn(ctx, c.target.Orders)
+	if err != nil {
+		return err
+	}
+	var values []string
+	for n := range uint64(shelfRows) {
+		values = append(values, fmt.Sprintf("('%s', '%s')", itemOf(shelf+n*shelves), shelfOf(shelf)))
+	}
+	sql := "INSERT INTO stock (item, shelf) VALUES " + strings.Join(values, ", ") + " /*request_id='fill-" + shelfOf(shelf) + "'*/"
+	_, err = conn.Exec(ctx, sql, pgx.QueryExecModeExec)
+	return errors.Wrap(err, "fill stock")
+}
+
+func (c *caller) shown(ctx context.Context) bool {
+	for n := range uint64(shelves) {
+		conn, err := c.conn(ctx, c.target.Lookups)
+		if err != nil || lookShelf(ctx, conn, shelfOf(n)) != nil {
+			return false
+		}
+	}
+	return true
+}
