Run elsewhere what an endpoint refused to commit for its lost term; add naive policies

Cause: a statement that ran while its primary was sealed ended with MR006, which went to the caller as the answer of the endpoint. The endpoint commits nothing then, so a single transaction is run again on the new primary, and an open one is reported as not run.

--- a/cmd/marjoramrudder/proxy.go
+++ b/cmd/marjoramrudder/proxy.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	proxy, err := entry.Build(settings)
+	proxy, err := entry.Build(settings, entry.Policies{})
 	if err != nil {
 		return errors.Wrap(err, "build proxy")
 	}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -129,7 +129,7 @@
 		Limits: conf.Limits{Callers: 100, QueueWait: conf.DefaultQueueWait, RequestTimeout: conf.DefaultRequestTimeout,
 			DrainTimeout: conf.DefaultDrainTimeout, LeaseLength: conf.DefaultLeaseLength},
 	}
-	p, err := entry.Build(settings)
+	p, err := entry.Build(settings, entry.Policies{})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.Start()).To(Succeed())
 	s.proxies = append(s.proxies, p)
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -60,22 +60,27 @@
 	return acct.NewKeeper(s.Instance, s.Environment, platform.Leases, mesh, events, acct.WithLease(s.Limits.LeaseLength.Std()))
 }
 
-func provideSites(s *conf.Settings, platform *store.Platform, mesh *peer.Mesh, events *event.Log, table *front.Table) *Sites {
+func provideSites(s *conf.Settings, platform *store.Platform, mesh *peer.Mesh, events *event.Log, table *front.Table, policies Policies) *Sites {
 	creds := back.Credentials{User: s.Backend.User, Password: s.Backend.Password, Database: s.Backend.User}
 	limits := acct.FairLimits{MaxWait: s.Limits.QueueWait.Std(), PerAccount: waitersPerAccount}
-	return NewSites(s.Instance, s.Environment, creds, events, mesh, platform.Reigns, table, func() back.Line { return back.NewFair(limits) })
+	newLine := policies.Line
+	if newLine == nil {
+		newLine = func() back.Line { return back.NewFair(limits) }
+	}
+	return NewSites(s.Instance, s.Environment, creds, events, mesh, platform.Reigns, table, newLine)
 }
 
 // waitersPerAccount bounds how many requests of one client account wait for
 // one endpoint.
 const waitersPerAccount = 512
 
-func provideFront(s *conf.Settings, quota *acct.Keeper, fleet *fleet.Fleet, table *front.Table, events *event.Log) (*front.Server, error) {
+func provideFront(s *conf.Settings, quota *acct.Keeper, fleet *fleet.Fleet, table *front.Table, events *event.Log, policies Policies) (*front.Server, error) {
 	options := front.DefaultOptions()
 	options.Callers = s.Limits.Callers
 	options.RequestTimeout = s.Limits.RequestTimeout.Std()
 	options.DataCentre = s.DataCentre
 	options.AllowPlain = s.TLS.AllowPlain
+	options.ReadsAtPrimary = policies.ReadsAtPrimary
 	if s.TLS.CertFile != "" {
 		pair, err := tls.LoadX509KeyPair(s.TLS.CertFile, s.TLS.KeyFile)
 		if err != nil {
@@ -87,7 +92,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	return front.NewServer(listener, guard{Gate: quota.Gate(), trusted: fleet.Trusted}, table, events, options), nil
+	var gate acct.Gate = quota.Gate()
+	if policies.Gate != nil {
+		gate = policies.Gate(gate)
+	}
+	return front.NewServer(listener, guard{Gate: gate, trusted: fleet.Trusted}, table, events, options), nil
 }
 
 func provideTable() *front.Table { return &front.Table{} }
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -9,8 +9,8 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 )
 
-// Build composes a proxy from its settings.
-func Build(settings *conf.Settings) (*Proxy, error) {
+// Build composes a proxy from its settings. The zero Policies are the product's.
+func Build(settings *conf.Settings, policies Policies) (*Proxy, error) {
 	panic(wire.Build(
 		provideEvents,
 		providePlatform,
--- a/internal/entry/wire_gen.go
+++ b/internal/entry/wire_gen.go
@@ -13,8 +13,8 @@
 
 // Injectors from wire.go:
 
-// Build composes a proxy from its settings.
-func Build(settings *conf.Settings) (*Proxy, error) {
+// Build composes a proxy from its settings. The zero Policies are the product's.
+func Build(settings *conf.Settings, policies Policies) (*Proxy, error) {
 	log := provideEvents(settings)
 	platform, err := providePlatform(settings)
 	if err != nil {
@@ -29,8 +29,8 @@
 	fleet := provideFleet(settings, entryStart, platform, mesh, log)
 	keeper := provideQuota(settings, platform, mesh, log)
 	table := provideTable()
-	sites := provideSites(settings, platform, mesh, log, table)
-	server, err := provideFront(settings, keeper, fleet, table, log)
+	sites := provideSites(settings, platform, mesh, log, table, policies)
+	server, err := provideFront(settings, keeper, fleet, table, log, policies)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -107,7 +107,9 @@
 		Near:   s.server.options.DataCentre,
 		Turn:   s.server.turn.Add(1),
 	}
-	if w.plan.runs && !w.need.Write {
+	if s.server.options.ReadsAtPrimary {
+		w.need.Write = true
+	} else if w.plan.runs && !w.need.Write {
 		if err := s.learnFloor(ctx, w); err != nil {
 			return err, nil
 		}
@@ -165,11 +167,34 @@
 		movedReads.Inc()
 		return true, nil, nil
 	}
+	if s.wasDeposed(&result) {
+		return s.overtaken(w, l, &result)
+	}
 	s.count(w, l)
 	refusal, failure = s.settle(ctx, w, &result)
 	return false, refusal, failure
 }
 
+// wasDeposed reports whether the endpoint lost its term while the batch ran,
+// so that it refused to commit.
+func (s *session) wasDeposed(r *back.Result) bool {
+	if r.Failed == nil || s.relayed || r.Wrote {
+		return false
+	}
+	return r.Failed.Code == group.CodeSealed || r.Failed.Code == group.CodeNotPrimary
+}
+
+// overtaken decides what follows when the endpoint lost its term while it ran
+// the batch. A single transaction took no effect and may run elsewhere.
+func (s *session) overtaken(w *work, l *loan, r *back.Result) (again bool, refusal, failure error) {
+	s.endLoan(r.Status == 'I')
+	s.out, s.hold = s.out[:0], false
+	if w.plan.commits {
+		return false, fault.Lose(r.Failed, "the endpoint was replaced in the midst of several transactions"), nil
+	}
+	return s.deposed(w, l)
+}
+
 // borrow chooses an endpoint and takes a connection to it. It returns neither
 // when the choice should be made again.
 func (s *session) borrow(ctx context.Context, w *work) (*loan, error) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -30,6 +30,9 @@
 	TLS            *tls.Config
 	AllowPlain     bool
 	DataCentre     ident.DataCentre
+	// ReadsAtPrimary sends every read to the primary. It is the version that
+	// reads at replicas are measured against.
+	ReadsAtPrimary bool
 }
 
 // DefaultOptions returns the bounds for an entry instance.
--- a/internal/front/transact.go
+++ b/internal/front/transact.go
@@ -21,6 +21,13 @@
 	if err != nil {
 		return s.lostTransaction(w, l, err)
 	}
+	if s.wasDeposed(&result) {
+		s.status = result.Status
+		if s.status == 'I' {
+			s.endLoan(true)
+		}
+		return fault.Refuse(fault.NoPrimary, retryPrimary, "the transaction's endpoint was replaced; nothing of the transaction took effect").Because(result.Failed), nil
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), w.deadline)
 	defer cancel()
 	return s.settle(ctx, w, &result)
