--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -3,7 +3,7 @@
 import "time"
 
 // hurryGap is the shortest time between two probes of an endpoint.
-const hurryGap = 5 * time.Millisecond
+const hurryGap = 20 * time.Millisecond
 
 // probe asks for the statuses that are due.
 func (w *Watch) probe() {
@@ -43,7 +43,7 @@
 		return true
 	}
 	for _, m := range w.members {
-		if m != p && m.known() && m.failed == 0 && w.misses(m) {
+		if m != p && m.known() && m.failed == 0 && (w.misses(m) || m.status.Sealed > w.term) {
 			return true
 		}
 	}
