--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,69 @@
+package examples_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// size is what the brief says about a firm today.
+type size struct {
+	firm        string
+	dataCentres []ident.DataCentre
+	slots       int
+	connections int
+}
+
+const (
+	groups    = 3
+	endpoints = 3
+	accounts  = 8
+)
+
+var sizes = []size{
+	{"carbonella", []ident.DataCentre{"milano-a", "brescia-b", "verona-c", "piacenza-d"}, 2, 16},
+	{"tamarind", []ident.DataCentre{"mu-north-a", "mu-north-b", "mu-north-c"}, 3, 36},
+}
+
+func TestDocumentsHaveTheSizesOfToday(t *testing.T) {
+	for _, s := range sizes {
+		g := NewWithT(t)
+		text, err := os.ReadFile(filepath.Join(s.firm, "production.toml"))
+		g.Expect(err).NotTo(HaveOccurred())
+		d, err := envdoc.Parse(text)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(d.Groups).To(HaveLen(groups))
+		g.Expect(d.Accounts).To(HaveLen(accounts))
+		used := map[ident.DataCentre]bool{}
+		for _, group := range d.Groups {
+			g.Expect(group.Endpoints).To(HaveLen(endpoints))
+			for _, e := range group.Endpoints {
+				g.Expect(e.Slots).To(Equal(s.slots))
+				g.Expect(e.Connections).To(Equal(s.connections))
+				used[e.DataCentre] = true
+			}
+		}
+		g.Expect(used).To(HaveLen(len(s.dataCentres)))
+		for _, dc := range s.dataCentres {
+			g.Expect(used).To(HaveKey(dc))
+		}
+		for _, a := range d.Accounts {
+			g.Expect(a.Keys).To(ConsistOf(envdoc.HashKey("mk_example_" + string(a.Name))))
+		}
+	}
+}
+
+func TestSettingsLoad(t *testing.T) {
+	for _, s := range sizes {
+		g := NewWithT(t)
+		settings, err := conf.Load(filepath.Join(s.firm, "proxy.toml"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.dataCentres).To(ContainElement(settings.DataCentre))
+	}
+}
