Check that lease swaps are linearizable while answers are lost

Porcupine checks the history of four holders that swap one lease, with three in ten answers lost after their effect and two tries a call.

Found while writing the model: a conflict does not prove that the write never took effect. It may have stood until another author replaced it, when its answer was lost. The comment of Swap says so now.

--- a/internal/store/leases.go
+++ b/internal/store/leases.go
@@ -28,7 +28,9 @@
 }
 
 // Swap implements Leases. A record that equals fresh already is the caller's
-// own write, whose answer was lost.
+// own write, whose answer was lost. After ErrConflict fresh does not stand; it
+// may have stood for a while, when its answer was lost and another author
+// replaced it before the next try.
 func (l *leases) Swap(ctx context.Context, env ident.Environment, old, fresh Lease) error {
 	condition, values := unchanged(old)
 	standing, err := l.table.put(ctx, "SwapLease", leaseRow(env, fresh), condition, values)
--- /dev/null
+++ b/internal/store/linear_test.go
@@ -0,0 +1,130 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	leaseClients = 4
+	leaseRounds  = 20
+	checkTimeout = 10 * time.Second
+)
+
+// leaseInput is a swap, or a read when fresh is zero.
+type leaseInput struct{ old, fresh store.Lease }
+
+type leaseOutput struct {
+	read store.Lease
+	err  error
+}
+
+// leaseModel is one lease record. A swap whose outcome is unknown may or may
+// not have an effect. A swap that ended in a conflict may have had its effect
+// before another author replaced the record.
+var leaseModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{store.Lease{}} },
+	Step: func(state, input, output any) []any {
+		standing, in, out := state.(store.Lease), input.(leaseInput), output.(leaseOutput)
+		if in.fresh == (store.Lease{}) {
+			return keep(standing == out.read, standing)
+		}
+		met := standing == in.old
+		switch {
+		case out.err == nil:
+			return keep(met, in.fresh)
+		case errors.Is(out.err, store.ErrConflict) && met:
+			return []any{in.fresh}
+		case met:
+			return []any{standing, in.fresh}
+		}
+		return []any{standing}
+	},
+	Equal: func(a, b any) bool { return a.(store.Lease) == b.(store.Lease) },
+}
+
+func keep(ok bool, state store.Lease) []any {
+	if !ok {
+		return nil
+	}
+	return []any{state}
+}
+
+// history collects operations of several clients.
+type history struct {
+	start time.Time
+	mu    sync.Mutex
+	all   []porcupine.Operation
+}
+
+func (h *history) record(client int, in leaseInput, run func() leaseOutput) leaseOutput {
+	called := time.Since(h.start)
+	out := run()
+	returned := int64(time.Since(h.start))
+	if errors.Is(out.err, store.ErrUnavailable) {
+		returned = math.MaxInt64 // it may take effect at any later time
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all = append(h.all, porcupine.Operation{ClientId: client, Input: in, Call: int64(called), Output: out, Return: returned})
+	return out
+}
+
+// work reads the lease and tries to replace it, again and again.
+func (h *history) work(ctx context.Context, p *store.Platform, client int) error {
+	key := store.LeaseKey{Account: "shop"}
+	for round := range leaseRounds {
+		seen := h.record(client, leaseInput{}, func() leaseOutput { return readLease(ctx, p) })
+		if seen.err != nil {
+			return fmt.Errorf("read lease: %w", seen.err)
+		}
+		fresh := store.Lease{
+			Key:     key,
+			Holder:  ident.Instance(fmt.Sprint("p", client)),
+			Epoch:   seen.read.Epoch + 1,
+			Renewal: uint64(round),
+		}
+		h.record(client, leaseInput{seen.read, fresh}, func() leaseOutput {
+			return leaseOutput{err: p.Leases.Swap(ctx, trial, seen.read, fresh)}
+		})
+	}
+	return nil
+}
+
+func readLease(ctx context.Context, p *store.Platform) leaseOutput {
+	all, err := p.Leases.All(ctx, trial)
+	if err != nil || len(all) == 0 {
+		return leaseOutput{err: err}
+	}
+	return leaseOutput{read: all[0]}
+}
+
+// TestLeasesAreLinearizable checks that the swaps of several holders are one
+// sequence, while answers are lost after their effect.
+func TestLeasesAreLinearizable(t *testing.T) {
+	g := NewWithT(t)
+	s, p := open(t, store.WithTries(2))
+	s.SetFaults(plat.Faults{LoseProbability: 0.3})
+	h := &history{start: time.Now()}
+	var clients errgroup.Group
+	for c := range leaseClients {
+		clients.Go(func() error { return h.work(t.Context(), p, c) })
+	}
+	g.Expect(clients.Wait()).To(Succeed())
+	model := leaseModel.ToModel()
+	g.Expect(porcupine.CheckOperationsTimeout(model, h.all, checkTimeout)).To(Equal(porcupine.Ok))
+	g.Expect(s.Counters().Lost).To(BeNumerically(">", 0))
+}
