--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,10 @@
 	$(GO) test -json ./... | $(GO) run ./cmd/verdict
 
 generate: ## Regenerate the composition code.
-	$(GO) run github.com/google/wire/cmd/wire ./internal/entry
+	$(GO) tool wire ./internal/entry
 
 demo: build ## Start everything, drive callers, kill a primary, report.
-	./bin/stand demo
+	./scripts/demo.sh
 
 soak: build ## Random faults: make soak SEED=7 DURATION=10m
 	./bin/stand soak --seed $(SEED) --duration $(DURATION)
--- a/cmd/marjoramrudder/main.go
+++ b/cmd/marjoramrudder/main.go
@@ -57,6 +57,7 @@
 // commands lists the commands of the binary, each from its own file.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		proxyCommand(),
 		envCommand(),
 		keyCommand(),
 		statusCommand(),
--- /dev/null
+++ b/internal/entry/wire.go
@@ -0,0 +1,28 @@
+//go:build wireinject
+
+package entry
+
+import (
+	"github.com/google/wire"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+)
+
+// Build composes a proxy from its settings.
+func Build(settings *conf.Settings) (*Proxy, error) {
+	panic(wire.Build(
+		provideEvents,
+		providePlatform,
+		peer.NewRouter,
+		provideStart,
+		provideMesh,
+		provideFleet,
+		provideQuota,
+		provideTable,
+		provideSites,
+		provideFront,
+		wire.Struct(new(Parts), "*"),
+		NewProxy,
+	))
+}
--- /dev/null
+++ b/internal/stand/endpt/table.go
@@ -0,0 +1,132 @@
+package endpt
+
+import (
+	"slices"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const idColumn = "id"
+
+// row is one committed row. Rows are immutable; a write replaces them.
+type row struct {
+	values  map[string]*string
+	version ident.Position
+}
+
+// table holds the committed rows of one table in the order of insertion.
+type table struct {
+	columns []string
+	rows    map[string]*row
+	order   []string
+	// indexes hold the keys of the rows by the value of a column. An index is
+	// made when a statement first asks for it.
+	indexes map[string]map[string][]string
+}
+
+func newTable() *table {
+	return &table{rows: map[string]*row{}, indexes: map[string]map[string][]string{}}
+}
+
+// keys returns the keys of the rows whose column has the value.
+func (b *table) keys(column, value string) []string {
+	index, ok := b.indexes[column]
+	if !ok {
+		index = map[string][]string{}
+		b.indexes[column] = index
+		for _, k := range b.order {
+			if v := b.rows[k].values[column]; v != nil {
+				index[*v] = append(index[*v], k)
+			}
+		}
+	}
+	return index[value]
+}
+
+// unlink takes a row out of the indexes.
+func (b *table) unlink(key string) {
+	old, ok := b.rows[key]
+	if !ok {
+		return
+	}
+	for c, index := range b.indexes {
+		if v := old.values[c]; v != nil {
+			index[*v] = slices.DeleteFunc(index[*v], func(k string) bool { return k == key })
+		}
+	}
+}
+
+// put makes r the row of key.
+func (b *table) put(key string, r *row) {
+	b.unlink(key)
+	if _, ok := b.rows[key]; !ok {
+		b.order = append(b.order, key)
+	}
+	b.rows[key] = r
+	for c, index := range b.indexes {
+		if v := r.values[c]; v != nil {
+			index[*v] = append(index[*v], key)
+		}
+	}
+}
+
+// tables is what a prefix of the log has made.
+type tables struct {
+	byName map[string]*table
+	once   map[ident.Request]recordedOnce
+}
+
+type recordedOnce struct {
+	onceEntry
+	mark ident.Mark
+}
+
+func newTables() *tables {
+	return &tables{byName: map[string]*table{}, once: map[ident.Request]recordedOnce{}}
+}
+
+func (t *tables) apply(r *record) {
+	for i := range r.Writes {
+		t.write(&r.Writes[i], r.Position)
+	}
+	for _, o := range r.Once {
+		t.once[o.Request] = recordedOnce{o, ident.Mark{Term: r.Term, Position: r.Position}}
+	}
+}
+
+func (t *tables) write(w *write, p ident.Position) {
+	b, ok := t.byName[w.Table]
+	if !ok {
+		b = newTable()
+		t.byName[w.Table] = b
+	}
+	if w.Deleted {
+		b.remove(w.Key)
+		return
+	}
+	values := make(map[string]*string, len(w.Columns))
+	for i, c := range w.Columns {
+		values[c] = w.Values[i]
+		if !slices.Contains(b.columns, c) {
+			b.columns = append(b.columns, c)
+		}
+	}
+	b.put(w.Key, &row{values: values, version: p})
+}
+
+func (b *table) remove(key string) {
+	if _, ok := b.rows[key]; !ok {
+		return
+	}
+	b.unlink(key)
+	delete(b.rows, key)
+	i := slices.Index(b.order, key)
+	b.order = slices.Delete(b.order, i, i+1)
+}
+
+func (t *tables) columns(name string) []string {
+	if b, ok := t.byName[name]; ok {
+		return b.columns
+	}
+	return nil
+}
