Report a change as unknown when its repeat could not be announced

Cause: a write whose answers were lost is repeated; when the announcement of the repeat failed, Put returned that error as if nothing had been written, and the command exited with 1 (refused) although the version stood.

Change: a try that ended before it wrote is told apart from one that may have taken effect; after the latter every failure is an UnknownError that names the change, and the command exits with 3.

Before: TestUnannouncedRepeatIsUnknown fails with "too few instances can be told of the version". After: it passes.

--- a/cmd/marjoramrudder/exit.go
+++ b/cmd/marjoramrudder/exit.go
@@ -39,10 +39,11 @@
 func exitCode(err error) int {
 	var problems strict.FieldErrors
 	var usage usageError
+	var unknown *oper.UnknownError
 	switch {
 	case errors.Is(err, oper.ErrNotInForce):
 		return exitNotInForce
-	case errors.Is(err, store.ErrUnavailable), errors.Is(err, admin.ErrUnreachable):
+	case errors.As(err, &unknown), errors.Is(err, store.ErrUnavailable), errors.Is(err, admin.ErrUnreachable):
 		return exitUnreachable
 	case errors.As(err, &problems), errors.As(err, &usage):
 		return exitUsage
--- a/internal/oper/editor.go
+++ b/internal/oper/editor.go
@@ -94,26 +94,34 @@
 // until the outcome is known or ctx ends.
 func (e *Editor) Put(ctx context.Context, env ident.Environment, base ident.Version, text []byte, now time.Time) (store.Head, error) {
 	wanted := store.Head{Change: NewChange(), Author: e.Author, At: now.UTC()}
+	sent := false // whether an earlier try may have taken effect
 	for {
-		head, err := e.accept(ctx, env, base, wanted, text)
+		head, err := e.try(ctx, env, base, wanted, text)
 		switch {
 		case err == nil:
 			return head, nil
 		case errors.Is(err, store.ErrConflict):
 			return store.Head{}, &ConflictError{env, base, head}
-		case !errors.Is(err, store.ErrUnavailable):
-			return store.Head{}, err
-		case ctx.Err() != nil:
+		}
+		sent = sent || (errors.Is(err, store.ErrUnavailable) && !errors.Is(err, errNotSent))
+		if errors.Is(err, store.ErrUnavailable) && ctx.Err() == nil {
+			continue
+		}
+		if sent {
 			return store.Head{}, &UnknownError{env, wanted.Change, err}
 		}
+		return store.Head{}, err
 	}
 }
 
-// accept announces the version and tries to write it once.
-func (e *Editor) accept(ctx context.Context, env ident.Environment, base ident.Version, wanted store.Head, text []byte) (store.Head, error) {
+// errNotSent marks a try that ended before anything was written.
+var errNotSent = errors.New("nothing was written")
+
+// try announces the version and tries to write it once.
+func (e *Editor) try(ctx context.Context, env ident.Environment, base ident.Version, wanted store.Head, text []byte) (store.Head, error) {
 	if e.Announce != nil {
 		if err := e.Announce(ctx, env, base+1); err != nil {
-			return store.Head{}, errors.Wrapf(err, "announce %s version %d", env, base+1)
+			return store.Head{}, fmt.Errorf("announce %s version %d: %w: %w", env, base+1, errNotSent, err)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
--- a/internal/oper/editor_test.go
+++ b/internal/oper/editor_test.go
@@ -98,6 +98,32 @@
 	g.Expect(p.Documents.History(t.Context(), trial, 9)).To(HaveLen(1))
 }
 
+// TestUnannouncedRepeatIsUnknown lets the repeat of a write with an unknown
+// outcome fail before it is sent: that says nothing about the first try.
+func TestUnannouncedRepeatIsUnknown(t *testing.T) {
+	const tries = 3
+	g := NewWithT(t)
+	s, p := open(t)
+	s.SetFaults(plat.Faults{LoseNext: tries, LoseOnly: "TransactWriteItems"})
+	announced := 0
+	e := &oper.Editor{Documents: p.Documents, Author: "anna"}
+	e.Announce = func(context.Context, ident.Environment, ident.Version) error {
+		announced++
+		if announced > 1 {
+			return oper.ErrNotAnnounced
+		}
+		return nil
+	}
+	_, err := e.Put(t.Context(), trial, 0, []byte(text), time.Now())
+	var unknown *oper.UnknownError
+	g.Expect(errors.As(err, &unknown)).To(BeTrue(), "%v", err)
+	g.Expect(err).To(MatchError(oper.ErrNotAnnounced))
+	heads, err := p.Documents.History(t.Context(), trial, 9)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(heads).To(HaveLen(1))
+	g.Expect(heads[0].Change).To(Equal(unknown.Change))
+}
+
 func TestOutageEndsWithTheContext(t *testing.T) {
 	g := NewWithT(t)
 	s, p := open(t)
