--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -181,6 +181,14 @@
 	}
 }
 
+// Forget deletes the member row of an instance that an operator knows to be
+// gone. It is for the case that half of the known instances or more are gone
+// for good, in which the others may not remove them by themselves.
+func (f *Fleet) Forget(ctx context.Context, instance ident.Instance) error {
+	err := f.ports.Members.Delete(ctx, f.env, instance)
+	return errors.Wrapf(err, "forget instance %s", instance)
+}
+
 // Close tells the peers, waits for every goroutine and deletes the member row.
 // The mesh must still be open.
 func (f *Fleet) Close() error {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -194,11 +194,12 @@
 }
 
 // remove deletes rows of instances that are long gone. Only an instance in
-// touch with more than half of the known ones does so, so that a cut-off few
-// never shrink the number that makes a majority. The live instances try in an
+// touch with half of the known ones does so: the rest is then no majority that
+// could still honour keys by its contacts. A cut-off few never shrink the
+// number that makes a majority. The live instances try in an
 // order of their own for each row, with growing patience.
 func (m *Members) remove(now time.Time) []Cmd {
-	if 2*(m.touched()+1) <= len(m.rows)+1 {
+	if 2*(m.touched()+1) < len(m.rows)+1 {
 		return nil
 	}
 	var cmds []Cmd
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -69,9 +69,10 @@
 	fetch     fetch
 	reading   ident.Version // whose text the object store is asked for, 0 for none
 
-	polling  bool
-	nextPoll time.Time
-	nextBeat time.Time
+	polling   bool
+	pollAgain bool // whether to read anew, since the read that runs began too early
+	nextPoll  time.Time
+	nextBeat  time.Time
 }
 
 // NewSpread returns the decider of the instance self, whose process began at
@@ -114,7 +115,7 @@
 	case Announce:
 		cmds = s.announceOwn(m, now)
 	case Poll:
-		s.nextPoll = now
+		s.nextPoll, s.pollAgain = now, s.polling
 		cmds = s.pollDue(now)
 	}
 	cmds = append(cmds, s.answerAsks(now)...)
@@ -148,6 +149,9 @@
 		return nil
 	}
 	s.nextPoll = m.Began.Add(s.jitter(s.bounds.Poll))
+	if s.pollAgain {
+		s.nextPoll, s.pollAgain = now, false
+	}
 	t := target{version: m.Head.Version, change: m.Head.Change, digest: m.Head.Digest}
 	cmds := s.want(t, "", now)
 	s.prove(t.version, m.Began)
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -7,12 +7,17 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+	"k8s.io/klog/v2"
 )
 
 func newServer(m *Mesh) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, m.accept)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: m.options.handshakeTimeout}
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: m.options.handshakeTimeout,
+		ErrorLog:          klog.NewStandardLogger("INFO"),
+	}
 }
 
 func (m *Mesh) serve(context.Context) error {
