--- a/internal/stand/endpt/counters.go
+++ b/internal/stand/endpt/counters.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"sync"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
 )
 
 // Counters tell what an endpoint has seen.
@@ -10,6 +12,8 @@
 	// Statements counts the statements that ran, by what they do, such as
 	// insert, or by the function that they call.
 	Statements map[string]int64
+	// Reads counts the reads that ran, by the endpoint's role at that time.
+	Reads map[group.Role]int64
 	// Failures counts the statements that failed, by SQLSTATE.
 	Failures map[string]int64
 	// Connections counts callers that sent a startup message.
@@ -28,10 +32,10 @@
 }
 
 func newCounters() *counters {
-	return &counters{state: Counters{Statements: map[string]int64{}, Failures: map[string]int64{}}}
+	return &counters{state: Counters{Statements: map[string]int64{}, Reads: map[group.Role]int64{}, Failures: map[string]int64{}}}
 }
 
-func (c *counters) statement(st *statement, err error) {
+func (c *counters) statement(st *statement, role group.Role, err error) {
 	kind := string(st.verb)
 	if st.verb == functionVerb {
 		kind = st.name
@@ -43,6 +47,9 @@
 		return
 	}
 	c.state.Statements[kind]++
+	if st.reads() {
+		c.state.Reads[role]++
+	}
 }
 
 func (c *counters) connection() {
@@ -68,6 +75,7 @@
 	defer c.mu.Unlock()
 	out := c.state
 	out.Statements = maps.Clone(c.state.Statements)
+	out.Reads = maps.Clone(c.state.Reads)
 	out.Failures = maps.Clone(c.state.Failures)
 	return out
 }
--- a/internal/stand/endpt/exec.go
+++ b/internal/stand/endpt/exec.go
@@ -17,7 +17,7 @@
 // open.
 func (x *session) run(ctx context.Context, st *statement, args []*string) (*result, error) {
 	r, err := x.attempt(ctx, st, args)
-	x.server.counters.statement(st, err)
+	x.server.counters.statement(st, x.server.node.currentRole(), err)
 	return r, err
 }
 
--- a/internal/stand/endpt/node.go
+++ b/internal/stand/endpt/node.go
@@ -232,6 +232,12 @@
 	return n.confirmed
 }
 
+func (n *node) currentRole() group.Role {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.role
+}
+
 func (n *node) currentTerm() ident.Term {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/stand/endpt/stmt.go
+++ b/internal/stand/endpt/stmt.go
@@ -82,6 +82,8 @@
 	return false
 }
 
+func (s *statement) reads() bool { return s.verb == selectVerb || s.verb == countVerb }
+
 func (s *statement) writes() bool {
 	return s.verb == insertVerb || s.verb == updateVerb || s.verb == deleteVerb
 }
--- /dev/null
+++ b/internal/stand/exper/measure.go
@@ -0,0 +1,142 @@
+package exper
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/load"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Options say how long and how hard each run is.
+type Options struct {
+	Seed   uint64
+	Length time.Duration // of the load
+	Share  float64       // of its rate that each account offers
+}
+
+// Measure is the result of one deployment under one scenario.
+type Measure struct {
+	Deployment   string
+	Scenario     string
+	Version      Version
+	ReplicaShare float64 // of the reads
+	Gap          float64 // seconds without an acknowledged write, in the faulted group
+	Worst        string  // the account served worst, the flooding one aside
+	WorstInTime  float64 // share of its requests inside the quota answered in time
+	WorstP50     float64 // milliseconds
+	WorstP99     float64
+	Inside       int // requests inside their account's quota
+	Wrongful     int // of those, refused for the quota
+	OrderP50     float64
+	OrderP99     float64
+	Broken       int // promises
+	Invariants   uint64
+	Report       *load.Report
+}
+
+// Run starts a deployment, loads it, injects the scenario's faults and
+// returns the measures.
+func Run(ctx context.Context, profile layout.Profile, s Scenario, v Version, o Options) (*Measure, error) {
+	before := assert.Broken()
+	d, err := Start(ctx, profile, v)
+	if err != nil {
+		return nil, err
+	}
+	m, err := d.measure(ctx, s, o)
+	err = errors.CombineErrors(err, d.Close())
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s under %s", profile.Name, s.Name)
+	}
+	m.Invariants = assert.Broken() - before
+	return m, nil
+}
+
+func (d *Deployment) measure(ctx context.Context, s Scenario, o Options) (*Measure, error) {
+	c := d.Load(o.Seed, o.Length, o.Share)
+	var flooding ident.Account
+	if s.Flood {
+		flooding = flood(&c)
+	}
+	if err := load.Fill(ctx, c); err != nil {
+		return nil, err
+	}
+	replicaBefore, primaryBefore := d.reads()
+	group := tasks.New(ctx)
+	group.Go(func(ctx context.Context) error { return d.inject(ctx, s, o.Length) })
+	r, err := load.Run(ctx, c)
+	if err = errors.CombineErrors(err, group.Close()); err != nil {
+		return nil, err
+	}
+	replica, primary := d.reads()
+	m := summary(r, d.faulted(), flooding)
+	m.Deployment, m.Scenario, m.Version = d.Layout.Profile.Name, s.Name, d.version
+	m.ReplicaShare = share(replica-replicaBefore, replica-replicaBefore+primary-primaryBefore)
+	return m, nil
+}
+
+// inject breaks things after the first third and mends them after the second.
+func (d *Deployment) inject(ctx context.Context, s Scenario, length time.Duration) error {
+	if !pause(ctx, length/3) {
+		return nil
+	}
+	var mends []func()
+	for _, f := range s.Faults {
+		mends = append(mends, f(d))
+	}
+	klog.InfoS("Faults injected", "scenario", s.Name, "count", len(mends))
+	pause(ctx, length/3)
+	for _, mend := range mends {
+		mend()
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func summary(r *load.Report, faulted ident.Group, flooding ident.Account) *Measure {
+	m := &Measure{Report: r, Broken: r.Broken.Sum()}
+	rest := &load.Report{}
+	for _, a := range r.Accounts {
+		m.Inside += a.Inside
+		m.Wrongful += a.Wrongful
+		if a.Name != string(flooding) {
+			rest.Accounts = append(rest.Accounts, a)
+		}
+	}
+	worst := rest.Worst()
+	m.Worst, m.WorstInTime, m.WorstP50, m.WorstP99 = worst.Name, worst.InTimeShare(), worst.P50, worst.P99
+	for _, k := range r.Kinds {
+		if k.Name == string(load.Order) {
+			m.OrderP50, m.OrderP99 = k.P50, k.P99
+		}
+	}
+	for _, g := range r.Gaps {
+		if g.Group == faulted {
+			m.Gap = g.Longest
+		}
+	}
+	return m
+}
+
+func share(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- a/internal/stand/load/verify.go
+++ b/internal/stand/load/verify.go
@@ -95,25 +95,23 @@
 	return nil
 }
 
+// fill writes every shelf and then waits until every shelf is shown.
 func (c *caller) fill(ctx context.Context) error {
 	defer c.close()
-	for n := uint64(0); n < shelves; {
-		if err := c.fillShelf(ctx, n); err == nil {
-			n++
-			continue
-		} else if ctx.Err() != nil {
-			return err
-		}
-		c.move()
-		sleepUntil(ctx, time.Now().Add(verifyPause))
-	}
-	for ctx.Err() == nil {
-		if c.shown(ctx) {
-			return nil
+	for _, step := range []func(context.Context, uint64) error{c.fillShelf, c.showShelf} {
+		for n := uint64(0); n < shelves; {
+			err := step(ctx, n)
+			if err == nil {
+				n++
+				continue
+			}
+			if !sleepUntil(ctx, time.Now().Add(verifyPause)) {
+				return err
+			}
+			c.settle(judge(err))
 		}
-		sleepUntil(ctx, time.Now().Add(verifyPause))
 	}
-	return errors.Wrap(ctx.Err(), "await stock on the lookup route")
+	return nil
 }
 
 // fillShelf writes the rows of one shelf. Its request identifier keeps a
@@ -132,12 +130,10 @@
 	return errors.Wrap(err, "fill stock")
 }
 
-func (c *caller) shown(ctx context.Context) bool {
-	for n := range uint64(shelves) {
-		conn, err := c.conn(ctx, c.target.Lookups)
-		if err != nil || lookShelf(ctx, conn, shelfOf(n)) != nil {
-			return false
-		}
+func (c *caller) showShelf(ctx context.Context, shelf uint64) error {
+	conn, err := c.conn(ctx, c.target.Lookups)
+	if err != nil {
+		return err
 	}
-	return true
+	return lookShelf(ctx, conn, shelfOf(shelf))
 }
