--- a/internal/stand/exper/deploy.go
+++ b/internal/stand/exper/deploy.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/load"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/naive"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
@@ -40,10 +41,13 @@
 	Current Version = "current"
 	// Unconfirmed acknowledges a write when the primary alone holds it.
 	Unconfirmed Version = "unconfirmed"
+	// Naive serves first come first served, divides quotas statically, reads
+	// at the primary and confirms at the primary alone.
+	Naive Version = "naive"
 )
 
 // Versions lists all versions.
-var Versions = []Version{Current, Unconfirmed}
+var Versions = []Version{Current, Unconfirmed, Naive}
 
 // Start starts a deployment and puts its document in force.
 func Start(ctx context.Context, profile layout.Profile, v Version) (*Deployment, error) {
@@ -73,7 +77,7 @@
 		return err
 	}
 	for _, p := range d.Layout.Proxies {
-		proxy, err := entry.Build(d.Layout.Settings(p))
+		proxy, err := entry.Build(d.Layout.Settings(p), d.policies())
 		if err != nil {
 			return errors.Wrapf(err, "build %s", p.Name)
 		}
@@ -85,6 +89,13 @@
 	return nil
 }
 
+func (d *Deployment) policies() entry.Policies {
+	if d.version != Naive {
+		return entry.Policies{}
+	}
+	return naive.Policies(d.Layout.Document().Accounts, len(d.Layout.Proxies))
+}
+
 func (d *Deployment) startGroup(ctx context.Context, g layout.Group) error {
 	peers := map[ident.Endpoint]string{}
 	for _, e := range g.Endpoints {
@@ -115,7 +126,7 @@
 func (d *Deployment) accept(ctx context.Context) error {
 	doc := d.Layout.Document()
 	for i := range doc.Routes {
-		if d.version == Unconfirmed {
+		if d.version != Current {
 			doc.Routes[i].Durability = envdoc.Primary
 		}
 	}
