--- /dev/null
+++ b/internal/entry/script_test.go
@@ -0,0 +1,297 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// promise is the time within which configuration, keys and changes of primary
+// must be in force.
+const promise = 9 * time.Second
+
+// TestScripts runs the scripts under testdata. A script starts with "set" and
+// drives real proxies and stand-ins in this process:
+//
+//	set proxies=N                    start a platform, a group and N proxies
+//	caller NAME proxy=I route=R [token=OTHER]
+//	exec NAME [settle] [until=CODE]  run the input; settle repeats it while it
+//	                                 is refused as not run, until=CODE repeats
+//	                                 it until it ends so, within the promise
+//	fault ENDPOINT FIELD=VALUE       switch a fault of an endpoint
+//	platform FIELD=VALUE             switch a fault of the platform
+//	kill ENDPOINT                    end an endpoint
+//	withdraw                         withdraw the key of the account
+//	leave ENDPOINT                   list an endpoint as leaving
+//	moved ENDPOINT                   wait until another endpoint is primary
+//	cancel NAME                      cancel what the caller runs
+//	vanish NAME                      close the caller's socket
+//	stop I                           begin the graceful stop of a proxy
+//	stopped I                        wait for its end
+//	ran ENDPOINT KIND                count the statements of a kind
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+		s := &script{t: t, callers: map[string]*pgx.Conn{}, running: map[string]chan string{}, stopping: map[int]chan error{}}
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string { return s.step(d) })
+		s.end()
+	})
+}
+
+type script struct {
+	t        *testing.T
+	set      *set
+	callers  map[string]*pgx.Conn
+	running  map[string]chan string // statements started in the background
+	stopping map[int]chan error
+	group    errgroup.Group
+}
+
+func (s *script) end() {
+	for _, c := range s.callers {
+		_ = c.Close(context.Background())
+	}
+	s.expect(s.group.Wait())
+	s.set.close()
+}
+
+func (s *script) step(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "set":
+		proxies := 1
+		d.MaybeScanArgs(s.t, "proxies", &proxies)
+		s.set = newSet(s.t, proxies)
+	case "caller":
+		return s.caller(d)
+	case "exec":
+		return s.exec(d)
+	case "start":
+		s.start(d)
+	case "await":
+		return <-s.running[d.CmdArgs[0].Key]
+	case "fault":
+		s.fault(d)
+	case "platform":
+		s.platform(d)
+	case "kill":
+		s.expect(s.set.endpoints[ident.Endpoint(d.CmdArgs[0].Key)].Close())
+	case "withdraw":
+		s.set.document.Accounts[0].Keys = []envdoc.KeyHash{envdoc.HashKey("mk_other")}
+		s.set.accept(2)
+	case "leave":
+		s.set.platform.SetList([]plat.Listed{{Name: d.CmdArgs[0].Key, Leaving: true}})
+	case "cancel":
+		s.expect(s.callers[d.CmdArgs[0].Key].PgConn().CancelRequest(context.Background()))
+	case "vanish":
+		s.expect(s.callers[d.CmdArgs[0].Key].PgConn().Conn().Close())
+	case "stop":
+		s.stop(d)
+	case "stopped":
+		s.expect(<-s.stopping[index(s.t, d)])
+	case "moved":
+		s.moved(ident.Endpoint(d.CmdArgs[0].Key))
+	case "ran":
+		return s.ran(d)
+	default:
+		s.t.Fatalf("%s: unknown directive %s", d.Pos, d.Cmd)
+	}
+	return ""
+}
+
+func (s *script) expect(err error) { NewWithT(s.t).ExpectWithOffset(1, err).NotTo(HaveOccurred()) }
+
+func index(t *testing.T, d *datadriven.TestData) int {
+	var i int
+	_, err := fmt.Sscan(d.CmdArgs[0].Key, &i)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return i
+}
+
+func (s *script) caller(d *datadriven.TestData) string {
+	var proxy int
+	route, of, options := "orders", "", ""
+	d.MaybeScanArgs(s.t, "proxy", &proxy)
+	d.MaybeScanArgs(s.t, "route", &route)
+	d.MaybeScanArgs(s.t, "token", &of)
+	if of != "" {
+		options = "&marjoram.session_token=" + s.callers[of].PgConn().ParameterStatus("marjoram.session_token")
+	}
+	if d.HasArg("once") {
+		conn, err := s.set.try(proxy, route, options)
+		if err != nil {
+			return describe(nil, err)
+		}
+		s.callers[d.CmdArgs[0].Key] = conn
+		return "connected\n"
+	}
+	s.callers[d.CmdArgs[0].Key] = s.set.connect(proxy, route, options)
+	return ""
+}
+
+// exec runs the input on a caller, repeated as the arguments say.
+func (s *script) exec(d *datadriven.TestData) string {
+	name, until := d.CmdArgs[0].Key, ""
+	d.MaybeScanArgs(s.t, "until", &until)
+	deadline := time.Now().Add(promise)
+	for {
+		result := run(s.callers[name], d.Input)
+		switch {
+		case until != "" && !strings.HasPrefix(result, "error "+until) && !strings.Contains(result, until):
+		case d.HasArg("settle") && refused(result):
+		default:
+			return result
+		}
+		if time.Now().After(deadline) {
+			return "after " + promise.String() + ": " + result
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func refused(result string) bool {
+	for _, code := range []string{"53300", "57P03", "57P04"} {
+		if strings.HasPrefix(result, "error "+code) {
+			return true
+		}
+	}
+	return false
+}
+
+// start runs the input in the background. It returns once the statement runs
+// at an endpoint.
+func (s *script) start(d *datadriven.TestData) {
+	name := d.CmdArgs[0].Key
+	done := make(chan string, 1)
+	s.running[name] = done
+	conn := s.callers[name]
+	s.group.Go(func() error {
+		done <- run(conn, d.Input)
+		return nil
+	})
+	NewWithT(s.t).Eventually(func() int { return s.set.busy() }, soon, time.Millisecond).Should(BeNumerically(">", 0))
+}
+
+func (s *script) stop(d *datadriven.TestData) {
+	i := index(s.t, d)
+	done := make(chan error, 1)
+	s.stopping[i] = done
+	p := s.set.proxies[i]
+	s.group.Go(func() error {
+		done <- p.Stop(context.Background())
+		return nil
+	})
+	NewWithT(s.t).Eventually(func() error { return p.Ready(time.Now()) }, soon, time.Millisecond).ShouldNot(Succeed())
+}
+
+func (s *script) fault(d *datadriven.TestData) {
+	f := endpt.Faults{}
+	yes, no := true, false
+	for _, a := range d.CmdArgs[1:] {
+		value := a.Vals[0]
+		flag := &no
+		if value == "true" {
+			flag = &yes
+		}
+		var count int64
+		_, _ = fmt.Sscan(value, &count)
+		span := new(envdoc.Duration)
+		_ = span.UnmarshalText([]byte(value))
+		switch a.Key {
+		case "Frozen":
+			f.Frozen = flag
+		case "CutGroup":
+			f.CutGroup = flag
+		case "CutCallers":
+			f.CutCallers = flag
+		case "LoseAnswers":
+			f.LoseAnswers = &count
+		case "CutAnswers":
+			f.CutAnswers = &count
+		case "Slow":
+			f.Slow = span
+		case "ReplicationLag":
+			f.ReplicationLag = span
+		default:
+			s.t.Fatalf("%s: unknown fault %s", d.Pos, a.Key)
+		}
+	}
+	s.set.endpoints[ident.Endpoint(d.CmdArgs[0].Key)].SetFaults(f)
+}
+
+func (s *script) platform(d *datadriven.TestData) {
+	f := plat.Faults{}
+	for _, a := range d.CmdArgs {
+		if a.Key == "Outage" {
+			f.Outage = plat.Outage(a.Vals[0])
+		}
+	}
+	s.set.platform.SetFaults(f)
+}
+
+// moved waits until every proxy has another primary.
+func (s *script) moved(from ident.Endpoint) {
+	for _, p := range s.set.proxies {
+		NewWithT(s.t).Eventually(func() ident.Endpoint {
+			return p.Report(time.Now()).Groups[0].Primary
+		}, promise, time.Millisecond).ShouldNot(BeElementOf(from, ident.Endpoint("")))
+	}
+}
+
+// ran tells how many statements of a kind an endpoint ran.
+func (s *script) ran(d *datadriven.TestData) string {
+	e := s.set.endpoints[ident.Endpoint(d.CmdArgs[0].Key)]
+	return fmt.Sprintln(e.Counters().Statements[d.CmdArgs[1].Key])
+}
+
+// run executes SQL in simple or, with a leading "$", extended mode and prints
+// the rows, the command tag or the error.
+func run(conn *pgx.Conn, sql string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	mode := pgx.QueryExecModeSimpleProtocol
+	if rest, extended := strings.CutPrefix(sql, "$ "); extended {
+		sql, mode = rest, pgx.QueryExecModeCacheDescribe
+	}
+	rows, err := conn.Query(ctx, sql, mode)
+	if err != nil {
+		return describe(nil, err)
+	}
+	var lines []string
+	for rows.Next() {
+		values, err := rows.Values()
+		if err != nil {
+			return describe(nil, err)
+		}
+		lines = append(lines, strings.Trim(fmt.Sprint(values), "[]"))
+	}
+	if err := rows.Err(); err != nil {
+		return describe(lines, err)
+	}
+	sort.Strings(lines)
+	if len(lines) == 0 {
+		return rows.CommandTag().String() + "\n"
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func describe(rows []string, err error) string {
+	c := code(err)
+	if len(rows) > 0 {
+		return fmt.Sprintf("error %s after %d rows\n", c, len(rows))
+	}
+	return "error " + c + "\n"
+}
--- a/internal/stand/endpt/control.go
+++ b/internal/stand/endpt/control.go
@@ -99,6 +99,9 @@
 // Status returns the endpoint's part in its group.
 func (s *Server) Status() group.Status { return s.node.status(time.Now()) }
 
+// Running returns how many statements hold a slot.
+func (s *Server) Running() int { return len(s.slots) }
+
 // Rows returns the rows of a table in the order of insertion, as the
 // endpoint's own log has made them.
 func (s *Server) Rows(table string) []map[string]*string { return s.node.dump(table) }
