Go on with a promotion as long as a majority can seal

Cause: one refused Seal ended the attempt, so a replica that may not seal yet since its start kept a leaving primary from handing over for good (script planned, last case: 1 reign, no acknowledged write after it). Ruled out: a higher sealed term; the replica's was that of the group.

--- a/internal/group/attempt.go
+++ b/internal/group/attempt.go
@@ -163,18 +163,24 @@
 		return
 	}
 	a.replies++
-	switch {
-	case d.Err == nil:
+	if d.Err == nil {
 		a.sealed = append(a.sealed, sealedServer{member: m, status: d.Status})
-	case errors.Is(d.Err, ErrSealed):
-		m.hurry = true
-		if a.target == "" {
-			w.emit(SealRefused, d.Endpoint, SealAsked, w.note(d.Term))
-			w.giveUp()
-		}
+		return
+	}
+	m.hurry = true
+	if errors.Is(d.Err, ErrSealed) {
+		w.emit(SealRefused, d.Endpoint, SealAsked, w.note(d.Term))
+	}
+	if a.target == "" && a.hopeless(w.majority()) {
+		w.giveUp()
 	}
 }
 
+// hopeless reports whether too many servers did not seal for a majority.
+func (a *attempt) hopeless(majority int) bool {
+	return a.asked-a.replies+len(a.sealed) < majority
+}
+
 func (w *Watch) promoteDone(d PromoteDone) {
 	m := w.find(d.Endpoint)
 	if m == nil {
--- a/internal/group/script_test.go
+++ b/internal/group/script_test.go
@@ -23,7 +23,7 @@
 }
 
 // TestScripts runs the scripted faults under testdata. The commands are start,
-// kill, freeze, cut, slow, rank, leave, seal, run and check.
+// kill, freeze, cut, slow, rank, leave, seal, refuse, run and check.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *sim
@@ -76,6 +76,8 @@
 	case "seal":
 		_, err := s.server(hosts[0].name).seal(ident.NextTerm(s.topTerm, "other"))
 		g.Expect(err).NotTo(HaveOccurred())
+	case "refuse":
+		s.server(hosts[0].name).silent = true
 	case "check":
 		return s.report()
 	default:
--- a/internal/group/simsrv_test.go
+++ b/internal/group/simsrv_test.go
@@ -23,6 +23,7 @@
 	confirmed int
 	matches   map[*server]int
 	heard     time.Time
+	silent    bool // refuses to seal, as one that has not caught up since its start
 }
 
 func common(a, b []record) int {
@@ -59,7 +60,7 @@
 }
 
 func (n *server) seal(term ident.Term) (Status, error) {
-	if term <= n.sealed {
+	if term <= n.sealed || n.silent {
 		return Status{}, ErrSealed
 	}
 	n.sealed = term
