--- a/internal/group/script_test.go
+++ b/internal/group/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +30,9 @@
 		var s *sim
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "start" {
-				s = newSim(1, 3, 4, switches[argument(d, "off")])
+				seed, err := strconv.ParseUint("0"+argument(d, "seed"), 10, 64)
+				NewWithT(t).Expect(err).NotTo(HaveOccurred())
+				s = newSim(seed, 3, 4, switches[argument(d, "off")])
 				return ""
 			}
 			return s.command(NewWithT(t), d)
