--- a/internal/group/script_test.go
+++ b/internal/group/script_test.go
@@ -24,7 +24,7 @@
 }
 
 // TestScripts runs the scripted faults under testdata. The commands are start,
-// kill, freeze, cut, slow, rank, leave, seal, refuse, run and check.
+// kill, freeze, cut, slow, lag, rank, leave, seal, refuse, run and check.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *sim
@@ -72,6 +72,8 @@
 		for _, p := range s.proxies {
 			p.update(Ranked{Of: 4})
 		}
+	case "lag":
+		hosts[0].lag = span
 	case "leave":
 		for _, p := range s.proxies {
 			p.update(LeavingChanged{Endpoints: []ident.Endpoint{ident.Endpoint(hosts[0].name)}})
--- a/internal/group/simhost_test.go
+++ b/internal/group/simhost_test.go
@@ -15,6 +15,7 @@
 type host struct {
 	name                   string
 	downUntil, frozenUntil time.Time
+	lag                    time.Duration // added to each message
 }
 
 type pair struct{ a, b string }
@@ -95,7 +96,7 @@
 }
 
 func (s *sim) send(from, to *host, run func()) {
-	delay := time.Millisecond + time.Duration(s.rng.Int64N(int64(time.Millisecond)/2))
+	delay := from.lag + to.lag + time.Millisecond + time.Duration(s.rng.Int64N(int64(time.Millisecond)/2))
 	if s.lossy {
 		switch s.rng.IntN(100) {
 		case 0:
--- a/internal/group/simrun_test.go
+++ b/internal/group/simrun_test.go
@@ -143,9 +143,11 @@
 	p.wrote++
 	id := p.wrote<<8 | int(p.name[len(p.name)-1])
 	p.sim.send(&p.host, &n.host, func() {
-		if !n.write(c.Term, id) {
-			p.sim.send(&n.host, &p.host, func() { p.update(WorkFailed{Endpoint: name, Term: c.Term}) })
+		var answer Msg = WorkFailed{Endpoint: name, Term: c.Term}
+		if n.write(c.Term, id) {
+			answer = Observed{Endpoint: name, Status: n.status()}
 		}
+		p.sim.send(&n.host, &p.host, func() { p.update(answer) })
 	})
 }
 
--- a/internal/group/watch_test.go
+++ b/internal/group/watch_test.go
@@ -27,7 +27,7 @@
 
 // randomRun returns what went wrong in one seeded run, or nothing.
 func randomRun(seed uint64, off func(*rules)) string {
-	s := newSim(seed, 3, 4, off)
+	s := newSim(seed, 3+2*int(seed%5/4), 4, off) // every fifth group has 5 servers
 	s.runUntil(epoch.Add(2 * time.Second))
 	s.lossy = seed%2 == 0
 	for end := s.now.Add(faultTime); s.now.Before(end) && s.broken == ""; {
