--- a/internal/acct/admit.go
+++ b/internal/acct/admit.go
@@ -14,7 +14,7 @@
 	usualSpread   = 20 * time.Millisecond
 	longestRetry  = 5 * time.Second
 	// spendWait is how long SpendWait waits for tokens of other instances.
-	spendWait = 3 * time.Millisecond
+	spendWait = 5 * time.Millisecond
 )
 
 // Admission is the Gate of a running instance: Book answers about keys and
--- a/internal/acct/borrow.go
+++ b/internal/acct/borrow.go
@@ -13,14 +13,14 @@
 const (
 	// firstDry and longestDry bound how long a peer that had no tokens is not
 	// asked again.
-	firstDry   = 20 * time.Millisecond
+	firstDry   = 5 * time.Millisecond
 	longestDry = 500 * time.Millisecond
 	// lateMemory is how long the answer to an ask that timed out is settled
 	// at its sender.
 	lateMemory = 5 * time.Second
-	// activeDemand is the demand, in requests a second, from which an
-	// instance without a part keeps a token at hand.
-	activeDemand = 0.05
+	// leastStock is the demand in the stock time, in tokens, below which no
+	// tokens are borrowed ahead of need.
+	leastStock = 0.5
 )
 
 // ask is a request for tokens that was sent.
@@ -37,21 +37,24 @@
 	dry   time.Duration
 }
 
-// want returns how many tokens the account should have at hand here: its
-// demand in the stock time, twice the standard deviation of as many Poisson
-// arrivals, and those who wait.
-func (q *Quota) want(l *ledger) int64 {
+// stock returns how many tokens the account's demand should find here: those
+// of the stock time and twice the standard deviation of as many Poisson
+// arrivals. An account with little demand here keeps none, so that its few
+// tokens stay where they can be asked for.
+func (q *Quota) stock(l *ledger) int64 {
 	mean := l.demand * q.timing.Stock.Seconds()
-	stock := int64(math.Round(mean + 2*math.Sqrt(mean)))
-	if stock == 0 && l.demand > activeDemand && l.held() == 0 {
-		stock = 1
+	if mean < leastStock {
+		return 0
 	}
-	return min(stock+l.limit.waiting.Load(), int64(l.cut.burst))
+	most := int64(l.cut.burst) / int64(2*len(q.live))
+	return min(int64(math.Round(mean+2*math.Sqrt(mean))), max(1, most))
 }
 
-// borrow asks peers for what is missing, ahead of need.
+// borrow asks peers for what is missing, ahead of need. For those who wait it
+// asks one peer more than needed, as that peer may have no token.
 func (q *Quota) borrow(l *ledger, now time.Time) {
-	want := q.want(l)
+	waiting := l.limit.waiting.Load()
+	want := min(q.stock(l)+waiting, int64(l.cut.burst))
 	if want == 0 || q.stopping {
 		return
 	}
@@ -62,11 +65,15 @@
 	if missing <= 0 {
 		return
 	}
+	peers := int(missing)
+	if waiting > 0 {
+		peers++
+	}
 	donors := q.donors(l, now)
-	if len(donors) == 0 {
+	n := min(len(donors), peers)
+	if n == 0 {
 		return
 	}
-	n := min(len(donors), int(missing))
 	each := (missing + int64(n) - 1) / int64(n)
 	for _, d := range donors[:n] {
 		q.ask(l, d, each, now)
@@ -140,7 +147,11 @@
 	}
 	a := l.asks[i]
 	l.asks = slices.Delete(l.asks, i, i+1)
-	q.rate(l, a, int64(m.Give.Count), now)
+	next := m.Give.EndsIn
+	if m.Give.Count > 0 {
+		next = 0
+	}
+	q.rate(l, a, int64(m.Give.Count), next, now)
 	end := a.sent.Add(m.Give.EndsIn)
 	if m.Give.Count <= 0 || !now.Before(end) {
 		q.borrow(l, now)
@@ -151,17 +162,23 @@
 	q.touch(l)
 }
 
-// rate leaves a donor alone for a while when it had less than was asked.
-func (q *Quota) rate(l *ledger, a ask, count int64, now time.Time) {
+// rate leaves a donor alone for a while when it had less than was asked: at
+// least until it says that it gains a token, and longer each time.
+func (q *Quota) rate(l *ledger, a ask, count int64, next time.Duration, now time.Time) {
 	d := l.donor(a.to)
-	if count >= a.count {
+	switch {
+	case count >= a.count:
 		d.dry = 0
 		return
+	case count > 0:
+		d.dry = firstDry
+	default:
+		d.dry = min(longestDry, max(firstDry, 2*d.dry))
 	}
-	if count > 0 {
-		d.dry = 0
+	if next > d.dry {
+		d.until = now.Add(min(next, longestDry))
+		return
 	}
-	d.dry = min(longestDry, max(firstDry, 2*d.dry))
 	d.until = now.Add(q.jitter(d.dry))
 }
 
@@ -169,12 +186,15 @@
 // without an answer.
 func (q *Quota) keepGrants(l *ledger, now time.Time) {
 	at := q.limiter.at(now)
+	surplus := q.surplus(l, at)
 	kept := l.grants[:0]
 	for _, g := range l.grants {
-		if !q.stopping && g.left.Load() > 0 && at < g.end-int64(minLoan) {
+		left := g.left.Load()
+		if !q.stopping && left > 0 && left > surplus && at < g.end-int64(minLoan) {
 			kept = append(kept, g)
 			continue
 		}
+		surplus -= left
 		q.settle(l, g.donor, g.nonce, g.close())
 		q.touch(l)
 	}
@@ -186,12 +206,20 @@
 			continue
 		}
 		l.late = append(l.late, a)
-		q.rate(l, a, 0, now)
+		q.rate(l, a, 0, longestDry, now)
 	}
 	l.asks = asks
 	l.late = slices.DeleteFunc(l.late, func(a ask) bool { return now.Sub(a.sent) > lateMemory })
 }
 
+// surplus returns how many tokens are at hand beyond twice the stock.
+func (q *Quota) surplus(l *ledger, at int64) int64 {
+	if len(l.grants) == 0 {
+		return 0
+	}
+	return l.limit.supply.Load().level(at) - 2*q.stock(l) - l.limit.waiting.Load()
+}
+
 // settle tells a donor that its tokens are spent here no more.
 func (q *Quota) settle(l *ledger, donor ident.Instance, nonce uint64, unspent int64) {
 	m := peer.TokenAsk{Account: l.account, Settled: nonce, Unspent: ident.Tokens(unspent)}
--- a/internal/acct/cut.go
+++ b/internal/acct/cut.go
@@ -9,6 +9,11 @@
 // MaxParts is into how many parts an account's quota is cut at most.
 const MaxParts = 8
 
+// leastPart is the burst of a part, in tokens, below which an account is cut
+// into fewer parts. Whole tokens in small parts are hard to find: while one
+// part is full and gains nothing, another holds the half of a token.
+const leastPart = 8
+
 // partBase leaves room for the index within a cut in a part's number.
 const partBase = 16
 
@@ -27,7 +32,7 @@
 	if rate <= 0 || burst <= 0 {
 		return cut{}
 	}
-	return cut{rate: rate, burst: burst, parts: int(min(MaxParts, burst))}
+	return cut{rate: rate, burst: burst, parts: int(max(1, min(MaxParts, burst/leastPart)))}
 }
 
 // burstOf returns the whole tokens that part i can hold.
--- a/internal/acct/keeper.go
+++ b/internal/acct/keeper.go
@@ -112,6 +112,10 @@
 		k.inbox.offer(AskReceived{From: from, Ask: m})
 	case peer.TokenGive:
 		k.inbox.offer(GiveReceived{From: from, Give: m})
+	case peer.LeaseAsk:
+		k.inbox.offer(WitnessAsked{From: from, Ask: m})
+	case peer.LeaseHold:
+		k.inbox.offer(WitnessAnswered{From: from, Hold: m})
 	}
 }
 
--- a/internal/acct/keeper_test.go
+++ b/internal/acct/keeper_test.go
@@ -109,3 +109,63 @@
 		g.Expect(n).To(BeNumerically(">=", 36))
 	})
 }
+
+// holders counts the rows by holder.
+func (t *fakeTable) holders() map[ident.Instance]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := make(map[ident.Instance]int)
+	for _, r := range t.rows {
+		held[r.Holder]++
+	}
+	return held
+}
+
+func TestCrashedHolderIsReplacedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		m := startMesh(4, table, 80, 64)
+		time.Sleep(20 * time.Second)
+		dead := m["entry-2"]
+		delete(m, "entry-2")
+		g.Expect(table.holders()["entry-2"]).To(BeNumerically(">", 0))
+		g.Expect(dead.group.Close()).To(Succeed()) // no graceful stop
+		defer m.close(g)
+		time.Sleep(3 * DefaultPromise)
+		g.Expect(table.holders()["entry-2"]).To(BeZero())
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		g.Expect(m.level()).To(Equal(int64(64)))
+	})
+}
+
+func TestQuotaOutlivesStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		m := startMesh(3, table, 80, 64)
+		defer m.close(g)
+		time.Sleep(20 * time.Second)
+		table.setDown(true)
+		defer table.setDown(false)
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		g.Expect(m.level()).To(Equal(int64(64)))
+		time.Sleep(3 * time.Minute)
+		g.Expect(m.level()).To(BeZero(), "every lease has lapsed")
+	})
+}
+
+func TestCloseIsBoundedWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		table := newFakeTable()
+		m := startMesh(2, table, 80, 64)
+		time.Sleep(20 * time.Second)
+		table.setDown(true)
+		start := time.Now()
+		m.close(g)
+		g.Expect(time.Since(start)).To(BeNumerically("<=", 2*(closeTimeout+storeTimeout)))
+	})
+}
--- a/internal/acct/lease.go
+++ b/internal/acct/lease.go
@@ -26,7 +26,7 @@
 
 // observe takes the present state of a row.
 func (q *Quota) observe(l *ledger, s *share, row store.Lease, now time.Time) {
-	if row == s.row {
+	if sameRow(row, s.row) {
 		return
 	}
 	a, ours := s.find(row)
@@ -35,10 +35,14 @@
 	s.seen = now
 	s.forget()
 	switch {
-	case ours && row.Holder == q.self && wasMine:
-		q.extend(l, s, a.sent, now)
 	case ours && row.Holder == q.self:
-		q.adopt(l, s, a.sent, now)
+		s.row = a.fresh
+		s.sent = a.sent
+		if !wasMine {
+			q.adopt(l, s, now)
+			return
+		}
+		q.extend(l, s, now)
 	case wasMine:
 		q.drop(l, s, now)
 		if !ours {
@@ -47,27 +51,31 @@
 	}
 }
 
-// extend counts a renewed lease from before its write was sent.
-func (q *Quota) extend(l *ledger, s *share, sent, now time.Time) {
-	assert.That(!sent.After(now), "LeaseFromFuture", "part %d", s.key.Part)
-	s.sent = sent
-	s.end = sent.Add(s.row.Length)
-	s.bucket.end.Store(q.limiter.at(s.end))
-	if s.lapsed {
+// extend sets the end of a held lease: the earliest by any state in which its
+// row may be, each counted from before its write was sent.
+func (q *Quota) extend(l *ledger, s *share, now time.Time) {
+	end := q.safeUntil(s.row, s.sent)
+	s.eachVersion(func(row store.Lease, sent time.Time) {
+		assert.That(!sent.After(now), "LeaseFromFuture", "part %d", s.key.Part)
+		end = earlier(end, q.safeUntil(row, sent))
+	})
+	s.end = end
+	s.bucket.end.Store(q.limiter.at(end))
+	if s.lapsed && now.Before(end) {
 		s.lapsed = false
 		q.touch(l)
 	}
 }
 
 // adopt starts to hold a part, closed until it is confirmed.
-func (q *Quota) adopt(l *ledger, s *share, sent, now time.Time) {
+func (q *Quota) adopt(l *ledger, s *share, now time.Time) {
 	s.bucket = l.bucket(s)
 	s.adopted = now
 	s.confirmed = false
 	s.lapsed = false
 	s.leaving = false
 	s.loans = nil
-	q.extend(l, s, sent, now)
+	q.extend(l, s, now)
 	if q.stopping || !l.current(s) {
 		q.leave(l, s, now)
 		return
@@ -125,7 +133,7 @@
 			continue
 		}
 		if q.mayClaim(l, s, now) {
-			q.write(s, q.claimed(s), now)
+			q.write(l, s, q.claimed(l, s, now), now)
 		}
 	}
 	q.move(l, now)
@@ -142,12 +150,12 @@
 	}
 	if s.leaving {
 		if len(s.loans) == 0 {
-			q.write(s, q.released(s), now)
+			q.write(l, s, q.released(l, s, now), now)
 		}
 		return
 	}
-	if now.Sub(s.sent) >= q.timing.Renew {
-		q.write(s, q.renewed(s), now)
+	if now.Sub(s.sent) >= q.timing.Renew || q.witnessFails(s, now) {
+		q.write(l, s, q.renewed(l, s, now), now)
 	}
 }
 
@@ -155,6 +163,9 @@
 	if q.stopping || !l.current(s) || s.pending != 0 || q.lastRead.IsZero() || now.Before(s.retry) {
 		return false
 	}
+	if s.row.Holder != "" && s.row.Witness == q.self && !now.Before(q.witnessFree(s)) {
+		return !l.newer(q.version, now)
+	}
 	turn := l.placement.turn(indexOf(s.key.Part), q.self)
 	at := s.free().Add(time.Duration(turn) * q.timing.ClaimStep)
 	return !now.Before(at) && !l.newer(q.version, now)
@@ -181,13 +192,13 @@
 	}
 }
 
-func (q *Quota) claimed(s *share) store.Lease {
-	f := q.renewed(s)
+func (q *Quota) claimed(l *ledger, s *share, now time.Time) store.Lease {
+	f := q.renewed(l, s, now)
 	f.Epoch++
 	return f
 }
 
-func (q *Quota) renewed(s *share) store.Lease {
+func (q *Quota) renewed(l *ledger, s *share, now time.Time) store.Lease {
 	return store.Lease{
 		Key:      s.key,
 		Holder:   q.self,
@@ -195,20 +206,24 @@
 		Length:   q.timing.Lease,
 		Renewal:  q.random.Uint64() | 1,
 		Document: q.version,
+		Witness:  q.chooseWitness(l, s, now),
 	}
 }
 
-func (q *Quota) released(s *share) store.Lease {
-	f := q.renewed(s)
-	f.Holder = ""
+func (q *Quota) released(l *ledger, s *share, now time.Time) store.Lease {
+	f := q.renewed(l, s, now)
+	f.Holder, f.Witness = "", ""
 	return f
 }
 
 // write sends a swap. The lease that it may give counts from now, before it
 // is sent.
-func (q *Quota) write(s *share, fresh store.Lease, now time.Time) {
+func (q *Quota) write(l *ledger, s *share, fresh store.Lease, now time.Time) {
 	s.attempts = append(s.attempts, attempt{fresh: fresh, old: s.row.Renewal, sent: now})
 	s.pending = fresh.Renewal
+	if s.mine() {
+		q.extend(l, s, now)
+	}
 	q.do(SwapLease{Old: s.row, Fresh: fresh})
 }
 
--- a/internal/acct/ledger.go
+++ b/internal/acct/ledger.go
@@ -1,6 +1,7 @@
 package acct
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -39,15 +40,27 @@
 
 // share returns the share of a part, a new one if there is none.
 func (l *ledger) share(key store.LeaseKey, now time.Time) *share {
-	i, found := slices.BinarySearchFunc(l.shares, key.Part, func(s *share, p ident.Part) int {
-		return int(s.key.Part) - int(p)
-	})
+	i, found := l.search(key.Part)
 	if !found {
 		l.shares = slices.Insert(l.shares, i, newShare(key, now))
 	}
 	return l.shares[i]
 }
 
+// find returns the share of a part, nil if there is none.
+func (l *ledger) find(part ident.Part) *share {
+	if i, found := l.search(part); found {
+		return l.shares[i]
+	}
+	return nil
+}
+
+func (l *ledger) search(part ident.Part) (int, bool) {
+	return slices.BinarySearchFunc(l.shares, part, func(s *share, p ident.Part) int {
+		return cmp.Compare(s.key.Part, p)
+	})
+}
+
 // measure updates the demand after a span of time.
 func (l *ledger) measure(span time.Duration) {
 	tried, refused := l.limit.tried.Load(), l.limit.refused.Load()
--- a/internal/acct/lend.go
+++ b/internal/acct/lend.go
@@ -46,7 +46,7 @@
 		give.Count = ident.Tokens(min(spare, int64(m.Ask.Count)))
 	}
 	if give.Count < 1 || give.EndsIn < minLoan || !s.bucket.lend(int64(give.Count), q.limiter.at(now)) {
-		give.Count, give.EndsIn = 0, 0
+		give.Count, give.EndsIn = 0, l.nextToken(q.limiter.at(now), now)
 		q.do(SendPeer{To: m.From, Message: give})
 		return
 	}
@@ -70,6 +70,17 @@
 	return best, most
 }
 
+// nextToken returns how long it takes until a part here gains a token.
+func (l *ledger) nextToken(at int64, now time.Time) time.Duration {
+	wait := longestDry
+	for _, s := range l.shares {
+		if s.usable(now) {
+			wait = min(wait, time.Duration(s.bucket.wait(at)))
+		}
+	}
+	return wait
+}
+
 // lent reports whether a loan already answers the ask, as when a message is
 // repeated.
 func (l *ledger) lent(to ident.Instance, nonce uint64) bool {
--- a/internal/acct/message.go
+++ b/internal/acct/message.go
@@ -62,6 +62,18 @@
 	Give peer.TokenGive
 }
 
+// WitnessAsked is a peer's request to leave it its leases.
+type WitnessAsked struct {
+	From ident.Instance
+	Ask  peer.LeaseAsk
+}
+
+// WitnessAnswered is a peer's promise to leave this instance its leases.
+type WitnessAnswered struct {
+	From ident.Instance
+	Hold peer.LeaseHold
+}
+
 // TokensShort tells that a request found no token. Its account is noted in the
 // Limiter.
 type TokensShort struct{}
@@ -77,6 +89,8 @@
 func (AccountsChanged) quotaMsg() {}
 func (AskReceived) quotaMsg()     {}
 func (GiveReceived) quotaMsg()    {}
+func (WitnessAsked) quotaMsg()    {}
+func (WitnessAnswered) quotaMsg() {}
 func (TokensShort) quotaMsg()     {}
 func (StopRequested) quotaMsg()   {}
 
--- a/internal/acct/quota.go
+++ b/internal/acct/quota.go
@@ -22,6 +22,7 @@
 	ClaimStep  time.Duration // between instances that would claim a free part
 	MoveAfter  time.Duration // of a steady live list before a part moves
 	Loan       time.Duration // longest loan of tokens
+	Promise    time.Duration // for which a witness leaves a lease to its holder; the same on every instance
 	AskTimeout time.Duration // after which a peer's answer comes too late
 	Stock      time.Duration // of demand that an instance keeps in tokens
 }
@@ -38,11 +39,15 @@
 		ClaimStep:  2 * time.Second,
 		MoveAfter:  15 * time.Second,
 		Loan:       time.Second,
+		Promise:    min(lease, DefaultPromise),
 		AskTimeout: 200 * time.Millisecond,
 		Stock:      100 * time.Millisecond,
 	}
 }
 
+// DefaultPromise is how soon, about, the parts of a crashed instance are taken.
+const DefaultPromise = 8 * time.Second
+
 // DefaultLease outlives a store outage of ten minutes.
 const DefaultLease = 12 * time.Minute
 
@@ -64,6 +69,9 @@
 	live     []ident.Instance
 	liveFrom time.Time // since when the live list is as it is
 
+	witnesses map[ident.Instance]*witness  // of the parts held here
+	promised  map[ident.Instance]time.Time // last promise to each holder
+
 	stopping bool
 	reading  bool
 	nextRead time.Time
@@ -84,6 +92,9 @@
 		limiter: newLimiter(base),
 		ledgers: make(map[ident.Account]*ledger),
 		live:    []ident.Instance{self},
+
+		witnesses: make(map[ident.Instance]*witness),
+		promised:  make(map[ident.Instance]time.Time),
 	}
 }
 
@@ -124,6 +135,10 @@
 		q.asked(m, now)
 	case GiveReceived:
 		q.given(m, now)
+	case WitnessAsked:
+		q.witnessAsked(m, now)
+	case WitnessAnswered:
+		q.witnessAnswered(m, now)
 	case TokensShort:
 		q.helpShort(now)
 	case StopRequested:
@@ -151,6 +166,7 @@
 		l.measure(now.Sub(q.lastTick))
 		q.borrow(l, now)
 	}
+	q.keepWitnesses(now)
 	q.lastTick = now
 }
 
--- a/internal/acct/share.go
+++ b/internal/acct/share.go
@@ -1,6 +1,7 @@
 package acct
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
@@ -81,13 +82,29 @@
 // find returns this instance's attempt that wrote row.
 func (s *share) find(row store.Lease) (attempt, bool) {
 	for _, a := range s.attempts {
-		if a.fresh == row {
+		if sameRow(a.fresh, row) {
 			return a, true
 		}
 	}
 	return attempt{}, false
 }
 
+// sameRow tells whether a and b are the same state of a row.
+func sameRow(a, b store.Lease) bool {
+	return a.Key == b.Key && a.Epoch == b.Epoch && a.Renewal == b.Renewal && a.Holder == b.Holder
+}
+
+// eachVersion calls f for each state in which the row of a held part may be:
+// as last seen, and as any write in doubt would leave it.
+func (s *share) eachVersion(f func(row store.Lease, sent time.Time)) {
+	f(s.row, s.sent)
+	for _, a := range s.attempts {
+		if a.fresh.Holder != "" {
+			f(a.fresh, a.sent)
+		}
+	}
+}
+
 // forget drops the attempts that can no longer take effect, since the row
 // they would replace is gone.
 func (s *share) forget() {
@@ -100,6 +117,17 @@
 	s.attempts = kept
 }
 
+// witnesses returns who may take the part early by any state of its row.
+func (s *share) witnesses() []ident.Instance {
+	var ids []ident.Instance
+	s.eachVersion(func(row store.Lease, _ time.Time) {
+		if row.Witness != "" && !slices.Contains(ids, row.Witness) {
+			ids = append(ids, row.Witness)
+		}
+	})
+	return ids
+}
+
 func (s *share) lent() int64 {
 	n := int64(0)
 	for _, l := range s.loans {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -73,6 +73,27 @@
 	Nonce   uint64
 }
 
+// LeaseAsk asks the witness of the sender's quota leases to leave them to it.
+// Nonce tells repeats apart.
+type LeaseAsk struct {
+	Nonce  uint64
+	Leases []LeaseRef
+}
+
+// LeaseRef names one lease as its holder knows it.
+type LeaseRef struct {
+	Account ident.Account
+	Part    ident.Part
+	Epoch   ident.Epoch
+}
+
+// LeaseHold answers a LeaseAsk: the sender has taken none of the leases and
+// takes none for Length from now on. The asker counts it from its question.
+type LeaseHold struct {
+	Nonce  uint64
+	Length time.Duration
+}
+
 // Leaving tells that the sender stops and takes no more asks.
 type Leaving struct{}
 
@@ -83,6 +104,8 @@
 func (GroupState) message()  {}
 func (TokenAsk) message()    {}
 func (TokenGive) message()   {}
+func (LeaseAsk) message()    {}
+func (LeaseHold) message()   {}
 func (Leaving) message()     {}
 
 // Handler takes what arrives. It is called from one goroutine for each peer
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -63,6 +63,9 @@
 	Renewal uint64
 	// Document is the version by which the part was cut.
 	Document ident.Version
+	// Witness may take the part from a holder that has not asked it for a
+	// while, long before Length has passed. Empty means nobody.
+	Witness ident.Instance
 }
 
 // Leases keeps the quota leases of an environment.
