--- a/internal/acct/admit_test.go
+++ b/internal/acct/admit_test.go
@@ -1,8 +1,10 @@
 package acct
 
 import (
+	"context"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/fault"
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
@@ -136,6 +139,35 @@
 	g.Expect(b.level(12 * second)).To(Equal(int64(4)))
 }
 
+// Requests that spend while the decider lends and settles never get more than
+// the part holds.
+func TestBucketUnderConcurrentLoans(t *testing.T) {
+	g := NewWithT(t)
+	const full, now = 3000, int64(time.Second)
+	b := newBucket(time.Hour, full)
+	b.end.Store(2 * now)
+	b.open(full, now)
+	var spent, lost atomic.Int64
+	group := tasks.New(context.Background())
+	for range 4 {
+		group.Go(func(context.Context) error {
+			for b.spend(now) {
+				spent.Add(1)
+			}
+			return nil
+		})
+	}
+	for range 200 {
+		if b.lend(5, now) {
+			lost.Add(3)
+			b.settle(5, 2, now)
+		}
+	}
+	g.Expect(group.Wait()).To(Succeed())
+	g.Expect(spent.Load() + lost.Load() + b.level(now)).To(BeNumerically("<=", full))
+	g.Expect(b.limit.Load()).To(Equal(int64(full)))
+}
+
 // The cut keeps whole tokens, sums to the account, and grows part by part.
 func TestCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
