--- a/internal/acct/admit.go
+++ b/internal/acct/admit.go
@@ -145,6 +145,7 @@
 // so that those refused do not come at once.
 func refuse(l *limit, s *supply, at int64) error {
 	l.refused.Add(1)
+	l.refusals.Inc()
 	wait := min(longestRetry, time.Duration(s.wait(at)))
 	spread := max(usualSpread, time.Duration(l.spread.Load()))
 	retry := max(shortestRetry, wait) + rand.N(spread)
--- a/internal/acct/inbox.go
+++ b/internal/acct/inbox.go
@@ -1,24 +1,10 @@
 package acct
 
-import (
-	"fmt"
-	"sync"
-
-	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/marjoramrudder/marjoramrudder/internal/event"
-)
+import "sync"
 
 // maxOffered is how many peers' messages may wait for the decider.
 const maxOffered = 4096
 
-var droppedMessages = metrics.NewCounter("marjoram_quota_messages_dropped_total")
-
-// count counts a kind of event.
-func count(kind event.Kind) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`marjoram_quota_events_total{kind=%q}`, string(kind))).Inc()
-}
-
 // inbox collects the inputs of a decider. Putting one in never blocks.
 type inbox struct {
 	signal chan struct{}
--- a/internal/acct/ledger.go
+++ b/internal/acct/ledger.go
@@ -31,11 +31,12 @@
 	demand  float64 // requests a second
 	excess  float64 // refusals a second
 	moved   time.Time
+	noted   time.Time // when refusals were recorded last
 	dirty   bool
 }
 
 func newLedger(account ident.Account) *ledger {
-	return &ledger{account: account, limit: newLimit(), donors: make(map[ident.Instance]*donor)}
+	return &ledger{account: account, limit: newLimit(account), donors: make(map[ident.Instance]*donor)}
 }
 
 // share returns the share of a part, a new one if there is none.
--- a/internal/acct/limiter.go
+++ b/internal/acct/limiter.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -36,10 +38,12 @@
 	waiting atomic.Int64
 	short   atomic.Bool  // a request found no token since Quota looked
 	spread  atomic.Int64 // over how long those refused should come back
+
+	refusals *metrics.Counter
 }
 
-func newLimit() *limit {
-	l := &limit{}
+func newLimit(account ident.Account) *limit {
+	l := &limit{refusals: refusals(account)}
 	l.supply.Store(newSupply(nil, nil))
 	return l
 }
--- a/internal/acct/message.go
+++ b/internal/acct/message.go
@@ -129,4 +129,5 @@
 	LeaseLost     event.Kind = "LeaseLost"     // another instance holds the part
 	LeaseLapsed   event.Kind = "LeaseLapsed"   // a part was not renewed in time
 	QuotaRecut    event.Kind = "QuotaRecut"    // a document changed rate or burst
+	QuotaUsedUp   event.Kind = "QuotaUsedUp"   // requests are refused, at most once in noteEvery
 )
--- a/internal/acct/quota.go
+++ b/internal/acct/quota.go
@@ -5,52 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/marjoramrudder/marjoramrudder/internal/store"
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// TickEvery is how often Quota wants a Tick.
-const TickEvery = 20 * time.Millisecond
-
-// Timing holds the spans by which Quota decides.
-type Timing struct {
-	Lease      time.Duration // how long a holder may spend after a renewal
-	Renew      time.Duration // between renewals
-	Retry      time.Duration // between writes of one row that fail
-	Poll       time.Duration // between reads of all rows
-	ClaimStep  time.Duration // between instances that would claim a free part
-	MoveAfter  time.Duration // of a steady live list before a part moves
-	Loan       time.Duration // longest loan of tokens
-	Promise    time.Duration // for which a witness leaves a lease to its holder; the same on every instance
-	AskTimeout time.Duration // after which a peer's answer comes too late
-	Stock      time.Duration // of demand that an instance keeps in tokens
-}
-
-// DefaultTiming returns the spans for a lease length. A part is renewed twelve
-// times in its length, so that a lease outlives a store outage of eleven
-// twelfths of it.
-func DefaultTiming(lease time.Duration) Timing {
-	return Timing{
-		Lease:      lease,
-		Renew:      lease / 12,
-		Retry:      min(lease/24, 5*time.Second),
-		Poll:       min(lease/12, 2*time.Second),
-		ClaimStep:  2 * time.Second,
-		MoveAfter:  15 * time.Second,
-		Loan:       time.Second,
-		Promise:    min(lease, DefaultPromise),
-		AskTimeout: 200 * time.Millisecond,
-		Stock:      100 * time.Millisecond,
-	}
-}
-
-// DefaultPromise is how soon, about, the parts of a crashed instance are taken.
-const DefaultPromise = 8 * time.Second
-
-// DefaultLease outlives a store outage of ten minutes.
-const DefaultLease = 12 * time.Minute
-
 // Quota decides which parts of the client accounts' quotas this instance
 // holds, and what it lends and borrows. Its invariant, over all instances:
 // an account's requests are admitted at most Rate x T + Burst times in any
@@ -163,6 +121,7 @@
 		l := q.ledgers[a]
 		q.keepLeases(l, now)
 		q.keepGrants(l, now)
+		q.note(l, now)
 		l.measure(now.Sub(q.lastTick))
 		q.borrow(l, now)
 	}
@@ -170,6 +129,15 @@
 	q.lastTick = now
 }
 
+// note records that requests of the account are refused.
+func (q *Quota) note(l *ledger, now time.Time) {
+	if l.limit.refused.Load() == l.refused || now.Sub(l.noted) < noteEvery {
+		return
+	}
+	l.noted = now
+	q.do(Record{Kind: QuotaUsedUp, Account: l.account})
+}
+
 // helpShort borrows for the accounts of which a request found no token.
 func (q *Quota) helpShort(now time.Time) {
 	for _, a := range q.order {
@@ -237,49 +205,6 @@
 	return l
 }
 
-// recut puts another division of an account in force. Parts of a cut into as
-// many parts grow or shrink in place, with the tokens they have; parts of
-// another number are given up, and the new ones start once none of the old is
-// held anywhere.
-func (q *Quota) recut(l *ledger, c cut, now time.Time) {
-	if l.cut == c {
-		return
-	}
-	if l.cut != (cut{}) {
-		q.do(Record{Kind: QuotaRecut, Account: l.account})
-	}
-	l.cut = c
-	l.placement = place(l.account, c.parts, q.live, q.rank)
-	for _, s := range l.shares {
-		if !s.mine() {
-			continue
-		}
-		if partsOf(s.key.Part) == c.parts {
-			q.resize(l, s, now)
-			continue
-		}
-		q.leave(l, s, now)
-	}
-	for i := range c.parts {
-		l.share(store.LeaseKey{Account: l.account, Part: c.part(i)}, now)
-	}
-	q.touch(l)
-}
-
-func (q *Quota) resize(l *ledger, s *share, now time.Time) {
-	at := q.limiter.at(now)
-	open := s.bucket.isOpen()
-	level := s.bucket.close(at)
-	b := l.bucket(s)
-	b.limit.Store(b.full - s.lent())
-	b.end.Store(q.limiter.at(s.end))
-	if open {
-		b.open(level, at)
-	}
-	s.bucket = b
-	q.touch(l)
-}
-
 func (q *Quota) stop(now time.Time) {
 	q.stopping = true
 	for _, a := range q.order {
