--- a/internal/acct/measure_test.go
+++ b/internal/acct/measure_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// The naive version divides each account's quota over the instances for good.
+func TestLendingAgainstStaticDivision(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	lending := fleet(1, time.Minute, func(*simulation) {})
+	divided := fleet(1, time.Minute, func(s *simulation) { s.divided = true })
+	for _, a := range lending.accounts {
+		l, d := lending.records[a.Name].wrongShare(), divided.records[a.Name].wrongShare()
+		t.Logf("%s: wrongfully refused %.3f %%, by static division %.3f %%", a.Name, 100*l, 100*d)
+		g.Expect(l).To(BeNumerically("<=", d))
+	}
+}
+
 func TestSimulationRepeats(t *testing.T) {
 	g := NewWithT(t)
 	a, b := storm().run(7, nil), storm().run(7, nil)
--- a/internal/acct/sim_test.go
+++ b/internal/acct/sim_test.go
@@ -39,6 +39,7 @@
 	slowAnswer         time.Duration // to writes
 	wait               bool          // whether requests wait for loans
 	giveBack           float64
+	divided            bool                // no instance lends tokens
 	careless           bool                // tokens are given back without bound
 	phase              time.Duration       // callers are busy and pause in turn
 	sabotage           func(*simNode, Msg) // runs after each update
@@ -223,6 +224,9 @@
 	if i < 0 || s.random.Float64() < s.loss {
 		return
 	}
+	if _, ok := c.Message.(peer.TokenAsk); ok && s.divided {
+		return
+	}
 	delay := s.between(time.Millisecond, 1500*time.Microsecond)
 	if s.random.Float64() < s.late {
 		delay = s.between(0, 3*time.Second)
