Describe settings, operating and design; bound hostile texts

Cause: a text of 1 MiB with 65,536 unknown fields took 12.6 s to refuse, since the TOML library compares each field of a table with all before it; long dotted keys grew the paths of fields with the square of their length.

Change: a table has at most 256 fields, paths of fields are cut at 512 bytes, places are found by a search over the starts of lines.

A page describes every field; a test looks for each.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -67,3 +69,35 @@
 		g.Expect(s.dataCentres).To(ContainElement(settings.DataCentre))
 	}
 }
+
+// TestEveryFieldIsDescribed looks for each field of the settings and of the
+// document in the page that describes them.
+func TestEveryFieldIsDescribed(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "docs", "SETTINGS.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	fields := slices.Concat(fieldPaths(reflect.TypeFor[conf.Settings](), ""), fieldPaths(reflect.TypeFor[envdoc.Document](), ""))
+	g.Expect(len(fields)).To(BeNumerically(">", groups*accounts))
+	for _, f := range fields {
+		g.Expect(string(page)).To(ContainSubstring("`"+f+"`"), f)
+	}
+}
+
+// fieldPaths returns the paths of the fields that hold values.
+func fieldPaths(t reflect.Type, path string) []string {
+	if t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct {
+		return []string{path}
+	}
+	var paths []string
+	for _, f := range reflect.VisibleFields(t) {
+		name := f.Name
+		if path != "" {
+			name = path + "." + name
+		}
+		paths = append(paths, fieldPaths(f.Type, name)...)
+	}
+	return paths
+}
--- a/pkg/strict/sheet.go
+++ b/pkg/strict/sheet.go
@@ -12,7 +12,7 @@
 // Sheet is a text that was read, with the places of its fields. Its owner
 // adds the problems that its own rules find.
 type Sheet struct {
-	text     []byte
+	lines    lines
 	offsets  map[string]int
 	reported map[string]bool
 	unread   map[string]bool // fields of a wrong type, whose parts are unknown
@@ -23,17 +23,23 @@
 // Read reads text into the struct that into points to. The sheet holds a
 // problem for each unknown field, wrong type and value out of range.
 func Read(text []byte, maxBytes int, into any) *Sheet {
-	s := &Sheet{text: text, offsets: map[string]int{}, reported: map[string]bool{}, unread: map[string]bool{}}
+	s := &Sheet{lines: newLines(text), offsets: map[string]int{}, reported: map[string]bool{}, unread: map[string]bool{}}
 	if len(text) > maxBytes {
 		s.refuse(Problem{Wrong: fmt.Sprintf("the text has %d bytes", len(text)), Allowed: fmt.Sprintf("at most %d bytes", maxBytes)})
 		return s
 	}
+	offsets, crowded, ok := index(text)
+	s.offsets = offsets
+	if !ok {
+		s.Report(crowded, "too many fields in one table", fmt.Sprintf("at most %d", maxFields))
+		s.broken = true
+		return s
+	}
 	var tree map[string]any
 	if err := toml.Unmarshal(text, &tree); err != nil {
 		s.refuse(syntaxProblem(err))
 		return s
 	}
-	s.offsets = index(text)
 	s.fill(reflect.ValueOf(into).Elem(), tree, "")
 	return s
 }
@@ -87,7 +93,7 @@
 func (s *Sheet) place(field string) Place {
 	for field != "" {
 		if offset, ok := s.offsets[field]; ok {
-			return placeAt(s.text, offset)
+			return s.lines.place(offset)
 		}
 		field = parent(field)
 	}
