--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -54,7 +54,6 @@
 	var s Settings
 	sheet := strict.Read(text, MaxBytes, &s)
 	if !sheet.Broken() {
-		s.fillDefaults(sheet.Has)
 		check(&s, sheet.Report)
 	}
 	var problems strict.FieldErrors
@@ -64,21 +63,15 @@
 	return &s, nil
 }
 
-// fillDefaults sets the fields that the text leaves out. A field that the
-// text sets keeps its value, also when that is zero.
-func (s *Settings) fillDefaults(has func(field string) bool) {
-	fallback(has, "Platform.Region", &s.Platform.Region, DefaultRegion)
-	fallback(has, "Platform.Table", &s.Platform.Table, DefaultTable)
-	fallback(has, "Platform.Bucket", &s.Platform.Bucket, DefaultBucket)
-	fallback(has, "Limits.Callers", &s.Limits.Callers, DefaultCallers)
-	fallback(has, "Limits.QueueWait", &s.Limits.QueueWait, DefaultQueueWait)
-	fallback(has, "Limits.RequestTimeout", &s.Limits.RequestTimeout, DefaultRequestTimeout)
-	fallback(has, "Limits.DrainTimeout", &s.Limits.DrainTimeout, DefaultDrainTimeout)
-	fallback(has, "Limits.LeaseLength", &s.Limits.LeaseLength, DefaultLeaseLength)
-}
-
-func fallback[T any](has func(field string) bool, field string, target *T, value T) {
-	if !has(field) {
-		*target = value
+// SetDefaults sets what a file may leave out. A field that the file sets keeps
+// its value, also when that is zero.
+func (s *Settings) SetDefaults() {
+	s.Platform = Platform{Region: DefaultRegion, Table: DefaultTable, Bucket: DefaultBucket}
+	s.Limits = Limits{
+		Callers:        DefaultCallers,
+		QueueWait:      DefaultQueueWait,
+		RequestTimeout: DefaultRequestTimeout,
+		DrainTimeout:   DefaultDrainTimeout,
+		LeaseLength:    DefaultLeaseLength,
 	}
 }
--- a/pkg/envdoc/parse.go
+++ b/pkg/envdoc/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -19,7 +18,6 @@
 	var d Document
 	sheet := strict.Read(text, MaxBytes, &d)
 	if !sheet.Broken() {
-		d.fillDefaults(sheet.Has)
 		check(&d, sheet.Report)
 	}
 	if err := sheet.Err(); err != nil {
@@ -53,16 +51,8 @@
 	return b.Bytes(), nil
 }
 
-// fillDefaults sets the fields that a text may leave out.
-func (d *Document) fillDefaults(has func(field string) bool) {
-	for i := range d.Routes {
-		if r := &d.Routes[i]; r.Durability == "" && !has(fmt.Sprintf("Routes[%d].Durability", i)) {
-			r.Durability = Majority
-		}
-	}
-	for i := range d.Accounts {
-		if a := &d.Accounts[i]; a.Weight == 0 && !has(fmt.Sprintf("Accounts[%d].Weight", i)) {
-			a.Weight = 1
-		}
-	}
-}
+// SetDefaults sets what a text may leave out.
+func (r *Route) SetDefaults() { r.Durability = Majority }
+
+// SetDefaults sets what a text may leave out.
+func (a *Account) SetDefaults() { a.Weight = 1 }
--- a/pkg/strict/fill.go
+++ b/pkg/strict/fill.go
@@ -36,6 +36,9 @@
 		s.wrongType(field, raw, "a table")
 		return
 	}
+	if d, ok := v.Addr().Interface().(Defaulter); ok {
+		d.SetDefaults()
+	}
 	for _, name := range slices.Sorted(maps.Keys(table)) {
 		path := join(field, name)
 		f, ok := v.Type().FieldByName(name)
--- a/pkg/strict/index.go
+++ b/pkg/strict/index.go
@@ -1,35 +1,41 @@
 package strict
 
 import (
-	"fmt"
-	"sort"
-
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// maxFields bounds the fields of one table. The TOML library compares each
-// with all before it, so that a table without a bound could take minutes.
-const maxFields = 256
+// places finds where the fields of a well-formed text stand.
+type places struct {
+	lines   lines
+	offsets map[string]int
+}
 
-// index returns the byte offset of each field of a text, as far as it is well
-// formed. It stops at a table with too many fields and returns its path.
-func index(text []byte) (offsets map[string]int, crowded string, ok bool) {
-	x := indexer{offsets: map[string]int{}, counts: map[string]int{}, fields: map[string]int{}}
+func newPlaces(text []byte) *places {
+	x := indexer{offsets: map[string]int{}, counts: map[string]int{}}
 	x.parser.Reset(text)
-	for !x.full && x.parser.NextExpression() {
+	for x.parser.NextExpression() {
 		x.expression(x.parser.Expression())
 	}
-	return x.offsets, x.crowded, !x.full
+	return &places{newLines(text), x.offsets}
+}
+
+// find returns the place of the field or of its nearest parent.
+func (p *places) find(field string) Place {
+	for field != "" {
+		if offset, ok := p.offsets[field]; ok {
+			return p.lines.place(offset)
+		}
+		field = parent(field)
+	}
+	return Place{}
 }
 
+// indexer notes the byte offset of each field.
 type indexer struct {
 	parser  unstable.Parser
 	offsets map[string]int
 	counts  map[string]int // elements of each array of tables so far
-	fields  map[string]int // fields of each table so far
 	table   string         // path of the open table
-	crowded string         // path of a table with too many fields
-	full    bool
 }
 
 func (x *indexer) expression(n *unstable.Node) {
@@ -60,13 +66,6 @@
 // field notes one part of a key and returns its path.
 func (x *indexer) field(table string, n *unstable.Node) string {
 	path := join(table, string(n.Data))
-	_, seen := x.offsets[path]
-	if !seen && x.counts[path] == 0 {
-		x.fields[table]++
-	}
-	if x.fields[table] > maxFields {
-		x.full, x.crowded = true, table
-	}
 	x.mark(path, n)
 	return path
 }
@@ -122,43 +121,3 @@
 		x.offsets[path] = int(n.Raw.Offset)
 	}
 }
-
-// lines finds the place of an offset.
-type lines struct{ starts []int }
-
-func newLines(text []byte) lines {
-	starts := []int{0}
-	for i, c := range text {
-		if c == '\n' {
-			starts = append(starts, i+1)
-		}
-	}
-	return lines{starts}
-}
-
-func (l lines) place(offset int) Place {
-	after := sort.SearchInts(l.starts, offset+1)
-	return Place{Line: after, Column: offset - l.starts[after-1] + 1}
-}
-
-// maxPath bounds the path of a field. Longer ones are cut, which no field of a
-// struct needs, so that nested names cannot exhaust the memory.
-const maxPath = 512
-
-const cut = "…"
-
-func join(path, name string) string {
-	if path == "" {
-		return shorten(name)
-	}
-	return shorten(path + "." + name)
-}
-
-func elementPath(path string, i int) string { return shorten(fmt.Sprintf("%s[%d]", path, i)) }
-
-func shorten(path string) string {
-	if len(path) <= maxPath {
-		return path
-	}
-	return path[:maxPath] + cut
-}
--- a/pkg/strict/sheet.go
+++ b/pkg/strict/sheet.go
@@ -9,30 +9,31 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Sheet is a text that was read, with the places of its fields. Its owner
-// adds the problems that its own rules find.
+// Sheet is a text that was read. Its owner adds the problems that its own
+// rules find; the sheet knows their places.
 type Sheet struct {
-	lines    lines
-	offsets  map[string]int
+	text     []byte
+	places   *places // nil until a problem needs one
 	reported map[string]bool
 	unread   map[string]bool // fields of a wrong type, whose parts are unknown
 	problems FieldErrors
 	broken   bool
 }
 
+// Defaulter is a struct with fields that a text may leave out. SetDefaults is
+// called before the text is filled in.
+type Defaulter interface{ SetDefaults() }
+
 // Read reads text into the struct that into points to. The sheet holds a
 // problem for each unknown field, wrong type and value out of range.
 func Read(text []byte, maxBytes int, into any) *Sheet {
-	s := &Sheet{lines: newLines(text), offsets: map[string]int{}, reported: map[string]bool{}, unread: map[string]bool{}}
+	s := &Sheet{text: text, reported: map[string]bool{}, unread: map[string]bool{}}
 	if len(text) > maxBytes {
 		s.refuse(Problem{Wrong: fmt.Sprintf("the text has %d bytes", len(text)), Allowed: fmt.Sprintf("at most %d bytes", maxBytes)})
 		return s
 	}
-	offsets, crowded, ok := index(text)
-	s.offsets = offsets
-	if !ok {
-		s.Report(crowded, "too many fields in one table", fmt.Sprintf("at most %d", maxFields))
-		s.broken = true
+	if problem, ok := crowded(text); ok {
+		s.refuse(problem)
 		return s
 	}
 	var tree map[string]any
@@ -48,12 +49,6 @@
 // its fields would only repeat the one problem.
 func (s *Sheet) Broken() bool { return s.broken }
 
-// Has reports whether the text sets the field.
-func (s *Sheet) Has(field string) bool {
-	_, ok := s.offsets[field]
-	return ok
-}
-
 // Report adds a problem of a field. A field has one problem at most; the
 // first one stays. Parts of a field of the wrong type have none.
 func (s *Sheet) Report(field, wrong, allowed string) {
@@ -91,21 +86,10 @@
 // place returns where the field stands, or its nearest parent that the text
 // has when the field is missing.
 func (s *Sheet) place(field string) Place {
-	for field != "" {
-		if offset, ok := s.offsets[field]; ok {
-			return s.lines.place(offset)
-		}
-		field = parent(field)
-	}
-	return Place{}
-}
-
-func parent(field string) string {
-	cut := strings.LastIndexAny(field, ".[")
-	if cut < 0 {
-		return ""
+	if s.places == nil {
+		s.places = newPlaces(s.text)
 	}
-	return field[:cut]
+	return s.places.find(field)
 }
 
 func syntaxProblem(err error) Problem {
