Give later tries of a call more time, so that a slow store is no outage

Cause: each of three tries had 1 s. A store that answers after 1.5 s for a long time looked like an outage to every call, and its writes took effect after their authors had given up.

Ruled out: one long try (a lost call is noticed late); more tries of 1 s (none ever sees the answer).

Change: the bound of a try doubles: 1, 2 and 4 s.

Left: callers with a bound of their own of 2 s still see such a store as out.

--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -24,10 +24,12 @@
 	maxBackoff        = 500 * time.Millisecond
 )
 
-// caller tries calls of the platform with a bounded time for each.
+// caller tries calls of the platform with a bounded time for each. The bound
+// doubles with each try, so that a lost call is noticed early and a slow
+// platform still gets to answer.
 type caller struct {
 	tries      int
-	tryTimeout time.Duration
+	tryTimeout time.Duration // of the first try
 }
 
 // call runs f until it gives a definite result. An error that leaves the
@@ -38,7 +40,7 @@
 		if try > 0 && !sleep(ctx, backoff(try, rand.Float64())) {
 			break
 		}
-		if err = c.try(ctx, name, f); err == nil || !repeatable(err) {
+		if err = c.try(ctx, name, c.tryTimeout<<try, f); err == nil || !repeatable(err) {
 			return err
 		}
 	}
@@ -46,8 +48,8 @@
 	return fmt.Errorf("%s: %w: %w", name, ErrUnavailable, errors.CombineErrors(err, ctx.Err()))
 }
 
-func (c caller) try(ctx context.Context, name string, f func(ctx context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, c.tryTimeout)
+func (c caller) try(ctx context.Context, name string, timeout time.Duration, f func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := time.Now()
 	err := classify(f(ctx))
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -60,7 +60,8 @@
 // Option changes how the platform is called.
 type Option func(c *caller)
 
-// WithTryTimeout bounds each try of a call.
+// WithTryTimeout bounds the first try of a call; each later try has twice the
+// time of the one before.
 func WithTryTimeout(timeout time.Duration) Option {
 	return func(c *caller) { c.tryTimeout = timeout }
 }
