--- a/cmd/marjoramrudder/env.go
+++ b/cmd/marjoramrudder/env.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,7 +68,7 @@
 
 // readDocument reads and checks the document in a file.
 func readDocument(path string) (*envdoc.Document, []byte, error) {
-	text, err := os.ReadFile(path)
+	text, err := strict.ReadFile(path, envdoc.MaxBytes)
 	if err != nil {
 		return nil, nil, usagef("%v", err)
 	}
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -1,7 +1,6 @@
 package conf
 
 import (
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +42,7 @@
 }
 
 func load(path string, check checkFunc) (*Settings, error) {
-	text, err := os.ReadFile(path)
+	text, err := strict.ReadFile(path, MaxBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
--- a/pkg/strict/sheet.go
+++ b/pkg/strict/sheet.go
@@ -29,7 +29,7 @@
 func Read(text []byte, maxBytes int, into any) *Sheet {
 	s := &Sheet{text: text, reported: map[string]bool{}, unread: map[string]bool{}}
 	if len(text) > maxBytes {
-		s.refuse(Problem{Wrong: fmt.Sprintf("the text has %d bytes", len(text)), Allowed: fmt.Sprintf("at most %d bytes", maxBytes)})
+		s.refuse(Problem{Wrong: "the text is too large", Allowed: fmt.Sprintf("at most %d bytes", maxBytes)})
 		return s
 	}
 	if problem, ok := crowded(text); ok {
