--- a/cmd/marjoramrudder/session.go
+++ b/cmd/marjoramrudder/session.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/conf"
 	"github.com/marjoramrudder/marjoramrudder/internal/oper"
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -53,7 +54,7 @@
 		settings:    settings,
 		platform:    platform,
 		client:      client,
-		fleet:       &oper.Fleet{Members: platform.Members, Client: client},
+		fleet:       &oper.Fleet{Members: platform.Members, Client: client, Addresses: c.StringSlice("at")},
 		environment: settings.Environment,
 	}
 	if name := c.String("environment"); name != "" {
@@ -102,6 +103,21 @@
 	return &cli.StringFlag{Name: "environment", Usage: "`NAME` of the environment (default: the one of the settings)"}
 }
 
+func atFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name:  "at",
+		Usage: "administration `ADDRESS` of an instance, several times for several; needs no table service, as in an outage",
+		Validator: func(addresses []string) error {
+			for _, a := range addresses {
+				if !envdoc.ValidAddress(a) {
+					return usagef("--at is %q, allowed: %s", a, envdoc.AddressAllowed)
+				}
+			}
+			return nil
+		},
+	}
+}
+
 func changeFlags() []cli.Flag {
 	return append(settingsFlags(),
 		&cli.StringFlag{Name: "author", Usage: "`NAME` that the history shows", Sources: cli.EnvVars(authorVariable), Value: "unknown"},
--- a/cmd/marjoramrudder/status.go
+++ b/cmd/marjoramrudder/status.go
@@ -19,12 +19,13 @@
 	return &cli.Command{
 		Name:   "status",
 		Usage:  "show what every instance of an environment sees",
-		Flags:  append(settingsFlags(), environmentFlag()),
+		Flags:  append(settingsFlags(), environmentFlag(), atFlag()),
 		Action: withSession(status),
 	}
 }
 
-// fleetStatus is the JSON output of status.
+// fleetStatus is the JSON output of status. Head and Reigns are empty when the
+// instances were asked by address.
 type fleetStatus struct {
 	Environment ident.Environment
 	Head        store.Head
@@ -34,19 +35,16 @@
 }
 
 func status(ctx context.Context, c *cli.Command, s *session) error {
-	head, err := s.platform.Documents.Head(ctx, s.environment)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
-	reigns, err := s.platform.Reigns.All(ctx, s.environment)
-	if err != nil {
-		return err
+	all := fleetStatus{Environment: s.environment}
+	if !c.IsSet("at") {
+		if err := all.readStore(ctx, s.platform); err != nil {
+			return err
+		}
 	}
 	answers, err := s.fleet.Status(ctx, s.environment)
 	if err != nil {
 		return err
 	}
-	all := fleetStatus{Environment: s.environment, Head: head, Reigns: reigns}
 	for _, a := range answers {
 		if a.Err != nil {
 			all.Unreachable = append(all.Unreachable, a.Member.Instance)
@@ -60,6 +58,17 @@
 	return unreachable(answers)
 }
 
+// readStore reads what the table service records of the environment.
+func (s *fleetStatus) readStore(ctx context.Context, p *store.Platform) error {
+	var err error
+	s.Head, err = p.Documents.Head(ctx, s.Environment)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	s.Reigns, err = p.Reigns.All(ctx, s.Environment)
+	return err
+}
+
 // unreachable returns an error that names the instances without an answer.
 func unreachable[T any](answers []oper.Answer[T]) error {
 	var names []string
@@ -75,7 +84,9 @@
 }
 
 func printStatus(w io.Writer, s fleetStatus) {
-	line(w, "%s version %d from %s", s.Environment, s.Head.Version, s.Head.Author)
+	if s.Head.Version > 0 {
+		line(w, "%s version %d from %s", s.Environment, s.Head.Version, s.Head.Author)
+	}
 	line(w, "INSTANCE\tDATA CENTRE\tVERSION\tSESSIONS\tPEERS\tPRIMARIES")
 	for _, r := range s.Instances {
 		line(w, "%s\t%s\t%d\t%d\t%d\t%s", r.Instance, r.DataCentre, r.Version.Version, r.Sessions, connected(r.Peers), primaries(r.Groups))
--- a/cmd/marjoramrudder/timeline.go
+++ b/cmd/marjoramrudder/timeline.go
@@ -18,7 +18,7 @@
 	return &cli.Command{
 		Name:  "timeline",
 		Usage: "collect the events of every instance and print them in one order",
-		Flags: append(settingsFlags(), environmentFlag(),
+		Flags: append(settingsFlags(), environmentFlag(), atFlag(),
 			&cli.Uint64Flag{Name: "since", Usage: "only records after this `SEQUENCE` of each instance"},
 			&cli.StringFlag{Name: "group", Usage: "only records about this database group"},
 			&cli.StringFlag{Name: "account", Usage: "only records about this client account"}),
--- a/cmd/marjoramrudder/world_test.go
+++ b/cmd/marjoramrudder/world_test.go
@@ -183,14 +183,30 @@
 	var out strings.Builder
 	for l := range strings.Lines(input) {
 		var stdout, stderr bytes.Buffer
-		args := append([]string{"marjoramrudder"}, strings.Fields(l)...)
+		args := append([]string{"marjoramrudder"}, strings.Fields(w.resolve(l))...)
 		code := run(context.Background(), args, &stdout, &stderr)
 		for l := range strings.Lines(stderr.String()) {
 			fmt.Fprintf(&out, "! %s", l)
 		}
 		fmt.Fprintf(&out, "%s= %d\n", stdout.String(), code)
 	}
-	return scrub(out.String())
+	return scrub(w.hide(out.String()))
+}
+
+// hide is the opposite of resolve.
+func (w *world) hide(text string) string {
+	for name, i := range w.instances {
+		text = strings.ReplaceAll(text, i.member.Admin, "@"+name)
+	}
+	return text
+}
+
+// resolve replaces @NAME by the administration address of an instance.
+func (w *world) resolve(l string) string {
+	for name, i := range w.instances {
+		l = strings.ReplaceAll(l, "@"+name, i.member.Admin)
+	}
+	return l
 }
 
 // random matches what differs from run to run, and what stands for it.
@@ -203,7 +219,6 @@
 	{regexp.MustCompile(`\b[0-9a-f]{32}\b`), "CHANGE"},
 	{regexp.MustCompile(`20\d\d-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
 	{regexp.MustCompile(`\b[0-9a-f]{12,64}\b`), "DIGEST"},
-	{regexp.MustCompile(`Put "http.*`), "CAUSE"},
 	{regexp.MustCompile(`: (operation error|dial|context) .*`), ": CAUSE"},
 	{regexp.MustCompile(` +\n`), "\n"},
 }
--- a/internal/oper/fleet.go
+++ b/internal/oper/fleet.go
@@ -28,6 +28,23 @@
 type Fleet struct {
 	Members store.Members
 	Client  *admin.Client
+	// Addresses are the administration addresses to ask. When empty, the
+	// table service tells them, which it cannot do during an outage.
+	Addresses []string
+}
+
+// members returns whom to ask, in the order of their names.
+func (f *Fleet) members(ctx context.Context, env ident.Environment) ([]store.Member, error) {
+	if len(f.Addresses) == 0 {
+		members, err := f.Members.All(ctx, env)
+		slices.SortFunc(members, func(a, b store.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+		return members, err
+	}
+	members := make([]store.Member, len(f.Addresses))
+	for i, a := range f.Addresses {
+		members[i] = store.Member{Instance: ident.Instance(a), Admin: a}
+	}
+	return members, nil
 }
 
 // Answer is what one instance said.
@@ -39,11 +56,10 @@
 
 // ask asks every member of the environment, several at once.
 func ask[T any](ctx context.Context, f *Fleet, env ident.Environment, question func(ctx context.Context, address string) (T, error)) ([]Answer[T], error) {
-	members, err := f.Members.All(ctx, env)
+	members, err := f.members(ctx, env)
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(members, func(a, b store.Member) int { return cmp.Compare(a.Instance, b.Instance) })
 	answers := make([]Answer[T], len(members))
 	var g errgroup.Group
 	g.SetLimit(parallelAsks)
