--- /dev/null
+++ b/internal/stand/plat/engine.go
@@ -0,0 +1,168 @@
+package plat
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+func (t *tables) getItem(body []byte) (any, error) {
+	var c getCall
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	k, ok := c.Key.key()
+	if !ok {
+		return nil, errors.New("the key needs PK and SK")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return itemAnswer{Item: t.get(c.TableName, k)}, nil
+}
+
+func (t *tables) query(body []byte) (any, error) {
+	var c queryCall
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	keyed, err := parse(c.KeyConditionExpression, c.ExpressionAttributeNames, c.ExpressionAttributeValues)
+	if err != nil {
+		return nil, err
+	}
+	partition, ok := partitionOf(keyed)
+	if !ok {
+		return nil, errors.New("the key condition needs PK = value")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.page(t.sorted(c.TableName, partition, c.forward()), keyed, c), nil
+}
+
+func (t *tables) page(rows []item, keyed condition, c queryCall) queryAnswer {
+	limit := t.pageRows
+	if c.Limit > 0 {
+		limit = min(limit, c.Limit)
+	}
+	answer := queryAnswer{Items: []item{}}
+	for _, row := range rows {
+		if !c.after(row) || !keyed.holds(row) {
+			continue
+		}
+		if len(answer.Items) == limit {
+			last := answer.Items[limit-1]
+			answer.LastEvaluatedKey = item{partitionName: last[partitionName], sortName: last[sortName]}
+			break
+		}
+		answer.Items = append(answer.Items, row)
+	}
+	answer.Count = len(answer.Items)
+	return answer
+}
+
+func (t *tables) writeItem(body []byte) (any, error) {
+	var w write
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, standing, ok, err := t.check(w)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		e := &tableError{Type: "ConditionalCheckFailedException", Message: "The conditional request failed"}
+		if w.ReturnValuesOnConditionCheckFailure == "ALL_OLD" {
+			e.Item = standing
+		}
+		return nil, e
+	}
+	t.apply(w, k)
+	return itemAnswer{}, nil
+}
+
+func (t *tables) transact(body []byte) (any, error) {
+	var c transaction
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	writes, err := c.writes()
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.checkAll(writes); err != nil {
+		return nil, err
+	}
+	for _, w := range writes {
+		k, _ := w.key()
+		t.apply(w, k)
+	}
+	return itemAnswer{}, nil
+}
+
+// writes returns the parts of the transaction.
+func (c transaction) writes() ([]write, error) {
+	var writes []write
+	for _, one := range c.TransactItems {
+		switch {
+		case one.Put != nil:
+			writes = append(writes, *one.Put)
+		case one.Delete != nil:
+			writes = append(writes, *one.Delete)
+		default:
+			return nil, errors.New("only Put and Delete are understood")
+		}
+	}
+	return writes, nil
+}
+
+// checkAll returns an error with a reason for each write when the condition
+// of any does not hold.
+func (t *tables) checkAll(writes []write) error {
+	cancelled := false
+	reasons := make([]cancellationReason, len(writes))
+	for i, w := range writes {
+		_, _, ok, err := t.check(w)
+		if err != nil {
+			return err
+		}
+		reasons[i] = cancellationReason{Code: "None"}
+		if !ok {
+			reasons[i] = cancellationReason{"ConditionalCheckFailed", "The conditional request failed"}
+			cancelled = true
+		}
+	}
+	if !cancelled {
+		return nil
+	}
+	return &tableError{Type: "TransactionCanceledException", Message: "Transaction cancelled", Reasons: reasons}
+}
+
+// check returns the row that a write meets and whether its condition holds.
+func (t *tables) check(w write) (k key, standing item, ok bool, err error) {
+	k, ok = w.key()
+	if !ok {
+		return k, nil, false, errors.New("the row needs PK and SK")
+	}
+	for name, a := range w.Item {
+		if !a.valid() {
+			return k, nil, false, errors.Newf("attribute %s is neither S nor N", name)
+		}
+	}
+	c, err := w.condition()
+	if err != nil {
+		return k, nil, false, err
+	}
+	standing = t.get(w.TableName, k)
+	return k, standing, c.holds(standing), nil
+}
+
+func (t *tables) apply(w write, k key) {
+	if w.Item == nil {
+		t.remove(w.TableName, k)
+		return
+	}
+	t.put(w.TableName, k, w.Item)
+}
