--- a/pkg/strict/index.go
+++ b/pkg/strict/index.go
@@ -1,22 +1,36 @@
 package strict
 
 import (
-	"bytes"
-	"fmt"
-
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// index returns the byte offset of each field of a well-formed text.
-func index(text []byte) map[string]int {
+// places finds where the fields of a well-formed text stand.
+type places struct {
+	lines   lines
+	offsets map[string]int
+}
+
+func newPlaces(text []byte) *places {
 	x := indexer{offsets: map[string]int{}, counts: map[string]int{}}
 	x.parser.Reset(text)
 	for x.parser.NextExpression() {
 		x.expression(x.parser.Expression())
 	}
-	return x.offsets
+	return &places{newLines(text), x.offsets}
 }
 
+// find returns the place of the field or of its nearest parent.
+func (p *places) find(field string) Place {
+	for field != "" {
+		if offset, ok := p.offsets[field]; ok {
+			return p.lines.place(offset)
+		}
+		field = parent(field)
+	}
+	return Place{}
+}
+
+// indexer notes the byte offset of each field.
 type indexer struct {
 	parser  unstable.Parser
 	offsets map[string]int
@@ -44,12 +58,18 @@
 		if count := x.counts[path]; count > 0 {
 			path = elementPath(path, count-1)
 		}
-		path = join(path, string(key.Node().Data))
-		x.mark(path, key.Node())
+		path = x.field(path, key.Node())
 	}
 	return path
 }
 
+// field notes one part of a key and returns its path.
+func (x *indexer) field(table string, n *unstable.Node) string {
+	path := join(table, string(n.Data))
+	x.mark(path, n)
+	return path
+}
+
 func (x *indexer) element(path string) string {
 	element := elementPath(path, x.counts[path])
 	x.counts[path]++
@@ -61,8 +81,7 @@
 func (x *indexer) keyValue(path string, n *unstable.Node) {
 	key := n.Key()
 	for key.Next() {
-		path = join(path, string(key.Node().Data))
-		x.mark(path, key.Node())
+		path = x.field(path, key.Node())
 	}
 	x.value(path, n.Value())
 }
@@ -102,20 +121,3 @@
 		x.offsets[path] = int(n.Raw.Offset)
 	}
 }
-
-func placeAt(text []byte, offset int) Place {
-	before := text[:offset]
-	return Place{
-		Line:   bytes.Count(before, []byte{'\n'}) + 1,
-		Column: offset - bytes.LastIndexByte(before, '\n'),
-	}
-}
-
-func join(path, name string) string {
-	if path == "" {
-		return name
-	}
-	return path + "." + name
-}
-
-func elementPath(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
