Limit the records of refused peers; order the records of a replaced one

The program wrote PeerLost after a new connection could take over; it now writes it before, so the records are in order.

--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -87,13 +87,20 @@
 }
 
 // refuse counts and records a peer that failed to prove itself. Other errors,
-// such as a connection that broke, are left to the dialer.
+// such as a connection that broke, are left to the dialer. Records are limited
+// to one in reportInterval, so that a stranger can't push others off the time
+// line.
 func (m *Mesh) refuse(peer ident.Instance, err error) {
 	if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrMalformed) {
 		return
 	}
 	m.stats.refused.Inc()
-	m.log.Emit(time.Now(), PeerRefused, event.Subject{Peer: peer}, event.Ref{}, err.Error())
+	now := time.Now()
+	last := m.reported.Load()
+	if now.UnixNano()-last < int64(reportInterval) || !m.reported.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	m.log.Emit(now, PeerRefused, event.Subject{Peer: peer}, event.Ref{}, err.Error())
 	klog.ErrorS(err, "Peer refused", "peer", peer)
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -47,7 +47,8 @@
 	group    *tasks.Group
 	admits   chan struct{}
 
-	links atomic.Pointer[links]
+	links    atomic.Pointer[links]
+	reported atomic.Int64 // when a refusal was last put on the time line
 
 	mu      sync.Mutex
 	closed  bool
@@ -194,10 +195,10 @@
 	klog.V(1).InfoS("Peer connected", "peer", l.peer.Instance)
 	err := l.run()
 	m.unregister(l)
-	close(l.done)
 	m.stats.connected.Dec()
 	m.log.Emit(time.Now(), PeerLost, event.Subject{Peer: l.peer.Instance}, opened, err.Error())
 	klog.V(1).InfoS("Peer lost", "peer", l.peer.Instance, "reason", err)
+	close(l.done)
 	return err
 }
 
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -12,6 +12,7 @@
 	writeTimeout      = time.Second
 	backoffMin        = 50 * time.Millisecond
 	backoffMax        = 2 * time.Second
+	reportInterval    = time.Second
 
 	queueMessages = 256
 	queueBytes    = 4 * MaxFrame
