Tell those who wait for a dead endpoint at once

Cause: a failed connection attempt told the waiters only when no other attempt was under way, and started a new one otherwise. With several waiters there was always another, so that they waited until their own deadline. Ruled out: the failover itself, which took 0.39 s, and the confirmation, where nobody waited. Change: a failed attempt tells all waiters when the pool has no connection.

--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -230,9 +230,10 @@
 }
 
 // dialFailed tells those who wait, unless a connection may still come back to
-// serve them.
+// serve them. Other attempts under way are no reason to wait: where one fails
+// the others likely do.
 func (p *Pool) dialFailed(err error, now time.Time) {
-	if p.open > 0 || p.opening > 0 {
+	if p.open > 0 {
 		p.grow()
 		return
 	}
