--- a/internal/stand/endpt/exec.go
+++ b/internal/stand/endpt/exec.go
@@ -26,7 +26,7 @@
 	case commitVerb:
 		return x.end()
 	case rollbackVerb:
-		x.txn = nil
+		x.leaveTxn(false)
 		return &result{tag: "ROLLBACK"}, nil
 	}
 	if x.txn != nil && x.txn.failed {
@@ -114,7 +114,7 @@
 		return &result{tag: "COMMIT"}, nil
 	}
 	if x.txn.failed {
-		x.txn = nil
+		x.leaveTxn(false)
 		return &result{tag: "ROLLBACK"}, nil
 	}
 	return &result{tag: "COMMIT"}, x.commit()
@@ -122,9 +122,8 @@
 
 // commit ends the transaction, whether it succeeds or not.
 func (x *session) commit() error {
-	t := x.txn
-	x.txn = nil
-	m, err := x.server.node.commit(t, time.Now())
+	m, err := x.server.node.commit(x.txn, time.Now())
+	x.leaveTxn(err == nil)
 	if err != nil {
 		return err
 	}
--- a/internal/stand/endpt/lex.go
+++ b/internal/stand/endpt/lex.go
@@ -21,52 +21,68 @@
 func lex(sql string) ([]lexeme, error) {
 	var out []lexeme
 	for i := 0; i < len(sql); {
-		c := sql[i]
-		switch {
-		case c == ' ' || c == '\t' || c == '\n' || c == '\r':
-			i++
-		case strings.HasPrefix(sql[i:], "--"):
-			i = lineEnd(sql, i)
-		case strings.HasPrefix(sql[i:], "/*"):
-			n := commentEnd(sql, i)
-			if n < 0 {
-				return nil, syntaxError("unterminated comment")
-			}
-			i = n
-		case c == '\'' || c == '"':
-			text, n, ok := quoted(sql, i)
-			if !ok {
-				return nil, syntaxError("unterminated quoted text")
-			}
-			kind := textToken
-			if c == '"' {
-				kind = wordToken
-			}
-			out = append(out, lexeme{kind, text})
-			i = n
-		case c == '$' || isDigit(c):
-			n := span(sql, i+1, func(b byte) bool { return isDigit(b) || (c != '$' && b == '.') })
-			if c == '$' {
-				out = append(out, lexeme{paramToken, sql[i+1 : n]})
-			} else {
-				out = append(out, lexeme{numberToken, sql[i:n]})
-			}
-			i = n
-		case isLetter(c):
-			n := span(sql, i, func(b byte) bool { return isLetter(b) || isDigit(b) })
-			out = append(out, lexeme{wordToken, strings.ToLower(sql[i:n])})
+		n, err := blank(sql, i)
+		if err != nil {
+			return nil, err
+		}
+		if n > i {
 			i = n
-		case strings.HasPrefix(sql[i:], "::"):
-			out = append(out, lexeme{symbolToken, "::"})
-			i += 2
-		default:
-			out = append(out, lexeme{symbolToken, sql[i : i+1]})
-			i++
+			continue
+		}
+		l, n, err := read(sql, i)
+		if err != nil {
+			return nil, err
 		}
+		out = append(out, l)
+		i = n
 	}
 	return out, nil
 }
 
+// blank returns the place after white space or a comment at i.
+func blank(sql string, i int) (int, error) {
+	switch {
+	case strings.IndexByte(" \t\n\r", sql[i]) >= 0:
+		return i + 1, nil
+	case strings.HasPrefix(sql[i:], "--"):
+		return lineEnd(sql, i), nil
+	case strings.HasPrefix(sql[i:], "/*"):
+		n := commentEnd(sql, i)
+		if n < 0 {
+			return 0, syntaxError("unterminated comment")
+		}
+		return n, nil
+	}
+	return i, nil
+}
+
+// read returns the lexeme at i and the place after it.
+func read(sql string, i int) (lexeme, int, error) {
+	switch c := sql[i]; {
+	case c == '\'' || c == '"':
+		text, n, ok := quoted(sql, i)
+		if !ok {
+			return lexeme{}, 0, syntaxError("unterminated quoted text")
+		}
+		if c == '"' {
+			return lexeme{wordToken, text}, n, nil
+		}
+		return lexeme{textToken, text}, n, nil
+	case c == '$':
+		n := span(sql, i+1, isDigit)
+		return lexeme{paramToken, sql[i+1 : n]}, n, nil
+	case isDigit(c):
+		n := span(sql, i, func(b byte) bool { return isDigit(b) || b == '.' })
+		return lexeme{numberToken, sql[i:n]}, n, nil
+	case isLetter(c):
+		n := span(sql, i, func(b byte) bool { return isLetter(b) || isDigit(b) })
+		return lexeme{wordToken, strings.ToLower(sql[i:n])}, n, nil
+	case strings.HasPrefix(sql[i:], "::"):
+		return lexeme{symbolToken, "::"}, i + 2, nil
+	}
+	return lexeme{symbolToken, sql[i : i+1]}, i + 1, nil
+}
+
 func lineEnd(sql string, i int) int {
 	if n := strings.IndexByte(sql[i:], '\n'); n >= 0 {
 		return i + n + 1
--- a/internal/stand/endpt/parse.go
+++ b/internal/stand/endpt/parse.go
@@ -275,10 +275,8 @@
 }
 
 func (p *parser) set() (*statement, error) {
-	if !p.word("session") {
-		p.word("local")
-	}
-	s := &statement{verb: setVerb, name: p.name()}
+	local := !p.word("session") && p.word("local")
+	s := &statement{verb: setVerb, name: p.name(), local: local}
 	if s.name == "transaction" {
 		return p.setTransaction()
 	}
--- a/internal/stand/endpt/session.go
+++ b/internal/stand/endpt/session.go
@@ -187,6 +187,9 @@
 }
 
 func (x *session) handle(ctx context.Context, m pgproto3.FrontendMessage) error {
+	if _, ok := m.(*pgproto3.Sync); x.skipping && !ok {
+		return nil
+	}
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		x.query(ctx, m.String)
@@ -199,9 +202,6 @@
 	case *pgproto3.Flush:
 		return errors.Wrap(x.back.Flush(), "flush")
 	}
-	if x.skipping {
-		return nil
-	}
 	if err := x.extended(ctx, m); err != nil {
 		x.failWith(err)
 		x.skipping = true
@@ -232,6 +232,15 @@
 		x.txn.failed = true
 		return
 	}
+	x.leaveTxn(false)
+}
+
+// leaveTxn forgets the transaction and takes back the settings that end with
+// it.
+func (x *session) leaveTxn(committed bool) {
+	if x.txn != nil {
+		x.settings.leave(x.txn, committed)
+	}
 	x.txn = nil
 }
 
--- a/internal/stand/endpt/settings.go
+++ b/internal/stand/endpt/settings.go
@@ -39,6 +39,36 @@
 	return settings{initial: initial, values: maps.Clone(initial)}
 }
 
+// set changes a setting. What the transaction has to take back is noted.
+func (s *settings) set(t *txn, st *statement) {
+	if t.settings == nil {
+		t.settings, t.local = maps.Clone(s.values), map[string]bool{}
+	}
+	t.local[st.name] = st.local
+	s.values[st.name] = st.values[0][0].text
+}
+
+// leave takes back what ends with the transaction: all changes when it was
+// rolled back, the local ones in any case.
+func (s *settings) leave(t *txn, committed bool) {
+	if t.settings == nil {
+		return
+	}
+	if !committed {
+		s.values = t.settings
+		return
+	}
+	for name, local := range t.local {
+		if !local {
+			continue
+		}
+		delete(s.values, name)
+		if old, ok := t.settings[name]; ok {
+			s.values[name] = old
+		}
+	}
+}
+
 func (s *settings) resetAll() { s.values = maps.Clone(s.initial) }
 
 func (s *settings) reset(name string) {
@@ -62,7 +92,7 @@
 func (x *session) configure(st *statement) (*result, error) {
 	switch st.verb {
 	case setVerb:
-		x.settings.values[st.name] = st.values[0][0].text
+		x.settings.set(x.txn, st)
 		return &result{tag: "SET"}, nil
 	case showVerb:
 		v, err := x.settings.show(st.name)
--- a/internal/stand/endpt/stmt.go
+++ b/internal/stand/endpt/stmt.go
@@ -68,6 +68,7 @@
 	where     *filter
 	name      string // of a setting, a prepared statement or a function
 	readOnly  bool
+	local     bool     // SET LOCAL
 	params    []uint32 // types of the parameters
 	text      string
 }
--- a/internal/stand/endpt/txn.go
+++ b/internal/stand/endpt/txn.go
@@ -27,6 +27,10 @@
 	byKey    map[string]*pending
 	once     []onceEntry
 	tag      string // of the latest statement of the caller
+	// settings are those before the transaction's first SET; local names
+	// the ones that end with it in any case.
+	settings map[string]string
+	local    map[string]bool
 }
 
 func newTxn(term ident.Term) *txn { return &txn{term: term, byKey: map[string]*pending{}} }
