--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -35,7 +35,7 @@
 //	fault ENDPOINT FIELD=VALUE       switch a fault of an endpoint
 //	platform FIELD=VALUE             switch a fault of the platform
 //	kill ENDPOINT                    end an endpoint
-//	withdraw                         withdraw the key of the account
+//	withdraw                         take the key of the account out of the document
 //	leave ENDPOINT                   list an endpoint as leaving
 //	moved ENDPOINT                   wait until another endpoint is primary
 //	cancel NAME                      cancel what the caller runs
--- /dev/null
+++ b/internal/stand/watch/watch.go
@@ -0,0 +1,111 @@
+// Package watch reads what the proxies of a running set tell about themselves:
+// counters of the metrics page and broken invariants.
+package watch
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/admin"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const readTimeout = 3 * time.Second
+
+// Counters holds the values of one proxy's metrics by full name.
+type Counters map[string]float64
+
+// Metrics reads the metrics page of an instance.
+func Metrics(ctx context.Context, address string) (Counters, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = response.Body.Close() }()
+	out := Counters{}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, value, found := cutLast(lines.Text())
+		if n, err := strconv.ParseFloat(value, 64); found && err == nil {
+			out[name] = n
+		}
+	}
+	return out, errors.Wrap(lines.Err(), "read metrics")
+}
+
+func cutLast(line string) (before, after string, found bool) {
+	i := strings.LastIndexByte(line, ' ')
+	if i < 0 {
+		return line, "", false
+	}
+	return line[:i], line[i+1:], true
+}
+
+// Summary is what the proxies of a set have seen together.
+type Summary struct {
+	ReadsReplica float64
+	ReadsPrimary float64
+	Parked       float64
+	Unknown      float64
+	Invariants   []Invariant
+	Unreachable  []ident.Instance
+}
+
+// Invariant is a broken invariant of one instance.
+type Invariant struct {
+	Instance ident.Instance
+	Report   string
+}
+
+// Summarise asks every proxy of the set. One that does not answer is listed.
+func Summarise(ctx context.Context, l *layout.Layout) Summary {
+	var s Summary
+	client := admin.NewClient("")
+	defer client.Close()
+	for _, p := range l.Proxies {
+		if err := s.add(ctx, client, p); err != nil {
+			s.Unreachable = append(s.Unreachable, p.Name)
+		}
+	}
+	return s
+}
+
+func (s *Summary) add(ctx context.Context, client *admin.Client, p layout.Proxy) error {
+	c, err := Metrics(ctx, p.Admin)
+	if err != nil {
+		return err
+	}
+	s.ReadsReplica += c[`marjoram_reads_total{role="replica"}`]
+	s.ReadsPrimary += c[`marjoram_reads_total{role="primary"}`]
+	s.Parked += c[`marjoram_parked_total`]
+	s.Unknown += c[`marjoram_outcome_unknown_total`]
+	broken, err := client.Invariants(ctx, p.Admin)
+	if err != nil {
+		return err
+	}
+	for _, r := range broken.Reports {
+		s.Invariants = append(s.Invariants, Invariant{Instance: p.Name, Report: r})
+	}
+	return nil
+}
+
+// ReplicaShare returns the share of the reads that replicas served.
+func (s *Summary) ReplicaShare() float64 {
+	if all := s.ReadsReplica + s.ReadsPrimary; all > 0 {
+		return s.ReadsReplica / all
+	}
+	return 1
+}
