--- a/internal/acct/admit.go
+++ b/internal/acct/admit.go
@@ -26,7 +26,7 @@
 	clock   func() time.Time
 }
 
-var _ Gate = (*Admission)(nil)
+var _ WaitingGate = (*Admission)(nil)
 
 // NewAdmission returns the gate. Wake asks for a TokensShort and must not
 // block; clock is read by SpendWait alone, after it has waited.
@@ -72,12 +72,12 @@
 	if a.take(l, s, at) {
 		return nil
 	}
+	l.missed.Add(1)
 	a.short(l)
 	return refuse(l, s, at)
 }
 
-// SpendWait is Spend for a caller that can wait a few milliseconds while other
-// instances are asked for tokens. It allocates only when it waits.
+// SpendWait implements WaitingGate. It allocates only when it waits.
 func (a *Admission) SpendWait(ctx context.Context, badge *Badge, now time.Time) error {
 	if badge.Account == "" {
 		return nil
--- a/internal/acct/borrow.go
+++ b/internal/acct/borrow.go
@@ -18,9 +18,11 @@
 	// lateMemory is how long the answer to an ask that timed out is settled
 	// at its sender.
 	lateMemory = 5 * time.Second
+	// missMemory is how long tokens are kept for those refused to come back.
+	missMemory = 200 * time.Millisecond
 	// leastStock is the demand in the stock time, in tokens, below which no
 	// tokens are borrowed ahead of need.
-	leastStock = 2.0
+	leastStock = 2
 )
 
 // ask is a request for tokens that was sent.
@@ -44,17 +46,30 @@
 // tokens stay where they can be asked for.
 func (q *Quota) stock(l *ledger) int64 {
 	mean := l.demand * q.timing.Stock.Seconds()
+	share := min(1, l.demand/float64(max(1, l.cut.rate)))
+	most := max(1, share*float64(l.cut.burst)/2)
 	if mean < leastStock {
-		return 0
+		return int64(min(float64(l.missed), most))
 	}
-	share := min(1, l.demand/float64(l.cut.rate))
-	most := share * float64(l.cut.burst) / 2
 	return int64(max(1, math.Round(min(mean+2*math.Sqrt(mean), most))))
 }
 
+// miss notes the requests that were refused without waiting. Their callers
+// come back soon, and should find a token then.
+func (l *ledger) miss(now time.Time) {
+	if n := l.limit.missed.Swap(0); n > 0 {
+		l.missed = n
+		l.missedUntil = now.Add(missMemory)
+	}
+	if !now.Before(l.missedUntil) {
+		l.missed = 0
+	}
+}
+
 // borrow asks peers for what is missing, ahead of need. For those who wait it
 // asks one peer more than needed, as that peer may have no token.
 func (q *Quota) borrow(l *ledger, now time.Time) {
+	l.miss(now)
 	waiting := l.limit.waiting.Load()
 	want := min(q.stock(l)+waiting, int64(l.cut.burst))
 	if want == 0 || q.stopping {
--- a/internal/acct/gate.go
+++ b/internal/acct/gate.go
@@ -5,6 +5,7 @@
 package acct
 
 import (
+	"context"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
@@ -36,3 +37,13 @@
 	// Weight returns the account's weight, 1 for callers of open routes.
 	Weight(badge *Badge) int
 }
+
+// WaitingGate is a Gate for request paths that can wait a few milliseconds. A
+// small account has its tokens at one or two instances; Spend refuses at the
+// others until a token has come, SpendWait fetches it.
+type WaitingGate interface {
+	Gate
+	// SpendWait is Spend, but waits a few milliseconds at most while other
+	// instances are asked for tokens, or until ctx ends.
+	SpendWait(ctx context.Context, badge *Badge, now time.Time) error
+}
--- a/internal/acct/ledger.go
+++ b/internal/acct/ledger.go
@@ -30,9 +30,12 @@
 	refused uint64  // as of the last tick
 	demand  float64 // requests a second
 	excess  float64 // refusals a second
+	missed  uint64  // refused without waiting, in missMemory
 	moved   time.Time
 	noted   time.Time // when refusals were recorded last
 	dirty   bool
+
+	missedUntil time.Time
 }
 
 func newLedger(account ident.Account) *ledger {
--- a/internal/acct/limiter.go
+++ b/internal/acct/limiter.go
@@ -35,6 +35,7 @@
 	supply  atomic.Pointer[supply]
 	tried   atomic.Uint64
 	refused atomic.Uint64
+	missed  atomic.Uint64 // refused without waiting since Quota looked
 	waiting atomic.Int64
 	short   atomic.Bool  // a request found no token since Quota looked
 	spread  atomic.Int64 // over how long those refused should come back
--- a/internal/acct/load_test.go
+++ b/internal/acct/load_test.go
@@ -20,6 +20,7 @@
 		}
 		if !s.wait {
 			l.refused.Add(1)
+			l.missed.Add(1)
 			s.records[account].refuse(s.now)
 			n.update(short(l))
 			return
--- a/internal/acct/quota_test.go
+++ b/internal/acct/quota_test.go
@@ -203,11 +203,12 @@
 func standing() scenario {
 	c := lending()
 	c.accounts = []envdoc.Account{account("slow", 60, 240)}
+	c.load = 12
 	c.steady = 0.45
-	c.phase = 10 * time.Second
+	c.phase = 8 * time.Second
 	c.length = time.Minute
 	c.faults = []func(*simulation){pauseFirst}
-	c.every = 6 * time.Second
+	c.every = 2 * time.Second
 	return c
 }
 
