Carry causes between instances; hold no pause of the own process against others

A paused process that woke judged all rows by how long it had not read them and held every other instance to be lost. It now moves its times by the pause and records ProcessPaused. The scripts of TestMembers let time pass in ticks, as the runner does, so their expected output has the reads and writes of those ticks besides; who is held live at which time is unchanged.

--- a/internal/fleet/bounds.go
+++ b/internal/fleet/bounds.go
@@ -39,3 +39,27 @@
 		Fetch:     500 * time.Millisecond,
 	}
 }
+
+// MemberBounds holds the intervals and bounds of the membership.
+type MemberBounds struct {
+	// Renew is the time between two writes of the own row.
+	Renew time.Duration
+	// Poll is the time between two reads of all rows.
+	Poll time.Duration
+	// Life is how long a row that does not change still counts as a live
+	// instance.
+	Life time.Duration
+	// Remove is how long a row must be unchanged, and its instance be
+	// unconnected, before it is removed for it.
+	Remove time.Duration
+}
+
+// DefaultMemberBounds returns the bounds for tens of instances.
+func DefaultMemberBounds() MemberBounds {
+	return MemberBounds{
+		Renew:  2 * time.Second,
+		Poll:   2 * time.Second,
+		Life:   7 * time.Second,
+		Remove: time.Minute,
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -49,6 +50,8 @@
 			applied := i.records(DocumentApplied)[1]
 			g.Expect(applied.Cause).To(Equal(i.records(DocumentSeen)[1].Ref))
 		}
+		g.Expect([]event.Ref{b.records(DocumentApplied)[1].Ref, c.records(DocumentApplied)[1].Ref}).To(
+			ContainElement(a.records(DocumentSeen)[1].Cause), "the peer's record is the cause")
 		g.Expect(b.InForce()).To(Equal([]InForce{
 			{Instance: "a", Version: 2, InTouch: true},
 			{Instance: "b", Version: 2, InTouch: true},
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -70,6 +70,7 @@
 		f.live.Store(&c.Instances)
 	case SendHead:
 		c.Head.Stamp = f.ports.Log.Now(now)
+		c.Head.Cause = f.refs[DocumentApplied]
 		f.ports.Mesh.Send(c.To, c.Head)
 	case AskText:
 		f.ports.Mesh.Send(c.To, peer.DocumentAsk{Version: c.Version})
@@ -99,10 +100,13 @@
 	}
 }
 
-// record puts a record on the time line, caused by the latest one of the kind
-// that it names.
+// record puts a record on the time line with its cause.
 func (f *Fleet) record(c Record, now time.Time) {
 	subject := event.Subject{Peer: c.Peer}
-	f.refs[c.Kind] = f.ports.Log.Emit(now, c.Kind, subject, f.refs[c.After], c.Note)
+	cause := c.Cause
+	if cause == (event.Ref{}) {
+		cause = f.refs[c.After]
+	}
+	f.refs[c.Kind] = f.ports.Log.Emit(now, c.Kind, subject, cause, c.Note)
 	klog.V(1).InfoS("Fleet event", "kind", c.Kind, "peer", c.Peer, "note", c.Note)
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -10,68 +10,8 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// MemberBounds holds the intervals and bounds of the membership.
-type MemberBounds struct {
-	// Renew is the time between two writes of the own row.
-	Renew time.Duration
-	// Poll is the time between two reads of all rows.
-	Poll time.Duration
-	// Life is how long a row that does not change still counts as a live
-	// instance.
-	Life time.Duration
-	// Remove is how long a row must be unchanged, and its instance be
-	// unconnected, before it is removed for it.
-	Remove time.Duration
-}
-
-// DefaultMemberBounds returns the bounds for tens of instances.
-func DefaultMemberBounds() MemberBounds {
-	return MemberBounds{
-		Renew:  2 * time.Second,
-		Poll:   2 * time.Second,
-		Life:   7 * time.Second,
-		Remove: time.Minute,
-	}
-}
-
-// RowsRead is the result of a ReadRows. Began is from before the read.
-type RowsRead struct {
-	Began time.Time
-	Rows  []store.Member
-	Err   error
-}
-
-// RowWritten is the result of a WriteRow.
-type RowWritten struct{ Err error }
-
-// Left tells that a peer said that it stops.
-type Left struct{ From ident.Instance }
-
-func (RowsRead) msg()   {}
-func (RowWritten) msg() {}
-func (Left) msg()       {}
-
-// ReadRows asks for all member rows.
-type ReadRows struct{}
-
-// WriteRow asks to write the own member row.
-type WriteRow struct{ Member store.Member }
-
-// RemoveRow asks to delete the row of an instance that is gone.
-type RemoveRow struct{ Instance ident.Instance }
-
-// MembersChanged gives the known instances and their addresses, the own one
-// included, in the order of their names.
-type MembersChanged struct{ Members []store.Member }
-
-// LiveChanged gives the live instances in order, the own one included.
-type LiveChanged struct{ Instances []ident.Instance }
-
-func (ReadRows) cmd()       {}
-func (WriteRow) cmd()       {}
-func (RemoveRow) cmd()      {}
-func (MembersChanged) cmd() {}
-func (LiveChanged) cmd()    {}
+// pauseGap is how long a process that runs never leaves Members without input.
+const pauseGap = time.Second
 
 // row is what is known of another instance.
 type row struct {
@@ -91,7 +31,8 @@
 	rows      map[ident.Instance]*row
 	connected []ident.Instance
 
-	told      bool // whether MembersChanged was ever given
+	last      time.Time // of the latest Update
+	told      bool      // whether MembersChanged was ever given
 	reading   bool
 	writing   bool
 	nextRead  time.Time
@@ -105,6 +46,11 @@
 
 // Update takes one input and returns what to do.
 func (m *Members) Update(msg Msg, now time.Time) []Cmd {
+	cmds := m.resume(now)
+	return append(cmds, m.update(msg, now)...)
+}
+
+func (m *Members) update(msg Msg, now time.Time) []Cmd {
 	switch v := msg.(type) {
 	case Tick:
 		m.connected = v.Connected
@@ -122,6 +68,21 @@
 	return nil
 }
 
+// resume notices that the process was paused. What it did not watch meanwhile
+// speaks against nobody.
+func (m *Members) resume(now time.Time) []Cmd {
+	gap := now.Sub(m.last)
+	paused := !m.last.IsZero() && gap >= pauseGap
+	m.last = now
+	if !paused {
+		return nil
+	}
+	for _, r := range m.rows {
+		r.changed = r.changed.Add(gap)
+	}
+	return []Cmd{Record{Kind: ProcessPaused, Note: gap.String()}}
+}
+
 func (m *Members) due(now time.Time) []Cmd {
 	var cmds []Cmd
 	if !m.writing && !now.Before(m.nextWrite) {
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -20,22 +20,37 @@
 //	outage 100                   a read fails
 //	left 100 from=b              a peer says that it stops
 //	written 100                  the write of the own row ends
+//	wake 100                     the process was paused until then
+//
+// Before each directive but wake, time passes in ticks with the latest
+// connections.
 func TestMembers(t *testing.T) {
 	datadriven.Walk(t, "testdata/members", func(t *testing.T, path string) {
+		now, connected := simEpoch, []ident.Instance(nil)
 		m := NewMembers(store.Member{Instance: "a", Start: 1}, DefaultMemberBounds())
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at, err := time.ParseDuration(d.CmdArgs[0].Key + "ms")
 			if err != nil {
 				d.Fatalf(t, "time: %v", err)
 			}
-			return printCmds(m.Update(memberInput(t, d), simEpoch.Add(at)))
+			input := memberInput(t, d)
+			if v, ok := input.(Tick); ok && d.Cmd == "tick" {
+				connected = v.Connected
+			}
+			var cmds []Cmd
+			for now.Add(tickInterval).Before(simEpoch.Add(at)) && d.Cmd != "wake" {
+				now = now.Add(tickInterval)
+				cmds = append(cmds, m.Update(Tick{Connected: connected}, now)...)
+			}
+			now = simEpoch.Add(at)
+			return printCmds(append(cmds, m.Update(input, now)...))
 		})
 	})
 }
 
 func memberInput(t *testing.T, d *datadriven.TestData) Msg {
 	switch d.Cmd {
-	case "tick":
+	case "tick", "wake":
 		var connected []ident.Instance
 		if d.HasArg("connected") {
 			for _, n := range d.CmdArgs[1].Vals {
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -157,7 +157,7 @@
 	}
 	s.nextPoll = m.Began.Add(s.jitter(s.bounds.Poll))
 	t := target{version: m.Head.Version, change: m.Head.Change, digest: m.Head.Digest}
-	cmds := s.want(t, "", now)
+	cmds := s.want(t, Record{Kind: DocumentSeen, Note: noteOf(t)}, now)
 	s.prove(t.version, m.Began)
 	return cmds
 }
@@ -175,23 +175,23 @@
 		cmds = append(cmds, s.beat(now)...)
 	}
 	t := target{version: m.Head.Version, change: m.Head.Change, digest: m.Head.Digest}
-	cmds = append(cmds, s.want(t, m.From, now)...)
+	seen := Record{Kind: DocumentSeen, Peer: m.From, Cause: m.Head.Cause, Note: noteOf(t)}
+	cmds = append(cmds, s.want(t, seen, now)...)
 	if proved && m.Head.Known {
 		s.prove(t.version, after.Add(-m.Head.EvidenceAge))
 	}
 	return cmds
 }
 
-// want takes in that a version was accepted. From is the peer that has it in
-// force, empty for the store.
-func (s *Spread) want(t target, from ident.Instance, now time.Time) []Cmd {
+// want takes in that a version was accepted, and records it if that is news.
+// The peer of the record has the version in force; it is empty for the store.
+func (s *Spread) want(t target, seen Record, now time.Time) []Cmd {
 	if t.version <= s.wanted.version && (s.off&forwardOnly == 0 || t.version == s.wanted.version || t.version == 0) {
 		return nil
 	}
 	s.wanted = t // a proof that an earlier version was the latest holds for t, too
-	s.fetch = fetch{from: from}
-	cmds := []Cmd{Record{Kind: DocumentSeen, Peer: from, Note: noteOf(t)}}
-	return append(cmds, s.fetchDue(now)...)
+	s.fetch = fetch{from: seen.Peer}
+	return append([]Cmd{seen}, s.fetchDue(now)...)
 }
 
 // beat sends a head to each connected peer.
--- a/internal/fleet/spreadmsg.go
+++ b/internal/fleet/spreadmsg.go
@@ -107,10 +107,11 @@
 // bound Announce.
 type Prepared struct{ ID uint64 }
 
-// Record puts a record on the time line. Its cause is the latest record of
-// kind After, if any.
+// Record puts a record on the time line. Its cause is Cause, or otherwise the
+// latest record of kind After, if any.
 type Record struct {
 	Kind  event.Kind
+	Cause event.Ref
 	After event.Kind
 	Peer  ident.Instance
 	Note  string
@@ -135,4 +136,5 @@
 	ChangeAnnounced  event.Kind = "ChangeAnnounced"
 	EvidenceLost     event.Kind = "EvidenceLost"
 	EvidenceRegained event.Kind = "EvidenceRegained"
+	ProcessPaused    event.Kind = "ProcessPaused"
 )
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -50,6 +50,8 @@
 	Start     uint64
 	EchoStart uint64
 	Stamp     event.Stamp
+	// Cause is the sender's record of having put Version in force.
+	Cause event.Ref
 }
 
 // DocumentAsk asks for the text of a version.
