--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,9 +104,9 @@
 	f.group.Go(f.loop)
 }
 
-// SetApply sets the function that puts a document in force. It is called from
-// one goroutine, with rising versions, and Version and Trusted speak of the
-// document only after it has returned.
+// SetApply sets the function that puts a document in force, before Start. The
+// function is called from one goroutine, with rising versions; Version and
+// Trusted speak of the document only after it has returned.
 func (f *Fleet) SetApply(apply func(Apply)) { f.apply.Store(&apply) }
 
 // Register makes the router hand the messages about members and documents to
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -82,7 +83,9 @@
 }
 
 func (f *Fleet) applyDocument(c Apply) {
-	if apply := f.apply.Load(); apply != nil {
+	apply := f.apply.Load()
+	assert.That(apply != nil, "FleetHasApply", "version %d has nowhere to go", c.Version)
+	if apply != nil {
 		(*apply)(c)
 	}
 	f.version.Store(uint64(c.Version))
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -178,7 +178,7 @@
 	seen := Record{Kind: DocumentSeen, Peer: m.From, Cause: m.Head.Cause, Note: noteOf(t)}
 	cmds = append(cmds, s.want(t, seen, now)...)
 	if proved && m.Head.Known {
-		s.prove(t.version, after.Add(-m.Head.EvidenceAge))
+		s.prove(t.version, after.Add(-max(0, m.Head.EvidenceAge)))
 	}
 	return cmds
 }
