Remove rows of instances that the platform no longer lists

After more than half of the instances had died without replacement, the rest could neither remove their rows nor accept a change. The platform's list, when it names the asking instance, now is a second ground to remove a silent row.

--- a/internal/fleet/bounds.go
+++ b/internal/fleet/bounds.go
@@ -49,8 +49,14 @@
 	// Life is how long a row that does not change still counts as a live
 	// instance.
 	Life time.Duration
+	// List is the time between two reads of the platform's list.
+	List time.Duration
 	// Remove is how long a row must be unchanged, and its instance be
-	// unconnected, before it is removed for it.
+	// unconnected, before the row is deleted for it. That takes an instance in
+	// touch with half of the known ones, so that the rest is no majority that
+	// could still honour keys by its contacts and a cut-off few never shrink the
+	// number that makes one; or the platform's list must show that the instance
+	// is gone.
 	Remove time.Duration
 }
 
@@ -60,6 +66,7 @@
 		Renew:  2 * time.Second,
 		Poll:   2 * time.Second,
 		Life:   7 * time.Second,
+		List:   10 * time.Second,
 		Remove: time.Minute,
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,7 @@
 type Ports struct {
 	Documents store.Documents
 	Members   store.Members
+	Directory store.Directory // the platform's list by instance names; may be nil
 	Mesh      Mesh
 	Log       *event.Log
 	Parse     Parser
--- a/internal/fleet/membermsg.go
+++ b/internal/fleet/membermsg.go
@@ -20,6 +20,11 @@
 // Left tells that a peer said that it stops.
 type Left struct{ From ident.Instance }
 
+// Listed is the result of a ReadList: the machines that the platform lists,
+// leaving ones included. There is none when the read failed.
+type Listed struct{ Instances []ident.Instance }
+
+func (Listed) msg()     {}
 func (RowsRead) msg()   {}
 func (RowWritten) msg() {}
 func (Left) msg()       {}
@@ -27,6 +32,9 @@
 // ReadRows asks for all member rows.
 type ReadRows struct{}
 
+// ReadList asks for the platform's list of machines.
+type ReadList struct{}
+
 // WriteRow asks to write the own member row.
 type WriteRow struct{ Member store.Member }
 
@@ -41,6 +49,7 @@
 type LiveChanged struct{ Instances []ident.Instance }
 
 func (ReadRows) cmd()       {}
+func (ReadList) cmd()       {}
 func (WriteRow) cmd()       {}
 func (RemoveRow) cmd()      {}
 func (MembersChanged) cmd() {}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -35,6 +35,9 @@
 	told      bool      // whether MembersChanged was ever given
 	reading   bool
 	writing   bool
+	listed    []ident.Instance // as the platform listed them at listedAt
+	listedAt  time.Time
+	nextList  time.Time
 	nextRead  time.Time
 	nextWrite time.Time
 }
@@ -57,6 +60,8 @@
 		return append(m.due(now), m.judge(now)...)
 	case RowsRead:
 		return append(m.rowsRead(v, now), m.judge(now)...)
+	case Listed:
+		m.listed, m.listedAt = v.Instances, now
 	case RowWritten:
 		m.writing = false
 	case Left:
@@ -96,6 +101,10 @@
 		m.nextRead = now.Add(m.bounds.Poll)
 		cmds = append(cmds, ReadRows{})
 	}
+	if !now.Before(m.nextList) {
+		m.nextList = now.Add(m.bounds.List)
+		cmds = append(cmds, ReadList{})
+	}
 	return cmds
 }
 
@@ -154,28 +163,30 @@
 	return cmds
 }
 
-// remove deletes rows of instances that are long gone. Only an instance in
-// touch with half of the known ones does so: the rest is then no majority that
-// could still honour keys by its contacts. A cut-off few never shrink the
-// number that makes a majority. The live instances try in an
-// order of their own for each row, with growing patience.
+// remove deletes rows of instances that are long gone. The live instances try
+// in an order of their own for each row, with growing patience.
 func (m *Members) remove(now time.Time) []Cmd {
-	if 2*(m.touched()+1) < len(m.rows)+1 {
-		return nil
-	}
 	var cmds []Cmd
 	live := m.live()
+	half := 2*(m.touched()+1) >= len(m.rows)+1
 	for _, n := range m.names() {
 		place := Place(string(n), live, m.self.Instance)
 		patience := m.bounds.Remove * time.Duration(1+place)
 		silent := now.Sub(m.rows[n].changed) >= patience
-		if silent && !slices.Contains(m.connected, n) {
+		if silent && !slices.Contains(m.connected, n) && (half || m.unlisted(n, now)) {
 			cmds = append(cmds, RemoveRow{Instance: n})
 		}
 	}
 	return cmds
 }
 
+// unlisted reports whether the platform's list shows that an instance is gone.
+// A list that lacks this instance says nothing about the others.
+func (m *Members) unlisted(n ident.Instance, now time.Time) bool {
+	fresh := !m.listedAt.IsZero() && now.Sub(m.listedAt) < 3*m.bounds.List
+	return fresh && slices.Contains(m.listed, m.self.Instance) && !slices.Contains(m.listed, n)
+}
+
 // touched counts the known instances that are connected.
 func (m *Members) touched() int {
 	count := 0
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 // reach carries out the commands that go to the store, each in its own
@@ -19,6 +20,10 @@
 		f.visit(readTimeoutText, func(ctx context.Context) Msg { return f.readText(ctx, c) })
 	case ReadRows:
 		f.visit(readTimeoutHead, f.readRows)
+	case ReadList:
+		if f.ports.Directory != nil {
+			f.visit(readTimeoutHead, f.readList)
+		}
 	case WriteRow:
 		f.visit(writeTimeout, func(ctx context.Context) Msg { return f.writeRow(ctx, c) })
 	case RemoveRow:
@@ -65,6 +70,19 @@
 	return RowsRead{Began: began, Rows: rows, Err: err}
 }
 
+func (f *Fleet) readList(ctx context.Context) Msg {
+	listed, err := f.ports.Directory.List(ctx)
+	f.stats.countRead(err)
+	if err != nil {
+		return nil
+	}
+	names := make([]ident.Instance, len(listed))
+	for i, n := range listed {
+		names[i] = ident.Instance(n.Name)
+	}
+	return Listed{Instances: names}
+}
+
 func (f *Fleet) writeRow(ctx context.Context, c WriteRow) Msg {
 	err := f.ports.Members.Put(ctx, f.env, c.Member)
 	f.stats.countWrite(err)
