--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,7 @@
 type Ports struct {
 	Documents store.Documents
 	Members   store.Members
+	Directory store.Directory // the platform's list by instance names; may be nil
 	Mesh      Mesh
 	Log       *event.Log
 	Parse     Parser
@@ -104,9 +105,9 @@
 	f.group.Go(f.loop)
 }
 
-// SetApply sets the function that puts a document in force. It is called from
-// one goroutine, with rising versions, and Version and Trusted speak of the
-// document only after it has returned.
+// SetApply sets the function that puts a document in force, before Start. The
+// function is called from one goroutine, with rising versions; Version and
+// Trusted speak of the document only after it has returned.
 func (f *Fleet) SetApply(apply func(Apply)) { f.apply.Store(&apply) }
 
 // Register makes the router hand the messages about members and documents to
