--- a/cmd/stand/experiment.go
+++ b/cmd/stand/experiment.go
@@ -25,6 +25,7 @@
 			&cli.DurationFlag{Name: "length", Value: 30 * time.Second, Usage: "of each run"},
 			&cli.FloatFlag{Name: "share", Value: 0.5, Usage: "of its rate that each account offers"},
 			&cli.StringFlag{Name: "json", Usage: "file for the measures"},
+			&cli.StringFlag{Name: "plot", Usage: "directory for plots"},
 		},
 		Action: runExperiment,
 	}
@@ -57,6 +58,11 @@
 	if err := exper.Print(os.Stdout, all); err != nil {
 		return err
 	}
+	if dir := c.String("plot"); dir != "" {
+		if err := exper.Plot(dir, all); err != nil {
+			return err
+		}
+	}
 	return writeReport(c.String("json"), all)
 }
 
--- a/internal/stand/exper/measure_test.go
+++ b/internal/stand/exper/measure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	g.Expect(m.Invariants).To(BeZero())
 	g.Expect(m.Gap).To(BeNumerically(">", 0))
 	g.Expect(m.ReplicaShare).To(BeNumerically(">", 0))
+	dir := t.TempDir()
+	g.Expect(Plot(dir, []*Measure{m})).To(Succeed())
+	g.Expect(filepath.Glob(filepath.Join(dir, "demo-*.svg"))).To(HaveLen(len(charts)))
 	var out bytes.Buffer
 	g.Expect(Print(&out, []*Measure{m})).To(Succeed())
 	g.Expect(out.String()).To(ContainSubstring("| demo | cut | current |"))
