--- a/internal/stand/exper/plot.go
+++ b/internal/stand/exper/plot.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	plotWidth  = 24 * vg.Centimeter
-	plotHeight = 10 * vg.Centimeter
-	barWidth   = 10 // points
+	plotWidth  = 24 * vg.Centimeter //nolint:misspell // name of the library
+	plotHeight = 10 * vg.Centimeter //nolint:misspell // name of the library
+	barWidth   = 10                 // points
 )
 
 // chart is one measure that is drawn for each deployment.
@@ -56,7 +56,7 @@
 		if err != nil {
 			return errors.Wrap(err, "make bars")
 		}
-		bars.Color = plotutil.Color(i)
+		bars.Color = plotutil.Color(i) //nolint:misspell // name of the library
 		bars.Offset = vg.Points(float64(barWidth * i))
 		p.Add(bars)
 		p.Legend.Add(string(v), bars)
