--- a/internal/acct/admit.go
+++ b/internal/acct/admit.go
@@ -14,7 +14,7 @@
 	usualSpread   = 20 * time.Millisecond
 	longestRetry  = 5 * time.Second
 	// spendWait is how long SpendWait waits for tokens of other instances.
-	spendWait = 3 * time.Millisecond
+	spendWait = 5 * time.Millisecond
 )
 
 // Admission is the Gate of a running instance: Book answers about keys and
@@ -145,6 +145,7 @@
 // so that those refused do not come at once.
 func refuse(l *limit, s *supply, at int64) error {
 	l.refused.Add(1)
+	l.refusals.Inc()
 	wait := min(longestRetry, time.Duration(s.wait(at)))
 	spread := max(usualSpread, time.Duration(l.spread.Load()))
 	retry := max(shortestRetry, wait) + rand.N(spread)
--- a/internal/group/script_test.go
+++ b/internal/group/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,13 +24,15 @@
 }
 
 // TestScripts runs the scripted faults under testdata. The commands are start,
-// kill, freeze, cut, slow, rank, leave, seal, run and check.
+// kill, freeze, cut, slow, lag, rank, leave, seal, refuse, run and check.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *sim
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "start" {
-				s = newSim(1, 3, 4, switches[argument(d, "off")])
+				seed, err := strconv.ParseUint("0"+argument(d, "seed"), 10, 64)
+				NewWithT(t).Expect(err).NotTo(HaveOccurred())
+				s = newSim(seed, 3, 4, switches[argument(d, "off")])
 				return ""
 			}
 			return s.command(NewWithT(t), d)
@@ -69,6 +72,8 @@
 		for _, p := range s.proxies {
 			p.update(Ranked{Of: 4})
 		}
+	case "lag":
+		hosts[0].lag = span
 	case "leave":
 		for _, p := range s.proxies {
 			p.update(LeavingChanged{Endpoints: []ident.Endpoint{ident.Endpoint(hosts[0].name)}})
@@ -76,6 +81,8 @@
 	case "seal":
 		_, err := s.server(hosts[0].name).seal(ident.NextTerm(s.topTerm, "other"))
 		g.Expect(err).NotTo(HaveOccurred())
+	case "refuse":
+		s.server(hosts[0].name).silent = true
 	case "check":
 		return s.report()
 	default:
