Read with the writer's token where a script expects its writes

Cause: a read by one session of another session's write may go to a replica that is milliseconds behind, which is allowed. The expectations stay as they were.

--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"crypto/tls"
 	"net"
 	"time"
 
@@ -30,7 +29,11 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	hello := peer.Hello{Instance: s.Instance, Environment: s.Environment, Start: uint64(started)}
-	return peer.NewMesh(hello, listener, s.Peers.Secret, router, events)
+	options, err := peerTLS(s.TLS)
+	if err != nil {
+		return nil, errors.CombineErrors(err, listener.Close())
+	}
+	return peer.NewMesh(hello, listener, s.Peers.Secret, router, events, options...)
 }
 
 // start tells the processes of one instance name apart.
@@ -49,6 +52,7 @@
 	ports := fleet.Ports{
 		Documents: platform.Documents,
 		Members:   platform.Members,
+		Directory: platform.Directory,
 		Mesh:      mesh,
 		Log:       events,
 		Parse:     envdoc.Parse,
@@ -81,12 +85,9 @@
 	options.DataCentre = s.DataCentre
 	options.AllowPlain = s.TLS.AllowPlain
 	options.ReadsAtPrimary = policies.ReadsAtPrimary
-	if s.TLS.CertFile != "" {
-		pair, err := tls.LoadX509KeyPair(s.TLS.CertFile, s.TLS.KeyFile)
-		if err != nil {
-			return nil, errors.Wrap(err, "load certificate for callers")
-		}
-		options.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	var err error
+	if options.TLS, err = callerTLS(s.TLS); err != nil {
+		return nil, err
 	}
 	listener, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -29,7 +29,8 @@
 //
 //	set proxies=N                    start a platform, a group and N proxies
 //	caller NAME proxy=I route=R [token=OTHER]
-//	exec NAME [settle] [until=CODE]  run the input; settle repeats it while it
+//	exec NAME [settle] [until=CODE] [token=OTHER]
+//	                                 run the input; settle repeats it while it
 //	                                 is refused as not run, until=CODE repeats
 //	                                 it until it ends so, within the promise
 //	fault ENDPOINT FIELD=VALUE       switch a fault of an endpoint
@@ -152,8 +153,12 @@
 
 // exec runs the input on a caller, repeated as the arguments say.
 func (s *script) exec(d *datadriven.TestData) string {
-	name, until := d.CmdArgs[0].Key, ""
+	name, until, of := d.CmdArgs[0].Key, "", ""
 	d.MaybeScanArgs(s.t, "until", &until)
+	d.MaybeScanArgs(s.t, "token", &of)
+	if of != "" {
+		s.adopt(name, of)
+	}
 	deadline := time.Now().Add(promise)
 	for {
 		result := run(s.callers[name], d.Input)
@@ -170,6 +175,13 @@
 	}
 }
 
+// adopt makes a caller show the session token of another.
+func (s *script) adopt(name, of string) {
+	shown := s.callers[of].PgConn().ParameterStatus("marjoram.session_token")
+	result := run(s.callers[name], "SET marjoram.session_token = '"+shown+"'")
+	NewWithT(s.t).Expect(result).To(Equal("SET\n"))
+}
+
 func refused(result string) bool {
 	for _, code := range []string{"53300", "57P03", "57P04"} {
 		if strings.HasPrefix(result, "error "+code) {
