Shun silent witnesses, ignore older documents, bound what is remembered

A dead instance that lingers in the live list was named as witness again and again, and a lone instance would have written every 100 ms to look for one.

--- a/internal/acct/keeper.go
+++ b/internal/acct/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,7 +19,7 @@
 
 const (
 	storeTimeout = 2 * time.Second
-	storeWorkers = 4
+	storeWorkers = 8
 	swapQueue    = 4096
 	closeTimeout = 5 * time.Second
 )
@@ -48,6 +49,9 @@
 	reads     chan struct{}
 	group     *tasks.Group
 	done      chan struct{} // closed once stopped and idle
+
+	mu      sync.Mutex // guards version, off the request path
+	version ident.Version
 }
 
 // KeeperOption changes a Keeper before it starts.
@@ -95,8 +99,15 @@
 // Book returns the book, to be told whether the document may be trusted.
 func (k *Keeper) Book() *Book { return k.book }
 
-// SetDocument puts a document in force. Keys and routes change at once.
+// SetDocument puts a document in force. Keys and routes change at once. A
+// lower version than the one in force is ignored.
 func (k *Keeper) SetDocument(document *envdoc.Document, version ident.Version) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version < k.version {
+		return
+	}
+	k.version = version
 	k.book.Set(document)
 	k.inbox.put(AccountsChanged{Version: version, Accounts: document.Accounts})
 }
--- a/internal/acct/lease.go
+++ b/internal/acct/lease.go
@@ -145,7 +145,7 @@
 		q.touch(l)
 		q.do(Record{Kind: LeaseLapsed, Account: l.account})
 	}
-	if s.pending != 0 || now.Before(s.retry) {
+	if s.pending != 0 || now.Before(s.retry) || s.doubtful(q.lastRead) {
 		return
 	}
 	if s.leaving {
@@ -154,13 +154,16 @@
 		}
 		return
 	}
-	if now.Sub(s.sent) >= q.timing.Renew || q.witnessFails(s, now) {
+	if now.Sub(s.sent) >= q.timing.Renew || q.witnessFails(l, s, now) {
 		q.write(l, s, q.renewed(l, s, now), now)
 	}
 }
 
 func (q *Quota) mayClaim(l *ledger, s *share, now time.Time) bool {
-	if q.stopping || !l.current(s) || s.pending != 0 || q.lastRead.IsZero() || now.Before(s.retry) {
+	if q.stopping || !l.current(s) || q.lastRead.IsZero() {
+		return false
+	}
+	if s.pending != 0 || now.Before(s.retry) || s.doubtful(q.lastRead) {
 		return false
 	}
 	if s.row.Holder != "" && s.row.Witness == q.self && !now.Before(q.witnessFree(s)) {
--- a/internal/acct/quota.go
+++ b/internal/acct/quota.go
@@ -1,6 +1,7 @@
 package acct
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,7 @@
 	liveFrom time.Time // since when the live list is as it is
 
 	witnesses map[ident.Instance]*witness  // of the parts held here
+	shunned   map[ident.Instance]time.Time // until then not named
 	promised  map[ident.Instance]time.Time // last promise to each holder
 
 	stopping bool
@@ -53,6 +55,7 @@
 		live:    []ident.Instance{self},
 
 		witnesses: make(map[ident.Instance]*witness),
+		shunned:   make(map[ident.Instance]time.Time),
 		promised:  make(map[ident.Instance]time.Time),
 	}
 }
@@ -181,6 +184,20 @@
 	for _, l := range q.ledgers {
 		l.placement = place(l.account, l.cut.parts, live, q.rank)
 	}
+	q.forgetGone(now)
+}
+
+// forgetGone drops what is known about instances that left and matters no
+// more.
+func (q *Quota) forgetGone(now time.Time) {
+	gone := func(id ident.Instance) bool { return !slices.Contains(q.live, id) }
+	maps.DeleteFunc(q.promised, func(id ident.Instance, at time.Time) bool {
+		return gone(id) && now.Sub(at) > 2*q.timing.Promise
+	})
+	maps.DeleteFunc(q.shunned, func(_ ident.Instance, until time.Time) bool { return now.After(until) })
+	for _, l := range q.ledgers {
+		maps.DeleteFunc(l.donors, func(id ident.Instance, _ *donor) bool { return gone(id) })
+	}
 }
 
 func (q *Quota) setAccounts(m AccountsChanged, now time.Time) {
--- a/internal/acct/share.go
+++ b/internal/acct/share.go
@@ -12,6 +12,10 @@
 // because its clock may run faster than the holder's.
 const driftShare = 1000
 
+// maxAttempts is how many writes of one row are sent without an answer to any
+// and without a read between.
+const maxAttempts = 64
+
 // attempt is a write of this instance that may have taken effect.
 type attempt struct {
 	fresh store.Lease
@@ -79,6 +83,13 @@
 	return s.lapses()
 }
 
+// doubtful reports whether so many writes may still take effect that more
+// should wait for a read.
+func (s *share) doubtful(lastRead time.Time) bool {
+	n := len(s.attempts)
+	return n >= maxAttempts && !lastRead.After(s.attempts[n-1].sent)
+}
+
 // find returns this instance's attempt that wrote row.
 func (s *share) find(row store.Lease) (attempt, bool) {
 	for _, a := range s.attempts {
--- a/internal/acct/witness.go
+++ b/internal/acct/witness.go
@@ -19,6 +19,9 @@
 // from its question and a write from before it was sent, the witness counts
 // from its last answer and from when it saw the row.
 
+// shunFor is how long a silent instance is not named as a witness.
+const shunFor = 30 * time.Second
+
 // witness is what a holder knows about an instance that it asks.
 type witness struct {
 	nonce    uint64
@@ -143,35 +146,39 @@
 	return since.Add(q.timing.Promise + q.timing.Promise/driftShare)
 }
 
-// chooseWitness returns the best ranked instance that answers.
+// chooseWitness returns the best ranked instance that answers, nobody when
+// none does.
 func (q *Quota) chooseWitness(l *ledger, s *share, now time.Time) ident.Instance {
 	i := indexOf(s.key.Part)
 	if !l.current(s) || i >= len(l.placement.orders) {
 		return s.row.Witness
 	}
 	for _, id := range l.placement.orders[i] {
-		if id == q.self {
-			continue
-		}
-		if w := q.witnesses[id]; w != nil && w.silent(now, q.timing.Promise) {
-			continue
+		if id != q.self && !q.shuns(id, now) {
+			return id
 		}
-		return id
 	}
 	return ""
 }
 
-// witnessFails reports whether the part needs another witness and the store
-// can be told.
-func (q *Quota) witnessFails(s *share, now time.Time) bool {
+// shuns reports whether an instance was silent lately.
+func (q *Quota) shuns(id ident.Instance, now time.Time) bool {
+	if w := q.witnesses[id]; w != nil && w.silent(now, q.timing.Promise) {
+		q.shunned[id] = now.Add(shunFor)
+	}
+	return now.Before(q.shunned[id])
+}
+
+// witnessFails reports whether the part needs another witness, there is one,
+// and the store can be told.
+func (q *Quota) witnessFails(l *ledger, s *share, now time.Time) bool {
 	if now.Sub(q.lastRead) > 3*q.timing.Poll {
 		return false
 	}
-	if s.row.Witness == "" {
-		return len(q.live) > 1
+	if s.row.Witness != "" && !q.shuns(s.row.Witness, now) {
+		return false
 	}
-	w := q.witnesses[s.row.Witness]
-	return w != nil && w.silent(now, q.timing.Promise)
+	return q.chooseWitness(l, s, now) != s.row.Witness
 }
 
 func earlier(a, b time.Time) time.Time {
