--- /dev/null
+++ b/internal/acct/example_test.go
@@ -0,0 +1,26 @@
+package acct_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/acct"
+)
+
+func ExampleFair() {
+	queue := acct.NewFair[string](acct.FairLimits{MaxWait: time.Second})
+	now := time.Unix(0, 0)
+	for _, item := range []string{"pallets 1", "pallets 2", "pallets 3"} {
+		queue.Push("supermarket", 1, item, now)
+	}
+	queue.Push("butcher", 1, "price", now)
+	for queue.Len() > 0 {
+		item, _ := queue.Pop(now)
+		fmt.Println(item)
+	}
+	// Output:
+	// pallets 1
+	// price
+	// pallets 2
+	// pallets 3
+}
