--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,53 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+)
+
+// openBench opens the platform of a stand-in in this process; the figures
+// hold the stand-in's own share of the time.
+func openBench(b *testing.B) *store.Platform {
+	s, err := plat.Start(context.Background())
+	if err != nil {
+		b.Fatal(err)
+	}
+	p, err := store.Open(s.Platform())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = p.Close()
+		_ = s.Close()
+	})
+	b.ReportAllocs()
+	return p
+}
+
+func BenchmarkHead(b *testing.B) {
+	p := openBench(b)
+	if err := acceptFirst(b.Context(), p); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := p.Documents.Head(b.Context(), trial); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkSwapLease(b *testing.B) {
+	p := openBench(b)
+	lease := store.Lease{Key: store.LeaseKey{Account: "shop"}}
+	for b.Loop() {
+		fresh := lease
+		fresh.Epoch++
+		if err := p.Leases.Swap(b.Context(), trial, lease, fresh); err != nil {
+			b.Fatal(err)
+		}
+		lease = fresh
+	}
+}
