End what waits for a primary that was replaced

Cause: requests that had reached a frozen primary before the failover waited for its answer until their own deadline or until it woke, and those who waited for one of its connections did as well; callers queued behind them. Ruled out: the failover, which took about 0.34 s; the lookups, which are slow only because their callers stood behind an order. Change: when a group's primary changes, the pool of the old one tells its waiters at once and, after 250 ms of grace in which a live endpoint may still prove that it ran nothing, closes the connections lent since before.

--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -67,6 +67,8 @@
 	opening int
 	limit   int
 	closed  bool
+	lent    map[*Conn]uint64 // the serial number of each loan
+	serial  uint64
 }
 
 // NewPool returns a pool of at most limit connections.
@@ -77,6 +79,7 @@
 		group:    tasks.New(context.Background()),
 		line:     line,
 		limit:    max(1, limit),
+		lent:     make(map[*Conn]uint64),
 	}
 }
 
@@ -113,6 +116,7 @@
 		return nil, nil, ErrClosed
 	}
 	if c := p.takeIdle(); c != nil {
+		p.lend(c)
 		return c, nil, nil
 	}
 	w := &Waiter{Claim: claim, grant: make(chan grant, 1)}
@@ -160,6 +164,7 @@
 	p.busy.Add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.lent, c)
 	if !keep || !c.Clean() || p.closed || p.open > p.limit {
 		p.discard(c)
 		p.grow()
@@ -172,6 +177,7 @@
 func (p *Pool) offer(c *Conn, now time.Time) {
 	assert.That(c.Clean(), "back.pool.clean", "a connection to %s with status %c was offered", p.endpoint.Name, c.status)
 	if w, ok := p.line.Pop(now); ok {
+		p.lend(c)
 		w.grant <- grant{conn: c}
 		return
 	}
--- a/internal/entry/sites.go
+++ b/internal/entry/sites.go
@@ -49,6 +49,7 @@
 	front    *front.Group
 	keeper   *group.Keeper
 	controls *controls
+	watching *tasks.Group
 }
 
 // NewSites returns sites that serve no group yet.
@@ -147,12 +148,15 @@
 		}
 		return c.server(v.PrimaryName())
 	})
-	return &site{
+	t := &site{
 		group:    g,
 		front:    &front.Group{Name: g.Name, Keeper: keeper, Pools: pools, Confirmer: confirmer},
 		keeper:   keeper,
 		controls: c,
+		watching: tasks.New(context.Background()),
 	}
+	t.watching.Go(func(ctx context.Context) error { return s.watch(ctx, t) })
+	return t
 }
 
 func (s *Sites) newPool(e envdoc.Endpoint) *back.Pool {
@@ -261,7 +265,8 @@
 }
 
 func (s *site) close() error {
-	err := errors.Wrap(s.keeper.Close(), "close keeper")
+	err := errors.Wrap(s.watching.Close(), "close watch")
+	err = errors.CombineErrors(err, errors.Wrap(s.keeper.Close(), "close keeper"))
 	err = errors.CombineErrors(err, errors.Wrap(s.front.Confirmer.Close(), "close confirmer"))
 	err = errors.CombineErrors(err, closePools(s.front.Pools, nil))
 	return errors.CombineErrors(err, s.controls.close())
