--- a/internal/acct/load_test.go
+++ b/internal/acct/load_test.go
@@ -20,6 +20,7 @@
 		}
 		if !s.wait {
 			l.refused.Add(1)
+			l.missed.Add(1)
 			s.records[account].refuse(s.now)
 			n.update(short(l))
 			return
@@ -75,6 +76,9 @@
 	s := l.supply.Load()
 	for _, g := range s.grants {
 		if g.spend(at) {
+			if g.left.Load() == 0 {
+				n.tell(short(l), 0)
+			}
 			return n.sim.part(account, g.part), true
 		}
 	}
--- a/internal/fleet/bounds.go
+++ b/internal/fleet/bounds.go
@@ -39,3 +39,34 @@
 		Fetch:     500 * time.Millisecond,
 	}
 }
+
+// MemberBounds holds the intervals and bounds of the membership.
+type MemberBounds struct {
+	// Renew is the time between two writes of the own row.
+	Renew time.Duration
+	// Poll is the time between two reads of all rows.
+	Poll time.Duration
+	// Life is how long a row that does not change still counts as a live
+	// instance.
+	Life time.Duration
+	// List is the time between two reads of the platform's list.
+	List time.Duration
+	// Remove is how long a row must be unchanged, and its instance be
+	// unconnected, before the row is deleted for it. That takes an instance in
+	// touch with half of the known ones, so that the rest is no majority that
+	// could still honour keys by its contacts and a cut-off few never shrink the
+	// number that makes one; or the platform's list must show that the instance
+	// is gone.
+	Remove time.Duration
+}
+
+// DefaultMemberBounds returns the bounds for tens of instances.
+func DefaultMemberBounds() MemberBounds {
+	return MemberBounds{
+		Renew:  2 * time.Second,
+		Poll:   2 * time.Second,
+		Life:   7 * time.Second,
+		List:   10 * time.Second,
+		Remove: time.Minute,
+	}
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -10,68 +10,8 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// MemberBounds holds the intervals and bounds of the membership.
-type MemberBounds struct {
-	// Renew is the time between two writes of the own row.
-	Renew time.Duration
-	// Poll is the time between two reads of all rows.
-	Poll time.Duration
-	// Life is how long a row that does not change still counts as a live
-	// instance.
-	Life time.Duration
-	// Remove is how long a row must be unchanged, and its instance be
-	// unconnected, before it is removed for it.
-	Remove time.Duration
-}
-
-// DefaultMemberBounds returns the bounds for tens of instances.
-func DefaultMemberBounds() MemberBounds {
-	return MemberBounds{
-		Renew:  2 * time.Second,
-		Poll:   2 * time.Second,
-		Life:   7 * time.Second,
-		Remove: time.Minute,
-	}
-}
-
-// RowsRead is the result of a ReadRows. Began is from before the read.
-type RowsRead struct {
-	Began time.Time
-	Rows  []store.Member
-	Err   error
-}
-
-// RowWritten is the result of a WriteRow.
-type RowWritten struct{ Err error }
-
-// Left tells that a peer said that it stops.
-type Left struct{ From ident.Instance }
-
-func (RowsRead) msg()   {}
-func (RowWritten) msg() {}
-func (Left) msg()       {}
-
-// ReadRows asks for all member rows.
-type ReadRows struct{}
-
-// WriteRow asks to write the own member row.
-type WriteRow struct{ Member store.Member }
-
-// RemoveRow asks to delete the row of an instance that is gone.
-type RemoveRow struct{ Instance ident.Instance }
-
-// MembersChanged gives the known instances and their addresses, the own one
-// included, in the order of their names.
-type MembersChanged struct{ Members []store.Member }
-
-// LiveChanged gives the live instances in order, the own one included.
-type LiveChanged struct{ Instances []ident.Instance }
-
-func (ReadRows) cmd()       {}
-func (WriteRow) cmd()       {}
-func (RemoveRow) cmd()      {}
-func (MembersChanged) cmd() {}
-func (LiveChanged) cmd()    {}
+// pauseGap is how long a process that runs never leaves Members without input.
+const pauseGap = time.Second
 
 // row is what is known of another instance.
 type row struct {
@@ -91,9 +31,13 @@
 	rows      map[ident.Instance]*row
 	connected []ident.Instance
 
-	told      bool // whether MembersChanged was ever given
+	last      time.Time // of the latest Update
+	told      bool      // whether MembersChanged was ever given
 	reading   bool
 	writing   bool
+	listed    []ident.Instance // as the platform listed them at listedAt
+	listedAt  time.Time
+	nextList  time.Time
 	nextRead  time.Time
 	nextWrite time.Time
 }
@@ -105,12 +49,19 @@
 
 // Update takes one input and returns what to do.
 func (m *Members) Update(msg Msg, now time.Time) []Cmd {
+	cmds := m.resume(now)
+	return append(cmds, m.update(msg, now)...)
+}
+
+func (m *Members) update(msg Msg, now time.Time) []Cmd {
 	switch v := msg.(type) {
 	case Tick:
 		m.connected = v.Connected
 		return append(m.due(now), m.judge(now)...)
 	case RowsRead:
 		return append(m.rowsRead(v, now), m.judge(now)...)
+	case Listed:
+		m.listed, m.listedAt = v.Instances, now
 	case RowWritten:
 		m.writing = false
 	case Left:
@@ -122,6 +73,21 @@
 	return nil
 }
 
+// resume notices that the process was paused. What it did not watch meanwhile
+// speaks against nobody.
+func (m *Members) resume(now time.Time) []Cmd {
+	gap := now.Sub(m.last)
+	paused := !m.last.IsZero() && gap >= pauseGap
+	m.last = now
+	if !paused {
+		return nil
+	}
+	for _, r := range m.rows {
+		r.changed = r.changed.Add(gap)
+	}
+	return []Cmd{Record{Kind: ProcessPaused, Note: gap.String()}}
+}
+
 func (m *Members) due(now time.Time) []Cmd {
 	var cmds []Cmd
 	if !m.writing && !now.Before(m.nextWrite) {
@@ -135,6 +101,10 @@
 		m.nextRead = now.Add(m.bounds.Poll)
 		cmds = append(cmds, ReadRows{})
 	}
+	if !now.Before(m.nextList) {
+		m.nextList = now.Add(m.bounds.List)
+		cmds = append(cmds, ReadList{})
+	}
 	return cmds
 }
 
@@ -193,28 +163,30 @@
 	return cmds
 }
 
-// remove deletes rows of instances that are long gone. Only an instance in
-// touch with half of the known ones does so: the rest is then no majority that
-// could still honour keys by its contacts. A cut-off few never shrink the
-// number that makes a majority. The live instances try in an
-// order of their own for each row, with growing patience.
+// remove deletes rows of instances that are long gone. The live instances try
+// in an order of their own for each row, with growing patience.
 func (m *Members) remove(now time.Time) []Cmd {
-	if 2*(m.touched()+1) < len(m.rows)+1 {
-		return nil
-	}
 	var cmds []Cmd
 	live := m.live()
+	half := 2*(m.touched()+1) >= len(m.rows)+1
 	for _, n := range m.names() {
 		place := Place(string(n), live, m.self.Instance)
 		patience := m.bounds.Remove * time.Duration(1+place)
 		silent := now.Sub(m.rows[n].changed) >= patience
-		if silent && !slices.Contains(m.connected, n) {
+		if silent && !slices.Contains(m.connected, n) && (half || m.unlisted(n, now)) {
 			cmds = append(cmds, RemoveRow{Instance: n})
 		}
 	}
 	return cmds
 }
 
+// unlisted reports whether the platform's list shows that an instance is gone.
+// A list that lacks this instance says nothing about the others.
+func (m *Members) unlisted(n ident.Instance, now time.Time) bool {
+	fresh := !m.listedAt.IsZero() && now.Sub(m.listedAt) < 3*m.bounds.List
+	return fresh && slices.Contains(m.listed, m.self.Instance) && !slices.Contains(m.listed, n)
+}
+
 // touched counts the known instances that are connected.
 func (m *Members) touched() int {
 	count := 0
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -19,30 +20,42 @@
 //	rows 100 began=50            a read of the rows in the input ends: name start renewal
 //	outage 100                   a read fails
 //	left 100 from=b              a peer says that it stops
+//	listed 100 names=(a,b)       the platform lists these
 //	written 100                  the write of the own row ends
+//	wake 100                     the process was paused until then
+//
+// Before each directive but wake, time passes in ticks with the latest
+// connections.
 func TestMembers(t *testing.T) {
 	datadriven.Walk(t, "testdata/members", func(t *testing.T, path string) {
+		now, connected := simEpoch, []ident.Instance(nil)
 		m := NewMembers(store.Member{Instance: "a", Start: 1}, DefaultMemberBounds())
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at, err := time.ParseDuration(d.CmdArgs[0].Key + "ms")
 			if err != nil {
 				d.Fatalf(t, "time: %v", err)
 			}
-			return printCmds(m.Update(memberInput(t, d), simEpoch.Add(at)))
+			input := memberInput(t, d)
+			if v, ok := input.(Tick); ok && d.Cmd == "tick" {
+				connected = v.Connected
+			}
+			var cmds []Cmd
+			for now.Add(tickInterval).Before(simEpoch.Add(at)) && d.Cmd != "wake" {
+				now = now.Add(tickInterval)
+				cmds = append(cmds, m.Update(Tick{Connected: connected}, now)...)
+			}
+			now = simEpoch.Add(at)
+			return printCmds(append(cmds, m.Update(input, now)...))
 		})
 	})
 }
 
 func memberInput(t *testing.T, d *datadriven.TestData) Msg {
 	switch d.Cmd {
-	case "tick":
-		var connected []ident.Instance
-		if d.HasArg("connected") {
-			for _, n := range d.CmdArgs[1].Vals {
-				connected = append(connected, ident.Instance(n))
-			}
-		}
-		return Tick{Connected: connected}
+	case "tick", "wake":
+		return Tick{Connected: namesOf(d)}
+	case "listed":
+		return Listed{Instances: namesOf(d)}
 	case "rows":
 		var began int
 		d.ScanArgs(t, "began", &began)
@@ -60,6 +73,17 @@
 	return nil
 }
 
+// namesOf returns the names in the second argument, if there is one.
+func namesOf(d *datadriven.TestData) []ident.Instance {
+	var names []ident.Instance
+	if len(d.CmdArgs) > 1 {
+		for _, n := range d.CmdArgs[1].Vals {
+			names = append(names, ident.Instance(n))
+		}
+	}
+	return names
+}
+
 func parseRows(t *testing.T, d *datadriven.TestData) []store.Member {
 	var rows []store.Member
 	for line := range strings.Lines(d.Input) {
@@ -72,12 +96,15 @@
 	return rows
 }
 
+// printCmds prints one command a line, repeated ones once.
 func printCmds(cmds []Cmd) string {
 	var b strings.Builder
 	for _, c := range cmds {
 		switch c := c.(type) {
 		case ReadRows:
 			fmt.Fprintln(&b, "ReadRows")
+		case ReadList:
+			fmt.Fprintln(&b, "ReadList")
 		case WriteRow:
 			fmt.Fprintln(&b, "WriteRow renewal", c.Member.Renewal)
 		case RemoveRow:
@@ -94,5 +121,5 @@
 			fmt.Fprintln(&b, strings.TrimSpace(fmt.Sprint("Record ", c.Kind, " ", c.Peer, " ", c.Note)))
 		}
 	}
-	return b.String()
+	return strings.Join(slices.Compact(strings.SplitAfter(b.String(), "\n")), "")
 }
