Put LeaseAsk and LeaseHold on the wire

Cause: the two messages by which a witness keeps quota leases had no number in the codec and no handler in the process, so that each was dropped with an error; the simulated tests pass messages without the codec.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -126,6 +126,10 @@
 		return decodeAs[TokenGive](kind, body)
 	case LeavingKind:
 		return decodeAs[Leaving](kind, body)
+	case LeaseAskKind:
+		return decodeAs[LeaseAsk](kind, body)
+	case LeaseHoldKind:
+		return decodeAs[LeaseHold](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -19,6 +19,8 @@
 		Head{Version: 3, EvidenceAge: time.Second, Known: true, Stamp: stamp},
 		DocumentAsk{Version: 3},
 		Document{Version: 3, Text: []byte("Environment = 'trial'")},
+		LeaseAsk{Nonce: 7, Leases: []LeaseRef{{Account: "shop", Part: 17, Epoch: 2}}},
+		LeaseHold{Nonce: 7, Length: time.Second},
 		GroupState{Group: "orders", Term: 9, Primary: "p", Stamp: stamp, Cause: event.Ref{Instance: "a", Sequence: 2}},
 		TokenAsk{Account: "acme", Count: 5, Nonce: 8},
 		TokenGive{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
