--- a/internal/acct/keeper.go
+++ b/internal/acct/keeper.go
@@ -19,7 +19,7 @@
 
 const (
 	storeTimeout = 2 * time.Second
-	storeWorkers = 8
+	storeWorkers = 32
 	swapQueue    = 4096
 	closeTimeout = 5 * time.Second
 )
--- a/internal/store/leases.go
+++ b/internal/store/leases.go
@@ -45,13 +45,14 @@
 	if old.Epoch == 0 {
 		return rowMissing, nil
 	}
-	condition = "#Holder = :holder AND #Epoch = :epoch AND #Renewal = :renewal AND #Span = :span AND #Document = :document"
+	condition = "#Holder = :holder AND #Epoch = :epoch AND #Renewal = :renewal AND #Span = :span AND #Document = :document AND #Witness = :witness"
 	values = row{}.
 		text(":holder", string(old.Holder)).
 		number(":epoch", uint64(old.Epoch)).
 		number(":renewal", old.Renewal).
 		signed(":span", int64(old.Length)).
-		number(":document", uint64(old.Document))
+		number(":document", uint64(old.Document)).
+		text(":witness", string(old.Witness))
 	return condition, values
 }
 
@@ -63,7 +64,8 @@
 		number("Epoch", uint64(l.Epoch)).
 		signed("Span", int64(l.Length)).
 		number("Renewal", l.Renewal).
-		number("Document", uint64(l.Document))
+		number("Document", uint64(l.Document)).
+		text("Witness", string(l.Witness))
 }
 
 func leaseOf(r row) Lease {
@@ -77,6 +79,7 @@
 		Length:   r.getSpan("Span"),
 		Renewal:  r.getNumber("Renewal"),
 		Document: ident.Version(r.getNumber("Document")),
+		Witness:  ident.Instance(r.getText("Witness")),
 	}
 }
 
