Tell a silent replica to follow every 3 s, not every 200 ms

Cause: after 3 s of silence each instance repeated Follow at the shortest interval, and each repeat went to the time line. Seen in a trial over the endpoint stand-in with the primary cut off from its group. Change: a Follow begins the wait anew.

--- a/internal/group/guide.go
+++ b/internal/group/guide.go
@@ -42,6 +42,7 @@
 		return
 	}
 	m.following = true
+	m.strayedAt = time.Time{}
 	m.followAt = w.now.Add(w.bounds.FollowEvery)
 	w.put(Follow{Endpoint: m.endpoint.Name, Term: w.term, Address: p.endpoint.Address})
 }
--- a/internal/group/script_test.go
+++ b/internal/group/script_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 	. "github.com/onsi/gomega"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -24,7 +25,7 @@
 }
 
 // TestScripts runs the scripted faults under testdata. The commands are start,
-// kill, freeze, cut, slow, lag, rank, leave, seal, refuse, run and check.
+// kill, freeze, cut, slow, lag, rank, leave, seal, refuse, run, count and check.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var s *sim
@@ -83,6 +84,8 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	case "refuse":
 		s.server(hosts[0].name).silent = true
+	case "count":
+		return s.count(event.Kind(argument(d, "kind")))
 	case "check":
 		return s.report()
 	default:
@@ -91,6 +94,16 @@
 	return s.broken
 }
 
+func (s *sim) count(kind event.Kind) string {
+	n := 0
+	for _, k := range s.events {
+		if k == kind {
+			n++
+		}
+	}
+	return strconv.Itoa(n)
+}
+
 func (s *sim) hosts(name string) (hosts []*host) {
 	for _, n := range s.servers {
 		if name == n.name || name == "group" || name == "primary" && n == s.top || name == "replicas" && n != s.top {
--- a/internal/group/simhost_test.go
+++ b/internal/group/simhost_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -52,16 +53,20 @@
 	// silentDeaths is true where whole machines die, so that nothing refuses
 	// connections to them.
 	silentDeaths bool
-	servers      []*server
-	proxies      []*proxy
-	acked        []record
-	reigns       map[ident.Term]*server
-	top          *server
-	topTerm      ident.Term
-	topLog       []record
-	broken       string
-	ackedAt      time.Time     // when the latest write was acknowledged
-	gap          time.Duration // the longest time between two such writes
+	// startsAnew is true where a repeated Follow begins the stream, and the time
+	// of silence, anew.
+	startsAnew bool
+	servers    []*server
+	proxies    []*proxy
+	acked      []record
+	reigns     map[ident.Term]*server
+	top        *server
+	topTerm    ident.Term
+	topLog     []record
+	broken     string
+	events     []event.Kind
+	ackedAt    time.Time     // when the latest write was acknowledged
+	gap        time.Duration // the longest time between two such writes
 }
 
 func (s *sim) fail(format string, args ...any) {
--- a/internal/group/simrun_test.go
+++ b/internal/group/simrun_test.go
@@ -34,6 +34,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, ackedAt: epoch,
 		cuts: map[pair]time.Time{}, reigns: map[ident.Term]*server{},
 	}
+	s.startsAnew = seed%2 == 1
 	doc := envdoc.Group{Name: "orders"}
 	for i := range servers {
 		n := &server{host: host{name: fmt.Sprintf("server-%d", i)}, sim: s, role: ReplicaRole, heard: epoch}
@@ -134,6 +135,8 @@
 				s.send(&p.host, &o.host, func() { o.update(Heard{State: state}) })
 			}
 		}
+	case Emit:
+		s.events = append(s.events, c.Kind)
 	case Publish:
 		p.view = c.View
 	}
--- a/internal/group/simsrv_test.go
+++ b/internal/group/simsrv_test.go
@@ -102,6 +102,9 @@
 	if term < n.sealed || source == n {
 		return ErrSealed
 	}
+	if n.term == term && n.source == source && !n.sim.startsAnew {
+		return nil
+	}
 	n.sealed, n.term, n.role, n.source = term, term, ReplicaRole, source
 	n.heard = n.sim.now
 	return nil
