--- a/internal/back/run.go
+++ b/internal/back/run.go
@@ -26,8 +26,9 @@
 	// Refused is the failed check of the prelude; nothing of the batch ran.
 	Refused *ServerError
 	// Failed is the first error of the batch itself. It has gone to the sink.
-	Failed *ServerError
-	Status byte // transaction status afterwards: I, T or E
+	Failed   *ServerError
+	Endpoint ident.Endpoint
+	Status   byte // transaction status afterwards: I, T or E
 	// Wrote is true when the connection committed a write with this batch.
 	Wrote     bool
 	Mark      ident.Mark     // of that write
@@ -115,7 +116,7 @@
 		}
 	}
 	c.broken = false
-	in.result.Status = c.status
+	in.result.Endpoint, in.result.Status = c.Endpoint, c.status
 	return in.result, nil
 }
 
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -23,6 +23,8 @@
 	Floor(ctx context.Context, asked time.Time) (ident.Mark, error)
 	// Failed reports an endpoint that could not be used in term.
 	Failed(endpoint ident.Endpoint, term ident.Term, now time.Time)
+	// Observe takes a status that came along with other work.
+	Observe(endpoint ident.Endpoint, status group.Status, now time.Time)
 	// Changed is closed at the next change of term or primary.
 	Changed() <-chan struct{}
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -365,6 +365,7 @@
 	if !r.Wrote {
 		return nil, nil
 	}
+	w.observe(r)
 	s.token = s.token.With(w.route.Group.Name, r.Mark)
 	s.shown = true
 	if err := s.confirm(ctx, w, r); err != nil {
@@ -373,6 +374,13 @@
 	return nil, s.sendToken()
 }
 
+// observe tells the keeper how far the primary is, so that replicas that hold
+// the write are found at once.
+func (w *work) observe(r *back.Result) {
+	status := group.Status{Term: r.Mark.Term, Role: group.PrimaryRole, Last: r.Mark, Confirmed: r.Confirmed}
+	w.route.Group.Keeper.Observe(r.Endpoint, status, time.Now())
+}
+
 // confirm waits until a majority holds the write, where the route asks for it.
 func (s *session) confirm(ctx context.Context, w *work, r *back.Result) error {
 	if w.route.Durability == envdoc.Primary {
