Add randomised soak runs over real processes

A seeded plan of faults hits a running set while callers and operators go on. Watched are the order and spread of versions, withdrawn keys, the quota bound over every window, broken invariants, processes that end, leaving endpoints, graceful stops and what the load checks. A broken promise prints the seed, the plan and the merged time line around it.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.14.0
 SEED ?= 1
 DURATION ?= 60s
+PROFILE ?= demo
 
 .PHONY: build demo test check lint format soak experiment bench generate fuzz
 
@@ -27,7 +28,7 @@
 	./scripts/demo.sh
 
 soak: build ## Random faults: make soak SEED=7 DURATION=10m
-	./bin/stand soak --seed $(SEED) --duration $(DURATION)
+	./scripts/soak.sh $(SEED) $(DURATION) $(PROFILE)
 
 experiment: build ## Measure the policies against the naive versions.
 	./bin/stand experiment --seed $(SEED)
--- /dev/null
+++ b/cmd/stand/soak.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run random faults against a running set and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "dir", Required: true, Usage: "directory that the layout command wrote"},
+			&cli.DurationFlag{Name: "duration", Value: time.Minute, Usage: "of the load"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the plan and of the requests"},
+			&cli.FloatFlag{Name: "share", Value: 0.4, Usage: "of its rate that each account offers"},
+			&cli.StringFlag{Name: "json", Usage: "file for the report"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	l, err := layout.Load(c.String("dir"))
+	if err != nil {
+		return err
+	}
+	o := soak.Options{Seed: c.Uint64("seed"), Duration: c.Duration("duration"), Share: c.Float("share")}
+	report, err := soak.Run(ctx, l, o)
+	if err != nil {
+		return err
+	}
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	if err := writeReport(c.String("json"), report); err != nil {
+		return err
+	}
+	if len(report.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/internal/stand/load/caller.go
+++ b/internal/stand/load/caller.go
@@ -97,7 +97,20 @@
 			delete(c.conns, r)
 		}
 	}
-	if v.code == unreachable || v.code == lost || v.outcome == Unknown {
+	if v.code == unreachable || v.code == Lost || v.outcome == Unknown {
 		c.move()
 	}
 }
+
+// observe tells of an attempt that has ended.
+func (c *caller) observe(a Attempt, err error) {
+	if c.config.Observe == nil {
+		return
+	}
+	var wrong *answerError
+	if errors.As(err, &wrong) {
+		a.Mistaken = wrong.text
+	}
+	a.Account, a.Group = c.account.Name, c.target.Group
+	c.config.Observe(a)
+}
--- a/internal/stand/load/config.go
+++ b/internal/stand/load/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -34,6 +35,23 @@
 	// Retries is how often an order with an unknown outcome is sent again,
 	// with the same request identifier.
 	Retries int
+	// Observe is told of each attempt when it has ended; it may be nil. It is
+	// called by several goroutines.
+	Observe func(Attempt)
+}
+
+// Attempt is one try of a request on one proxy.
+type Attempt struct {
+	ID       string
+	Account  ident.Account
+	Group    ident.Group
+	Kind     Kind
+	Proxy    int
+	Sent     time.Time // from before anything was sent
+	Ended    time.Time
+	Outcome  Outcome
+	Code     fault.Code
+	Mistaken string // what is wrong with the answer
 }
 
 // Account is one client account and what its callers offer.
--- a/internal/stand/load/outcome.go
+++ b/internal/stand/load/outcome.go
@@ -23,8 +23,8 @@
 // connection.
 const unreachable fault.Code = "connect"
 
-// lost stands in the place of a SQLSTATE when the connection broke.
-const lost fault.Code = "lost"
+// Lost stands in the place of a SQLSTATE when the connection broke.
+const Lost fault.Code = "lost"
 
 // notRun are the SQLSTATEs by which the system says that nothing ran.
 var notRun = map[fault.Code]bool{
@@ -64,11 +64,11 @@
 	case errors.As(err, &pg):
 		return judgeCode(fault.Code(pg.Code))
 	case pgconn.SafeToRetry(err):
-		return verdict{NotRun, lost}
+		return verdict{NotRun, Lost}
 	case errors.Is(err, pgx.ErrTxCommitRollback):
 		return verdict{Failed, "rollback"}
 	}
-	return verdict{Unknown, lost}
+	return verdict{Unknown, Lost}
 }
 
 // judgeOpen judges an error from inside a transaction whose commit was never
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -136,8 +136,10 @@
 func (r *run) attempts(ctx context.Context, c *caller, a arrival, id string) (verdict, error) {
 	var first verdict
 	for n := 0; ; n++ {
+		sent, proxy := time.Now(), c.proxy
 		err := c.do(ctx, a, id)
 		v := judge(err)
+		c.observe(Attempt{ID: id, Kind: a.kind, Proxy: proxy, Sent: sent, Ended: time.Now(), Outcome: v.outcome, Code: v.code}, err)
 		c.settle(v)
 		if first.outcome == Unknown && v.outcome != Answered {
 			v = verdict{Unknown, v.code}
--- /dev/null
+++ b/internal/stand/soak/check.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/load"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Gap is the longest time without an acknowledged write in a group around a
+// fault that hit it.
+type Gap struct {
+	Group   ident.Group
+	Fault   string
+	Seconds float64
+}
+
+// gapMargin is how long after a fault its gap may end.
+const gapMargin = 10 * time.Second
+
+// longestGap returns the longest time between two writes that began in the
+// span or spans its start.
+func longestGap(acks []time.Time, from, until time.Time) time.Duration {
+	slices.SortFunc(acks, time.Time.Compare)
+	var longest time.Duration
+	for i := 1; i < len(acks); i++ {
+		if acks[i].After(from) && acks[i-1].Before(until) {
+			longest = max(longest, acks[i].Sub(acks[i-1]))
+		}
+	}
+	return longest
+}
+
+// acksOf returns when the writes of a group were acknowledged.
+func acksOf(all []load.Attempt, g ident.Group) []time.Time {
+	var acks []time.Time
+	for _, a := range all {
+		if a.Group == g && a.Outcome == load.Answered && (a.Kind == load.Order || a.Kind == load.Booking) {
+			acks = append(acks, a.Ended)
+		}
+	}
+	return acks
+}
+
+// admitted returns the intervals in which an account's requests were admitted.
+func admitted(all []load.Attempt, account ident.Account) []interval {
+	var out []interval
+	for _, a := range all {
+		if a.Account == account && a.Outcome == load.Answered {
+			out = append(out, interval{a.Sent, a.Ended})
+		}
+	}
+	return out
+}
+
+// cutByDrain returns the attempts that a graceful stop cut: the connection
+// broke with the outcome open, before the caller gave up, while the proxy
+// stopped and no other fault had hit it.
+func cutByDrain(all []load.Attempt, drain *Happened, faults []*Happened, timeout time.Duration) []string {
+	const margin = 200 * time.Millisecond
+	for _, o := range faults {
+		if o != drain && o.onProxy() && o.Target == drain.Target && o.From.Before(drain.Until.Add(margin)) && o.Until.After(drain.From.Add(-timeout)) {
+			return nil
+		}
+	}
+	var wrong []string
+	for _, a := range all {
+		inside := a.Ended.After(drain.From) && a.Ended.Before(drain.Until.Add(margin)) && a.Sent.Before(drain.Until)
+		if inside && a.Proxy == drain.Proxy && a.Outcome == load.Unknown && a.Code == load.Lost && a.Ended.Sub(a.Sent) < timeout-margin {
+			wrong = append(wrong, fmt.Sprintf("%s cut request %s (%s) of %s in its graceful stop", drain.Target, a.ID, a.Kind, a.Account))
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/stand/soak/effect.go
@@ -0,0 +1,59 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// active is a fault that is on, with the endpoint that it hit.
+type active struct {
+	Fault
+	endpoint ident.Endpoint
+}
+
+// platformFaults joins the faults of the platform that are on.
+func platformFaults(on []active) plat.Faults {
+	var out plat.Faults
+	for _, f := range on {
+		switch f.Kind {
+		case RefuseStore:
+			if out.Outage == plat.NoOutage {
+				out.Outage = plat.Refuse
+			}
+		case SilenceStore:
+			out.Outage = plat.Silence
+		case SlowStore:
+			out.Delay = max(out.Delay, envdoc.Duration(f.Delay))
+		case LoseStore:
+			out.LoseProbability = max(out.LoseProbability, float64(f.Count)/100)
+		}
+	}
+	return out
+}
+
+// endpointFaults joins the lasting faults of one endpoint that are on. The
+// replication lag is never below base.
+func endpointFaults(on []active, name ident.Endpoint, base time.Duration) endpt.Faults {
+	cutGroup, cutCallers := false, false
+	lag, slow := envdoc.Duration(base), envdoc.Duration(0)
+	for _, f := range on {
+		if f.endpoint != name {
+			continue
+		}
+		switch f.Kind {
+		case CutPrimary:
+			cutGroup = true
+		case CutCallers:
+			cutCallers = true
+		case LagReplicas:
+			lag = max(lag, envdoc.Duration(f.Delay))
+		case SlowStatements:
+			slow = max(slow, envdoc.Duration(f.Delay))
+		}
+	}
+	return endpt.Faults{CutGroup: &cutGroup, CutCallers: &cutCallers, ReplicationLag: &lag, Slow: &slow}
+}
--- /dev/null
+++ b/internal/stand/soak/report.go
@@ -0,0 +1,187 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/load"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Report is what a run found.
+type Report struct {
+	Seed     uint64
+	Seconds  float64
+	Plan     []Fault
+	Faults   []*Happened
+	Counts   []KindCount
+	Gaps     []Gap
+	Quotas   []Quota
+	Versions Versions
+	Keys     Keys
+	Load     *load.Report
+	Broken   []Broken
+}
+
+// KindCount counts the faults of a kind.
+type KindCount struct {
+	Kind    Kind
+	Done    int
+	Skipped int
+}
+
+// Quota is how close an account came to its bound.
+type Quota struct {
+	Account  ident.Account
+	Admitted int
+	// Left is how many more requests the fullest window would have allowed.
+	Left float64
+}
+
+// Versions tells how the document changed.
+type Versions struct {
+	Accepted int
+	Unknown  int
+	Refused  int
+	// Slowest is the longest time from an acceptance until a proxy in touch had
+	// the version in force.
+	Slowest float64
+}
+
+// Keys tells how withdrawn keys fared.
+type Keys struct {
+	Rounds int
+	Served int
+	// Slowest is the longest time from a withdrawal to the sending of a request
+	// that was served.
+	Slowest float64
+}
+
+// Broken is a broken promise with the time line around it.
+type Broken struct {
+	Violation
+	TimeLine []event.Record
+}
+
+// lineMargin is how much of the time line is shown around a broken promise.
+const lineMargin = 6 * time.Second
+
+func (r *run) report(l *load.Report) *Report {
+	violations, faults := r.book.sorted()
+	out := &Report{Seed: r.options.Seed, Seconds: r.options.Duration.Seconds(), Plan: r.plan, Faults: faults, Load: l}
+	out.Counts = countKinds(faults)
+	out.Gaps = r.gaps(faults)
+	for _, a := range r.set.layout.Accounts[:fixedAccounts] {
+		all := admitted(r.book.attempts, a.Name)
+		w := worstWindow(all, a.Rate, a.Burst)
+		out.Quotas = append(out.Quotas, Quota{a.Name, len(all), -w.over()})
+	}
+	out.Versions = Versions{r.office.edits, r.office.unknown, r.office.refused, r.watcher.spread.slowest.Seconds()}
+	out.Keys = Keys{r.keys.rounds, r.keys.served, r.keys.slowest.Seconds()}
+	for _, v := range violations {
+		out.Broken = append(out.Broken, Broken{v, r.book.around(v.At, lineMargin)})
+	}
+	return out
+}
+
+func countKinds(faults []*Happened) []KindCount {
+	var out []KindCount
+	for _, k := range Kinds {
+		c := KindCount{Kind: k}
+		for _, f := range faults {
+			switch {
+			case f.Kind != k:
+			case f.Skipped != "":
+				c.Skipped++
+			default:
+				c.Done++
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// gaps measures the faults that may cost a group its primary.
+func (r *run) gaps(faults []*Happened) []Gap {
+	var out []Gap
+	for _, h := range faults {
+		if h.Skipped != "" || !h.onEndpoint() {
+			continue
+		}
+		switch h.Kind {
+		case KillEndpoint, PauseEndpoint, CutPrimary, CutCallers, LeavingEndpoint:
+			g := r.set.layout.Groups[h.Group].Name
+			gap := longestGap(acksOf(r.book.attempts, g), h.From, h.Until.Add(gapMargin))
+			out = append(out, Gap{g, string(h.Kind) + " " + h.Target, gap.Seconds()})
+		}
+	}
+	return out
+}
+
+// Print writes the summary, and for each broken promise the plan and the time
+// line around it.
+func (r *Report) Print(w io.Writer) error {
+	p := &printer{w: w}
+	p.line("seed %d, %.0f s, %d faults planned", r.Seed, r.Seconds, len(r.Plan))
+	for _, c := range r.Counts {
+		p.line("  %-16s %3d done, %d skipped", c.Kind, c.Done, c.Skipped)
+	}
+	p.line("longest time without an acknowledged write around each fault:")
+	for _, g := range r.Gaps {
+		p.line("  %-9s %-32s %7.3f s", g.Group, g.Fault, g.Seconds)
+	}
+	for _, q := range r.Quotas {
+		p.line("account %-13s %6d admitted, %.1f below the bound in its fullest window", q.Account, q.Admitted, q.Left)
+	}
+	p.line("versions: %d accepted, %d of unknown outcome, %d refused; slowest in force after %.2f s",
+		r.Versions.Accepted, r.Versions.Unknown, r.Versions.Refused, r.Versions.Slowest)
+	p.line("keys: %d withdrawn, %d requests served; the last one sent %.2f s after a withdrawal", r.Keys.Rounds, r.Keys.Served, r.Keys.Slowest)
+	if p.err == nil {
+		p.err = r.Load.Print(w)
+	}
+	r.printBroken(p)
+	p.line("promises broken: %d (seed %d)", len(r.Broken), r.Seed)
+	return errors.Wrap(p.err, "print report")
+}
+
+func (r *Report) printBroken(p *printer) {
+	if len(r.Broken) == 0 {
+		return
+	}
+	p.line("plan of seed %d:", r.Seed)
+	for _, f := range r.Plan {
+		p.line("  %s", f)
+	}
+	for _, b := range r.Broken {
+		p.line("")
+		p.line("BROKEN %s at %s: %s", b.Promise, b.At.UTC().Format(lineTime), b.Text)
+		for _, record := range b.TimeLine {
+			p.record(record)
+		}
+	}
+}
+
+// printer keeps the first error.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+	}
+}
+
+const lineTime = "15:04:05.000000"
+
+func (p *printer) record(r event.Record) {
+	s := r.Subject
+	p.line("  %s %s/%d %s group=%s endpoint=%s account=%s peer=%s %s", time.Unix(0, r.Wall).UTC().Format(lineTime),
+		r.Instance, r.Sequence, r.Kind, s.Group, s.Endpoint, s.Account, s.Peer, r.Note)
+}
--- /dev/null
+++ b/internal/stand/soak/run.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/load"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Options say how to run.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	// Share is what each account offers of its rate.
+	Share float64
+}
+
+const (
+	requestTimeout = 5 * time.Second
+	roamShare      = 0.1
+	// saturation is what the saturating account offers of its rate.
+	saturation = 1.6
+	// finalTimeout bounds the checks after the load.
+	finalTimeout = 30 * time.Second
+	minDuration  = 30 * time.Second
+)
+
+// fixedAccounts is how many accounts keep their quota for the whole run; their
+// bound is checked. The last of them offers more than its rate all the time.
+const fixedAccounts = 4
+
+// Run drives a running set under random faults and returns what was found.
+func Run(ctx context.Context, l *layout.Layout, o Options) (*Report, error) {
+	if o.Duration < minDuration || len(l.Accounts) <= fixedAccounts {
+		return nil, errors.Newf("a run needs at least %s and more than %d accounts", minDuration, fixedAccounts)
+	}
+	r := &run{options: o, set: newSet(l), book: newBook()}
+	defer r.set.Close()
+	r.watcher = newWatcher(r.set, r.book)
+	var err error
+	if r.office, err = newOffice(r.set, r.book, r.watcher, l.Accounts[fixedAccounts:]); err != nil {
+		return nil, err
+	}
+	defer r.office.Close()
+	r.keys = &keyCheck{set: r.set, book: r.book, office: r.office}
+	r.plan = NewPlan(o.Seed, shapeOf(l), o.Duration)
+	return r.run(ctx)
+}
+
+func shapeOf(l *layout.Layout) Shape {
+	return Shape{Groups: len(l.Groups), Servers: len(l.Groups[0].Endpoints), Proxies: len(l.Proxies), Accounts: fixedAccounts - 1}
+}
+
+type run struct {
+	options Options
+	set     *set
+	book    *book
+	watcher *watcher
+	office  *office
+	keys    *keyCheck
+	plan    []Fault
+	start   time.Time
+}
+
+func (r *run) run(ctx context.Context) (*Report, error) {
+	if err := r.prepare(ctx); err != nil {
+		return nil, err
+	}
+	watchers, faults := tasks.New(ctx), tasks.New(ctx)
+	defer func() { _ = errors.CombineErrors(faults.Close(), watchers.Close()) }()
+	r.startWatchers(watchers)
+	r.start = time.Now()
+	r.startFaults(faults)
+	report, err := load.Run(ctx, r.loadConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "run load")
+	}
+	if err := faults.Close(); err != nil {
+		return nil, errors.Wrap(err, "inject faults")
+	}
+	final, cancel := context.WithTimeout(ctx, finalTimeout)
+	defer cancel()
+	if err := r.office.check(final); err != nil {
+		r.book.violate(time.Now(), OneWinner, "the history could not be read: "+err.Error())
+	}
+	sleepUntil(final, time.Now().Add(spreadBound+time.Second)) // the last version spreads
+	if err := watchers.Close(); err != nil {
+		return nil, errors.Wrap(err, "watch processes")
+	}
+	r.checkCallers(report)
+	return r.report(report), nil
+}
+
+func (r *run) prepare(ctx context.Context) error {
+	if err := r.set.fillList(ctx); err != nil {
+		return err
+	}
+	if err := load.Fill(ctx, r.loadConfig()); err != nil {
+		return errors.Wrap(err, "fill")
+	}
+	return r.office.addSpare(ctx)
+}
+
+func (r *run) startWatchers(g *tasks.Group) {
+	l := r.set.layout
+	for _, p := range l.Proxies {
+		g.Go(func(ctx context.Context) error { return r.watcher.watchProxy(ctx, p) })
+	}
+	names := []string{l.Platform.Name}
+	for _, p := range l.Proxies {
+		names = append(names, string(p.Name))
+	}
+	for _, group := range l.Groups {
+		for _, e := range group.Endpoints {
+			names = append(names, string(e.Name))
+		}
+	}
+	for _, name := range names {
+		g.Go(func(ctx context.Context) error { return r.watcher.watchProcess(ctx, name) })
+	}
+}
+
+func (r *run) startFaults(g *tasks.Group) {
+	i := newInjector(r.set, r.book, r.watcher, r.office.race)
+	for _, f := range r.plan {
+		g.Go(func(ctx context.Context) error {
+			i.run(ctx, r.start, f)
+			return nil
+		})
+	}
+	g.Go(r.office.calm)
+	g.Go(r.keys.run)
+}
+
+func (r *run) loadConfig() load.Config {
+	l := r.set.layout
+	c := load.Config{
+		Duration: r.options.Duration, Seed: r.options.Seed, Timeout: requestTimeout, Roam: roamShare, Observe: r.book.observe,
+	}
+	for _, p := range l.Proxies {
+		c.Proxies = append(c.Proxies, p.Callers)
+	}
+	for _, g := range l.Groups {
+		c.Targets = append(c.Targets, load.Target{Group: g.Name, Orders: ident.Route(g.Name), Lookups: layout.LookupRoute(g.Name)})
+	}
+	for i, a := range l.Accounts {
+		offered := r.options.Share * float64(a.Rate)
+		if i == fixedAccounts-1 {
+			offered = saturation * float64(a.Rate)
+		}
+		account := load.Account{Name: a.Name, Key: a.Key, Rate: a.Rate, Burst: a.Burst, Offered: offered}
+		for _, f := range r.plan {
+			if f.Kind == FloodAccount && f.Account == i {
+				account.Surge = load.Surge{From: f.At, Until: f.At + f.Length, Factor: float64(f.Count) / r.options.Share}
+			}
+		}
+		c.Accounts = append(c.Accounts, account)
+	}
+	return c
+}
+
+// checkCallers adds what callers saw to the broken promises.
+func (r *run) checkCallers(report *load.Report) {
+	for _, example := range report.Broken.Examples {
+		r.book.violate(r.timeOf(example), CallerPromise, example)
+	}
+	if n := report.Broken.Sum() - len(report.Broken.Examples); n > 0 {
+		r.book.violate(time.Now(), CallerPromise, fmt.Sprintf("%d more", n))
+	}
+	for _, a := range r.set.layout.Accounts[:fixedAccounts] {
+		if w := worstWindow(admitted(r.book.attempts, a.Name), a.Rate, a.Burst); w.Broken() {
+			r.book.violate(w.Until, QuotaBound, fmt.Sprintf("%s: %d admitted in %.3f s, %.1f allowed",
+				a.Name, w.Admitted, w.Until.Sub(w.From).Seconds(), w.Allowed))
+		}
+	}
+	for _, h := range r.book.faults {
+		if h.Kind != DrainProxy || h.Skipped != "" {
+			continue
+		}
+		for _, text := range cutByDrain(r.book.attempts, h, r.book.faults, requestTimeout) {
+			r.book.violate(h.Until, GracefulStop, text)
+		}
+	}
+}
+
+// timeOf returns when the last attempt of the request that a text names ended.
+func (r *run) timeOf(text string) time.Time {
+	words := map[string]bool{}
+	for _, w := range strings.Fields(text) {
+		words[w] = true
+	}
+	at := time.Now()
+	for _, a := range r.book.attempts {
+		if words[a.ID] || a.Mistaken == text {
+			at = a.Ended
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/stand/soak/set.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/admin"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	pidsDir        = "pids"
+	controlTimeout = 2 * time.Second
+)
+
+// set reaches the processes of a running set.
+type set struct {
+	layout *layout.Layout
+	admin  *admin.Client
+	http   *http.Client
+}
+
+func newSet(l *layout.Layout) *set {
+	secret := l.Settings(l.Proxies[0]).Peers.Secret
+	return &set{layout: l, admin: admin.NewClient(secret), http: &http.Client{Transport: &http.Transport{}, Timeout: controlTimeout}}
+}
+
+// Close gives back the connections.
+func (s *set) Close() {
+	s.admin.Close()
+	s.http.CloseIdleConnections()
+}
+
+// pid returns the present process id of a process of the set.
+func (s *set) pid(name string) (int, error) {
+	text, err := os.ReadFile(filepath.Join(s.layout.Dir, pidsDir, name))
+	if err != nil {
+		return 0, errors.Wrap(err, "read process id")
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	return pid, errors.Wrapf(err, "process id of %s", name)
+}
+
+// signal sends a signal to one process.
+func (s *set) signal(pid int, sig syscall.Signal) error {
+	if pid <= 1 {
+		return errors.Newf("process id %d", pid)
+	}
+	return errors.Wrapf(syscall.Kill(pid, sig), "signal process %d", pid)
+}
+
+func (s *set) endpointStatus(ctx context.Context, e layout.Endpoint) (group.Status, error) {
+	var out group.Status
+	return out, s.get(ctx, e.Control, "/status", &out)
+}
+
+func (s *set) counters(ctx context.Context, e layout.Endpoint) (endpt.Counters, error) {
+	var out endpt.Counters
+	return out, s.get(ctx, e.Control, "/counters", &out)
+}
+
+func (s *set) setEndpoint(ctx context.Context, e layout.Endpoint, f endpt.Faults) error {
+	return s.post(ctx, e.Control, "/faults", f)
+}
+
+func (s *set) setPlatform(ctx context.Context, f plat.Faults) error {
+	return s.post(ctx, s.layout.Platform.Control, "/faults", f)
+}
+
+func (s *set) setLeaving(ctx context.Context, e layout.Endpoint, leaving bool) error {
+	return s.post(ctx, s.layout.Platform.Control, "/list/entry", plat.Listed{Name: string(e.Name), Address: e.Listen, Leaving: leaving})
+}
+
+// fillList lists every process as live.
+func (s *set) fillList(ctx context.Context) error {
+	var all []plat.Listed
+	for _, p := range s.layout.Proxies {
+		all = append(all, plat.Listed{Name: string(p.Name), Address: p.Callers})
+	}
+	for _, g := range s.layout.Groups {
+		for _, e := range g.Endpoints {
+			all = append(all, plat.Listed{Name: string(e.Name), Address: e.Listen})
+		}
+	}
+	return s.post(ctx, s.layout.Platform.Control, "/list", all)
+}
+
+func (s *set) get(ctx context.Context, address, path string, out any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	return s.do(request, out)
+}
+
+func (s *set) post(ctx context.Context, address, path string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(text))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	return s.do(request, nil)
+}
+
+func (s *set) do(request *http.Request, out any) error {
+	response, err := s.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "call control interface")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Newf("%s: status %s", request.URL, response.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(out), "decode answer")
+}
+
+// leader returns the index of the endpoint that leads a group in the highest
+// term.
+func (s *set) leader(ctx context.Context, g layout.Group) (int, bool) {
+	best, term := 0, ident.Term(0)
+	for i, e := range g.Endpoints {
+		if st, err := s.endpointStatus(ctx, e); err == nil && st.Role == group.PrimaryRole && st.Term > term {
+			best, term = i, st.Term
+		}
+	}
+	return best, term > 0
+}
+
+// whole reports whether every endpoint of a group works in one term and holds
+// what is confirmed, so that one may lose all that it keeps.
+func (s *set) whole(ctx context.Context, g layout.Group) bool {
+	var all []group.Status
+	for _, e := range g.Endpoints {
+		st, err := s.endpointStatus(ctx, e)
+		if err != nil {
+			return false
+		}
+		all = append(all, st)
+	}
+	return wholeGroup(all)
+}
+
+// wholeGroup decides on the statuses of all endpoints of a group.
+func wholeGroup(all []group.Status) bool {
+	var confirmed ident.Position
+	primaries := 0
+	for _, st := range all {
+		confirmed = max(confirmed, st.Confirmed)
+		if st.Role == group.PrimaryRole {
+			primaries++
+		}
+	}
+	for _, st := range all {
+		if st.Term != all[0].Term || st.Sealed > st.Term || st.Last.Position < confirmed {
+			return false
+		}
+	}
+	return primaries == 1
+}
