Put LeaseAsk and LeaseHold on the wire

Cause: the codec had no type for the two messages by which the holder of a quota lease asks its witness, and the proxy registered no handler for them. Each ask was dropped with "unknown message type", so a holder lived by the promise after its own writes of the row alone. Ruled out: refusals by the fair queue (single QuotaUsedUp and LeaseLapsed records on the time line, asks in the logs once a second). Change: types 9 and 10, handlers, a bound of 64 KB for a list of leases (64 elements and 4 KB were too few for the one instance that holds all parts). TestWitnessesAnswerHolders and TestCodecRoundTrip fail before.

--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -77,11 +77,18 @@
 	p.fleet.Register(parts.Router)
 	p.fleet.SetApply(p.apply)
 	peer.Handle(parts.Router, p.sites.Receive)
-	peer.Handle(parts.Router, func(from ident.Instance, m peer.TokenAsk, now time.Time) { p.quota.Receive(from, m, now) })
-	peer.Handle(parts.Router, func(from ident.Instance, m peer.TokenGive, now time.Time) { p.quota.Receive(from, m, now) })
+	handleQuota[peer.TokenAsk](p, parts.Router)
+	handleQuota[peer.TokenGive](p, parts.Router)
+	handleQuota[peer.LeaseAsk](p, parts.Router)
+	handleQuota[peer.LeaseHold](p, parts.Router)
 	return p
 }
 
+// handleQuota passes the messages of type M to the quota.
+func handleQuota[M peer.Message](p *Proxy, r *peer.Router) {
+	peer.Handle(r, func(from ident.Instance, m M, now time.Time) { p.quota.Receive(from, m, now) })
+}
+
 // Start begins to serve. It fails when the administration address is taken.
 func (p *Proxy) Start() error {
 	var err error
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,11 +13,14 @@
 	MaxDocument = 1 << 20
 	// MaxFrame bounds every frame in bytes.
 	MaxFrame = MaxDocument + maxPlain
-	// maxPlain bounds each frame that carries no document text.
+	// maxLeases bounds a frame that lists leases, to about 1500 of them.
+	maxLeases = 64 << 10
+	// maxPlain bounds every other frame.
 	maxPlain = 4 << 10
 
-	maxNesting  = 6
-	maxElements = 64
+	maxNesting = 6
+	// maxElements is more than fit into a frame that lists leases.
+	maxElements = 4096
 	maxPairs    = 64
 )
 
@@ -126,6 +129,10 @@
 		return decodeAs[TokenGive](kind, body)
 	case LeavingKind:
 		return decodeAs[Leaving](kind, body)
+	case LeaseAskKind:
+		return decodeAs[LeaseAsk](kind, body)
+	case LeaseHoldKind:
+		return decodeAs[LeaseHold](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
@@ -139,8 +146,11 @@
 }
 
 func maxFrameOf(kind Kind) int {
-	if kind == DocumentKind {
+	switch kind {
+	case DocumentKind:
 		return MaxFrame
+	case LeaseAskKind:
+		return maxLeases
 	}
 	return maxPlain
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -23,9 +23,20 @@
 		TokenAsk{Account: "acme", Count: 5, Nonce: 8},
 		TokenGive{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
 		Leaving{},
+		LeaseAsk{Nonce: 8, Leases: manyLeases()},
+		LeaseHold{Nonce: 8, Length: time.Second},
 	}
 }
 
+// manyLeases is what the only instance of a deployment with 100 accounts holds.
+func manyLeases() []LeaseRef {
+	var out []LeaseRef
+	for n := range 800 {
+		out = append(out, LeaseRef{Account: "account-of-usual-length", Part: ident.Part(n % 8), Epoch: 1000})
+	}
+	return out
+}
+
 func TestCodecRoundTrip(t *testing.T) {
 	g := NewWithT(t)
 	for _, m := range samples() {
