Call a request that pgx did not send not run

pgx closes statements that it no longer trusts before it sends the next one. The books now hold such a request as not run, which is checked against the group's content.

--- a/internal/stand/load/caller.go
+++ b/internal/stand/load/caller.go
@@ -111,6 +111,9 @@
 	if errors.As(err, &wrong) {
 		a.Mistaken = wrong.text
 	}
+	if err != nil {
+		a.Cause = err.Error()
+	}
 	a.Account, a.Group = c.account.Name, c.target.Group
 	c.config.Observe(a)
 }
--- a/internal/stand/load/config.go
+++ b/internal/stand/load/config.go
@@ -52,6 +52,7 @@
 	Outcome  Outcome
 	Code     fault.Code
 	Mistaken string // what is wrong with the answer
+	Cause    string // the error as the caller saw it
 }
 
 // Account is one client account and what its callers offer.
--- a/internal/stand/load/load_test.go
+++ b/internal/stand/load/load_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
@@ -112,6 +113,13 @@
 	g.Expect(wrongful(refused, false)).To(BeFalse())
 }
 
+func TestStatementsThatWereNotSentDidNotRun(t *testing.T) {
+	g := NewWithT(t)
+	err := errors.New("order: failed to deallocate cached statement(s): conn closed")
+	g.Expect(judge(err)).To(Equal(verdict{NotRun, Lost}))
+	g.Expect(judge(errors.New("order: conn closed"))).To(Equal(verdict{Unknown, Lost}))
+}
+
 func TestGapCountsTheTimeAfterTheLastWrite(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(0, 0)
--- a/internal/stand/load/outcome.go
+++ b/internal/stand/load/outcome.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"strings"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -63,7 +65,7 @@
 		return verdict{NotRun, unreachable}
 	case errors.As(err, &pg):
 		return judgeCode(fault.Code(pg.Code))
-	case pgconn.SafeToRetry(err):
+	case pgconn.SafeToRetry(err), strings.Contains(err.Error(), beforeSending):
 		return verdict{NotRun, Lost}
 	case errors.Is(err, pgx.ErrTxCommitRollback):
 		return verdict{Failed, "rollback"}
@@ -71,6 +73,10 @@
 	return verdict{Unknown, Lost}
 }
 
+// beforeSending is in the errors of pgx from before it sends a statement: it
+// first closes statements that it no longer trusts.
+const beforeSending = "failed to deallocate cached statement(s)"
+
 // judgeOpen judges an error from inside a transaction whose commit was never
 // sent: it has no effect, whatever was lost.
 func judgeOpen(err error) verdict {
--- a/internal/stand/soak/check.go
+++ b/internal/stand/soak/check.go
@@ -69,7 +69,8 @@
 	for _, a := range all {
 		inside := a.Ended.After(drain.From) && a.Ended.Before(drain.Until.Add(margin)) && a.Sent.Before(drain.Until)
 		if inside && a.Proxy == drain.Proxy && a.Outcome == load.Unknown && a.Code == load.Lost && a.Ended.Sub(a.Sent) < timeout-margin {
-			wrong = append(wrong, fmt.Sprintf("%s cut request %s (%s) of %s in its graceful stop", drain.Target, a.ID, a.Kind, a.Account))
+			wrong = append(wrong, fmt.Sprintf("%s cut request %s (%s) of %s in its graceful stop, sent %.3f s after its start and ended after %.3f s: %s",
+				drain.Target, a.ID, a.Kind, a.Account, a.Sent.Sub(drain.From).Seconds(), a.Ended.Sub(a.Sent).Seconds(), a.Cause))
 		}
 	}
 	return wrong
