Ask callers to come back before the first document is in force

Cause: an instance that had no document yet looked the caller's route up in an empty table and answered 3D000, no such route, which a caller takes for final. Change: 57P03 with a time to come back until there is a table.

--- a/internal/front/login.go
+++ b/internal/front/login.go
@@ -106,6 +106,9 @@
 
 // admit checks route, key and token.
 func (s *session) admit(m *pgproto3.StartupMessage) error {
+	if !s.server.table.Known() {
+		return fault.Refuse(fault.NoPrimary, time.Second, "no document is in force yet")
+	}
 	name := ident.Route(m.Parameters["database"])
 	route := s.server.table.Get(name)
 	if route == nil {
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -55,6 +55,9 @@
 	t.routes.Store(&snapshot)
 }
 
+// Known reports whether routes were set, which takes a document in force.
+func (t *Table) Known() bool { return t.routes.Load() != nil }
+
 // Get returns the named route, or nil.
 func (t *Table) Get(name ident.Route) *Route {
 	if m := t.routes.Load(); m != nil {
