--- a/internal/stand/load/outcome.go
+++ b/internal/stand/load/outcome.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"strings"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -23,8 +25,8 @@
 // connection.
 const unreachable fault.Code = "connect"
 
-// lost stands in the place of a SQLSTATE when the connection broke.
-const lost fault.Code = "lost"
+// Lost stands in the place of a SQLSTATE when the connection broke.
+const Lost fault.Code = "lost"
 
 // notRun are the SQLSTATEs by which the system says that nothing ran.
 var notRun = map[fault.Code]bool{
@@ -63,14 +65,18 @@
 		return verdict{NotRun, unreachable}
 	case errors.As(err, &pg):
 		return judgeCode(fault.Code(pg.Code))
-	case pgconn.SafeToRetry(err):
-		return verdict{NotRun, lost}
+	case pgconn.SafeToRetry(err), strings.Contains(err.Error(), beforeSending):
+		return verdict{NotRun, Lost}
 	case errors.Is(err, pgx.ErrTxCommitRollback):
 		return verdict{Failed, "rollback"}
 	}
-	return verdict{Unknown, lost}
+	return verdict{Unknown, Lost}
 }
 
+// beforeSending is in the errors of pgx from before it sends a statement: it
+// first closes statements that it no longer trusts.
+const beforeSending = "failed to deallocate cached statement(s)"
+
 // judgeOpen judges an error from inside a transaction whose commit was never
 // sent: it has no effect, whatever was lost.
 func judgeOpen(err error) verdict {
