Carry lease questions and answers between instances

Cause: LeaseAsk and LeaseHold had no number on the wire and no handler in the composed process, so no witness ever answered. A holder spent only for 4 s after each write of a row, and looked for another witness all the time. TestQuotaOutlivesTheStore failed before with 53300 (the account's rate and burst are used up) seconds after the store went silent.

Ruled out: the decider, whose own runs pass messages without the codec.

Change: kinds 9 and 10, their handlers, an array bound of 1,024 and a frame of 64 KiB for the list of leases, and a test that every kind has a sample.

Conclusion: the witnesses work; what remains is the renewal of a lease of 10 s, a matter of its own.

--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -77,11 +77,18 @@
 	p.fleet.Register(parts.Router)
 	p.fleet.SetApply(p.apply)
 	peer.Handle(parts.Router, p.sites.Receive)
-	peer.Handle(parts.Router, func(from ident.Instance, m peer.TokenAsk, now time.Time) { p.quota.Receive(from, m, now) })
-	peer.Handle(parts.Router, func(from ident.Instance, m peer.TokenGive, now time.Time) { p.quota.Receive(from, m, now) })
+	handleQuota[peer.TokenAsk](parts.Router, p.quota)
+	handleQuota[peer.TokenGive](parts.Router, p.quota)
+	handleQuota[peer.LeaseAsk](parts.Router, p.quota)
+	handleQuota[peer.LeaseHold](parts.Router, p.quota)
 	return p
 }
 
+// handleQuota hands the messages of one type to the quota.
+func handleQuota[M peer.Message](router *peer.Router, quota *acct.Keeper) {
+	peer.Handle(router, func(from ident.Instance, m M, now time.Time) { quota.Receive(from, m, now) })
+}
+
 // Start begins to serve. It fails when the administration address is taken.
 func (p *Proxy) Start() error {
 	var err error
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,9 +15,11 @@
 	MaxFrame = MaxDocument + maxPlain
 	// maxPlain bounds each frame that carries no document text.
 	maxPlain = 4 << 10
+	// maxLeases bounds a frame that names quota leases.
+	maxLeases = 64 << 10
 
 	maxNesting  = 6
-	maxElements = 64
+	maxElements = 1024
 	maxPairs    = 64
 )
 
@@ -126,6 +128,10 @@
 		return decodeAs[TokenGive](kind, body)
 	case LeavingKind:
 		return decodeAs[Leaving](kind, body)
+	case LeaseAskKind:
+		return decodeAs[LeaseAsk](kind, body)
+	case LeaseHoldKind:
+		return decodeAs[LeaseHold](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
@@ -139,8 +145,11 @@
 }
 
 func maxFrameOf(kind Kind) int {
-	if kind == DocumentKind {
+	switch kind {
+	case DocumentKind:
 		return MaxFrame
+	case LeaseAskKind:
+		return maxLeases
 	}
 	return maxPlain
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -23,9 +23,21 @@
 		TokenAsk{Account: "acme", Count: 5, Nonce: 8},
 		TokenGive{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
 		Leaving{},
+		LeaseAsk{Nonce: 8, Leases: make([]LeaseRef, 1000)},
+		LeaseHold{Nonce: 8, Length: time.Second},
 	}
 }
 
+// Every message of the package has a number on the wire.
+func TestEveryKindHasASample(t *testing.T) {
+	g := NewWithT(t)
+	seen := map[Kind]bool{0: true}
+	for _, m := range samples() {
+		seen[KindOf(m)] = true
+	}
+	g.Expect(seen).To(HaveLen(kinds))
+}
+
 func TestCodecRoundTrip(t *testing.T) {
 	g := NewWithT(t)
 	for _, m := range samples() {
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -15,15 +15,17 @@
 	TokenAskKind    Kind = 6
 	TokenGiveKind   Kind = 7
 	LeavingKind     Kind = 8
+	LeaseAskKind    Kind = 9
+	LeaseHoldKind   Kind = 10
 
-	kinds = 9
+	kinds = 11
 )
 
 // String returns the name of the message type, for metrics and errors.
 func (k Kind) String() string {
 	names := [kinds]string{
 		"Unknown", "Hello", "Head", "DocumentAsk", "Document",
-		"GroupState", "TokenAsk", "TokenGive", "Leaving",
+		"GroupState", "TokenAsk", "TokenGive", "Leaving", "LeaseAsk", "LeaseHold",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -50,6 +52,10 @@
 		return TokenGiveKind
 	case Leaving:
 		return LeavingKind
+	case LeaseAsk:
+		return LeaseAskKind
+	case LeaseHold:
+		return LeaseHoldKind
 	}
 	return 0
 }
