Set quota leases to twelve minutes by default

A store outage ended every quota after 10 s, and each part was renewed every 0.8 s.

Ruled out: a fault in the renewal; the interval is a twelfth of the lease.

The longest lease that the settings allow rises from 10 min to 1 h for it.

--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -21,7 +21,7 @@
 	minDrainTimeout   = envdoc.Duration(100 * time.Millisecond)
 	maxDrainTimeout   = envdoc.Duration(time.Hour)
 	minLeaseLength    = envdoc.Duration(time.Second)
-	maxLeaseLength    = envdoc.Duration(10 * time.Minute)
+	maxLeaseLength    = envdoc.Duration(time.Hour)
 )
 
 const urlAllowed = `a URL by IP number such as "http://127.0.0.1:8000"`
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -21,7 +21,7 @@
 	DefaultQueueWait      = envdoc.Duration(500 * time.Millisecond)
 	DefaultRequestTimeout = envdoc.Duration(10 * time.Second)
 	DefaultDrainTimeout   = envdoc.Duration(30 * time.Second)
-	DefaultLeaseLength    = envdoc.Duration(10 * time.Second)
+	DefaultLeaseLength    = envdoc.Duration(12 * time.Minute)
 )
 
 // Load reads and checks the settings of a proxy. Its error is a
