--- a/cmd/stand/main.go
+++ b/cmd/stand/main.go
@@ -25,6 +25,6 @@
 	return &cli.Command{
 		Name:     "stand",
 		Usage:    "stand-ins of the platform and of the endpoints, and the load tool",
-		Commands: []*cli.Command{endpointCommand(), loadCommand(), experimentCommand(), platformCommand(), layoutCommand(), measuresCommand()},
+		Commands: []*cli.Command{endpointCommand(), loadCommand(), experimentCommand(), platformCommand(), layoutCommand(), measuresCommand(), slopeCommand()},
 	}
 }
--- a/internal/stand/exper/deploy.go
+++ b/internal/stand/exper/deploy.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"runtime/pprof"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,10 @@
 	Naive Version = "naive"
 )
 
+// InstanceLabels mark the goroutines of the proxies in a CPU profile of the
+// process, to tell them from those of the stand-ins.
+var InstanceLabels = pprof.Labels("role", "instance")
+
 // Versions lists all versions.
 var Versions = []Version{Current, Unconfirmed, Naive}
 
@@ -76,6 +81,11 @@
 	if err := d.accept(ctx); err != nil {
 		return err
 	}
+	pprof.Do(ctx, InstanceLabels, func(context.Context) { err = d.startProxies() })
+	return err
+}
+
+func (d *Deployment) startProxies() error {
 	for _, p := range d.Layout.Proxies {
 		proxy, err := entry.Build(d.Layout.Settings(p), d.policies())
 		if err != nil {
--- /dev/null
+++ b/internal/stand/slope/moves.go
@@ -0,0 +1,106 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/exper"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	lookEvery = 2 * time.Millisecond
+	patience  = 30 * time.Second
+)
+
+var errPatience = errors.New("it did not happen in time")
+
+// change accepts the next version and returns how long it took until every
+// instance had it in force.
+func change(ctx context.Context, d *exper.Deployment, version ident.Version) (time.Duration, error) {
+	text, err := envdoc.Marshal(d.Layout.Document())
+	if err != nil {
+		return 0, errors.Wrap(err, "marshal document")
+	}
+	s, err := store.Open(d.Platform.Platform())
+	if err != nil {
+		return 0, errors.Wrap(err, "open store")
+	}
+	defer func() { _ = s.Close() }()
+	head := store.Head{Change: ident.Change(fmt.Sprint("change-", version)), Author: "slope", At: time.Now()}
+	if _, err := s.Documents.Accept(ctx, layout.Environment, version-1, head, text); err != nil {
+		return 0, errors.Wrap(err, "accept document")
+	}
+	return until(ctx, func() bool { return allHave(d, version) })
+}
+
+func allHave(d *exper.Deployment, version ident.Version) bool {
+	for _, p := range d.Proxies {
+		if p.Version().Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// failOver ends the primaries of the first groups at once and returns how long
+// it took until every instance knew the new ones.
+func failOver(ctx context.Context, d *exper.Deployment, groups int) (time.Duration, error) {
+	lost := make([]ident.Endpoint, groups)
+	var ends errgroup.Group
+	for i, g := range d.Layout.Groups[:groups] {
+		for n, s := range d.Endpoints[g.Name] {
+			if s.Status().Role == group.PrimaryRole {
+				lost[i] = g.Endpoints[n].Name
+				ends.Go(s.Close)
+			}
+		}
+	}
+	took, err := until(ctx, func() bool { return allMoved(d, lost) })
+	return took, errors.CombineErrors(err, ends.Wait())
+}
+
+func allMoved(d *exper.Deployment, lost []ident.Endpoint) bool {
+	for _, p := range d.Proxies {
+		for _, g := range p.Report(time.Now()).Groups {
+			if g.Primary == "" || slices.Contains(lost, g.Primary) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// until returns how long it took until done holds.
+func until(ctx context.Context, done func() bool) (time.Duration, error) {
+	began := time.Now()
+	for !done() {
+		if time.Since(began) > patience {
+			return 0, errors.Wrapf(errPatience, "after %v", patience)
+		}
+		if err := wait(ctx, lookEvery); err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(began), nil
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
