--- a/cmd/stand/main.go
+++ b/cmd/stand/main.go
@@ -23,8 +23,17 @@
 
 func app() *cli.Command {
 	return &cli.Command{
-		Name:     "stand",
-		Usage:    "stand-ins of the platform and of the endpoints, and the load tool",
-		Commands: []*cli.Command{endpointCommand(), loadCommand(), experimentCommand(), platformCommand(), layoutCommand(), measuresCommand(), soakCommand()},
+		Name:  "stand",
+		Usage: "stand-ins of the platform and of the endpoints, and the load tool",
+		Commands: []*cli.Command{
+			platformCommand(),
+			endpointCommand(),
+			layoutCommand(),
+			loadCommand(),
+			measuresCommand(),
+			experimentCommand(),
+			slopeCommand(),
+			soakCommand(),
+		},
 	}
 }
