--- a/cmd/marjoramrudder/proxy.go
+++ b/cmd/marjoramrudder/proxy.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"flag"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -27,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if err := setLogLevel(settings.Log.Level); err != nil {
+		return err
+	}
 	proxy, err := entry.Build(settings, entry.Policies{})
 	if err != nil {
 		return errors.Wrap(err, "build proxy")
@@ -42,3 +47,10 @@
 	klog.InfoS("Stopping", "instance", settings.Instance, "reason", reason)
 	return proxy.Stop(context.Background())
 }
+
+// setLogLevel makes klog print messages up to the level.
+func setLogLevel(level int) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	return errors.Wrap(flags.Set("v", strconv.Itoa(level)), "set log level")
+}
