--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -126,7 +126,7 @@
 			p.quota.SetPeers(live)
 		}
 		p.sites.CloseIdle(time.Now().Add(-controlIdle))
-		wait(ctx, tendEvery)
+		tasks.Pause(ctx, tendEvery)
 	}
 	return nil
 }
@@ -140,7 +140,7 @@
 		} else {
 			p.sites.SetLeaving(leavingOf(listed))
 		}
-		wait(ctx, listEvery)
+		tasks.Pause(ctx, listEvery)
 	}
 	return nil
 }
@@ -155,15 +155,6 @@
 	return leaving
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Drain implements admin.Control: it asks for a graceful stop.
 func (p *Proxy) Drain(reason string) {
 	select {
--- a/internal/oper/fleet.go
+++ b/internal/oper/fleet.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -139,19 +141,8 @@
 		if asked && last.Everywhere() {
 			return last, nil
 		}
-		if !pause(ctx, pollInterval) {
+		if !tasks.Pause(ctx, pollInterval) {
 			return last, errors.CombineErrors(ErrNotInForce, err)
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"k8s.io/klog/v2"
@@ -46,7 +48,7 @@
 			pause = o.backoffMin
 		}
 		klog.V(2).InfoS("Dialling again", "peer", d.peer, "reason", err)
-		wait(ctx, pause/2+rand.N(pause/2+1))
+		tasks.Pause(ctx, pause/2+rand.N(pause/2+1))
 		pause = min(2*pause, o.backoffMax)
 	}
 }
@@ -107,12 +109,3 @@
 func newClient(config *tls.Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/stand/endpt/exec.go
+++ b/internal/stand/endpt/exec.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 )
 
 // result is what a statement returns. Columns are nil when it has no rows.
@@ -76,7 +78,7 @@
 		return canceled()
 	}
 	defer func() { <-s.slots }()
-	if !pause(ctx, s.config.ServiceTime+s.faults.slowness()) {
+	if !tasks.Pause(ctx, s.config.ServiceTime+s.faults.slowness()) {
 		return canceled()
 	}
 	return nil
@@ -102,7 +104,7 @@
 		return nil, canceled()
 	}
 	defer func() { <-x.server.slots }()
-	if !pause(ctx, time.Duration(seconds*float64(time.Second))) {
+	if !tasks.Pause(ctx, time.Duration(seconds*float64(time.Second))) {
 		return nil, canceled()
 	}
 	return &result{columns: textColumns(st.columns), rows: [][]*string{{text("")}}, tag: "SELECT 1"}, nil
--- a/internal/stand/endpt/feed.go
+++ b/internal/stand/endpt/feed.go
@@ -85,14 +85,14 @@
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
 	if d, ok := s.node.due(p); ok {
-		pause(ctx, min(heartbeat, time.Until(d.Add(s.faults.replicationLag()))))
+		tasks.Pause(ctx, min(heartbeat, time.Until(d.Add(s.faults.replicationLag()))))
 		return
 	}
 	select {
 	case <-beat.C:
 	case <-changed:
 		if d, ok := s.node.due(p); ok {
-			pause(ctx, min(heartbeat, time.Until(d.Add(s.faults.replicationLag()))))
+			tasks.Pause(ctx, min(heartbeat, time.Until(d.Add(s.faults.replicationLag()))))
 		}
 	case <-ctx.Done():
 	}
--- a/internal/stand/endpt/join.go
+++ b/internal/stand/endpt/join.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -43,7 +45,7 @@
 // incarnation proves that there was one.
 func (s *Server) join(ctx context.Context) error {
 	rejoin := s.config.Rejoin
-	for start := time.Now(); ctx.Err() == nil && !rejoin; pause(ctx, redial) {
+	for start := time.Now(); ctx.Err() == nil && !rejoin; tasks.Pause(ctx, redial) {
 		replies := s.probeAll(ctx)
 		for _, r := range replies {
 			rejoin = rejoin || r.Met != s.node.incarnation
@@ -54,7 +56,7 @@
 			return s.found()
 		}
 	}
-	for ; ctx.Err() == nil; pause(ctx, heartbeat) {
+	for ; ctx.Err() == nil; tasks.Pause(ctx, heartbeat) {
 		if leader, ok := s.leader(s.probeAll(ctx)); ok {
 			return s.follow(leader.Term, s.config.Peers[leader.Name])
 		}
--- a/internal/stand/endpt/link.go
+++ b/internal/stand/endpt/link.go
@@ -151,27 +151,12 @@
 }
 
 func (l *link) waitUntil(due time.Time) {
-	pause(l.stop, time.Until(due))
+	tasks.Pause(l.stop, time.Until(due))
 	for _, g := range l.gates {
 		g.wait(l.stop)
 	}
 }
 
-// pause waits for d or until ctx ends; it reports whether d has passed.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // gate holds up what passes through it while it is shut.
 type gate struct {
 	mu   sync.Mutex
--- a/internal/stand/endpt/server.go
+++ b/internal/stand/endpt/server.go
@@ -117,7 +117,7 @@
 		c, err := s.listener.Accept()
 		if err != nil {
 			klog.V(1).InfoS("Accept failed", "endpoint", s.config.Name, "reason", err)
-			pause(ctx, redial)
+			tasks.Pause(ctx, redial)
 			continue
 		}
 		s.tasks.Go(func(ctx context.Context) error { return s.serve(ctx, c) })
--- a/internal/stand/endpt/session.go
+++ b/internal/stand/endpt/session.go
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -67,7 +69,7 @@
 	if s.open.Add(1) > int64(s.config.Connections) {
 		return x.refuse(fail(codeTooMany, "endpoint %s has no free connection", s.config.Name))
 	}
-	if !pause(ctx, s.config.ConnectTime) {
+	if !tasks.Pause(ctx, s.config.ConnectTime) {
 		return ctx.Err()
 	}
 	if err := x.authenticate(start); err != nil {
--- a/internal/stand/endpt/stream.go
+++ b/internal/stand/endpt/stream.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -83,7 +85,7 @@
 func (s *Server) followLoop(ctx context.Context, term ident.Term, address string) error {
 	for ctx.Err() == nil {
 		_ = s.followOnce(ctx, term, address)
-		pause(ctx, redial)
+		tasks.Pause(ctx, redial)
 	}
 	return nil
 }
--- a/internal/stand/exper/measure.go
+++ b/internal/stand/exper/measure.go
@@ -83,7 +83,7 @@
 
 // inject breaks things after the first third and mends them after the second.
 func (d *Deployment) inject(ctx context.Context, s Scenario, length time.Duration) error {
-	if !pause(ctx, length/3) {
+	if !tasks.Pause(ctx, length/3) {
 		return nil
 	}
 	var mends []func()
@@ -91,24 +91,13 @@
 		mends = append(mends, f(d))
 	}
 	klog.InfoS("Faults injected", "scenario", s.Name, "count", len(mends))
-	pause(ctx, length/3)
+	tasks.Pause(ctx, length/3)
 	for _, mend := range mends {
 		mend()
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func summary(r *load.Report, faulted ident.Group, flooding ident.Account) *Measure {
 	m := &Measure{Report: r, Broken: r.Broken.Sum()}
 	rest := &load.Report{}
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -88,7 +88,7 @@
 	}()
 	p := newPlan(&r.config, account)
 	for a := p.next(); a.at < r.config.Duration; a = p.next() {
-		if !sleepUntil(ctx, r.start.Add(a.at)) {
+		if !tasks.PauseUntil(ctx, r.start.Add(a.at)) {
 			return nil
 		}
 		select {
@@ -148,18 +148,7 @@
 			return v, err
 		}
 		first = v
-		sleepUntil(ctx, time.Now().Add(retryPause))
-	}
-}
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
+		tasks.PauseUntil(ctx, time.Now().Add(retryPause))
 	}
 }
 
--- a/internal/stand/load/verify.go
+++ b/internal/stand/load/verify.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
 )
@@ -41,7 +43,7 @@
 			return f, err
 		}
 		c.move()
-		sleepUntil(ctx, time.Now().Add(verifyPause))
+		tasks.PauseUntil(ctx, time.Now().Add(verifyPause))
 	}
 }
 
@@ -105,7 +107,7 @@
 				n++
 				continue
 			}
-			if !sleepUntil(ctx, time.Now().Add(verifyPause)) {
+			if !tasks.PauseUntil(ctx, time.Now().Add(verifyPause)) {
 				return err
 			}
 			c.settle(judge(err))
--- /dev/null
+++ b/internal/tasks/pause.go
@@ -0,0 +1,26 @@
+package tasks
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d. It reports false when ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// PauseUntil waits for a time. It reports false when ctx ended first.
+func PauseUntil(ctx context.Context, at time.Time) bool {
+	return Pause(ctx, time.Until(at))
+}
