--- /dev/null
+++ b/scripts/idle.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Starts a deployment as real processes, leaves it idle and prints what each
+# proxy takes: share of a core, resident memory, failed probes. The first
+# argument is the number of proxies, the second the profile. Ends by itself
+# and leaves no process behind.
+set -u
+cd "$(dirname "$0")/.."
+SET_DIR=$(mktemp -d)
+export SET_DIR
+. scripts/set.sh
+trap 'stop_set; rm -rf "$SET_DIR"' EXIT
+
+bin/stand layout --profile "${2:-carbonella}" --proxies "${1:-8}" --dir "$SET_DIR" || exit 1
+start_set
+settings=$SET_DIR/proxy-1.toml
+for _ in $(seq 100); do
+  bin/marjoramrudder env put --settings "$settings" --unannounced --author idle "$SET_DIR/document.toml" >"$SET_DIR/put" 2>&1 && break
+  sleep 0.1
+done
+tail -n 1 "$SET_DIR/put"
+sleep 20
+
+# value SETTINGS METRIC prints the sum of a metric of one proxy.
+value() {
+  local address
+  address=$(sed -n "s/^Admin = ['\"]\(.*\)['\"]/\1/p" "$1")
+  curl -s "http://$address/metrics" | awk -v m="$2" 'index($1, m) == 1 { s += $2 } END { print s + 0 }'
+}
+
+window=20
+declare -A cpu probes failed
+for s in "$SET_DIR"/proxy-*.toml; do
+  cpu[$s]=$(value "$s" process_cpu_seconds_total)
+  probes[$s]=$(value "$s" marjoram_group_probes_total)
+  failed[$s]=$(value "$s" marjoram_group_probes_failed_total)
+done
+sleep "$window"
+for s in "$SET_DIR"/proxy-*.toml; do
+  echo "$(basename "$s" .toml) $(value "$s" process_cpu_seconds_total) ${cpu[$s]} $(value "$s" process_resident_memory_bytes)" \
+    "$(value "$s" marjoram_group_probes_total) ${probes[$s]} $(value "$s" marjoram_group_probes_failed_total) ${failed[$s]}"
+done | awk -v w="$window" '{ printf "%s: core %.2f %%, resident %.1f MB, probes %.1f/s, failed %.1f/s\n", $1, 100*($2-$3)/w, $4/1e6, ($5-$6)/w, ($7-$8)/w }'
