Acknowledge a recorded repeat only when a majority holds it

Cause: when the identifier of a request was recorded, the proxy gave the recorded outcome at once. It ignored the mark that the endpoint returns with it, so the repeat of a write whose answer was lost was acknowledged while the primary alone held it, and the session's token did not cover it. The death of that primary lost an acknowledged order; a replica showed the session data without its own write. Ruled out: a stale floor after the change of primary (the group had none at that time); the load tool (the missing orders came later). Change: wait for the confirmation of the record's position in the term of the primary that holds it, then tell the new token. Without the mark the outcome is unknown. The script testdata/repeated fails before at the order that the primary's death loses, and without the token alone at the session's own read.

--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -233,6 +233,8 @@
 			f.Slow = span
 		case "ReplicationLag":
 			f.ReplicationLag = span
+		case "ApplyLag":
+			f.ApplyLag = span
 		default:
 			s.t.Fatalf("%s: unknown fault %s", d.Pos, a.Key)
 		}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -158,7 +158,7 @@
 		return s.lost(w, l, err)
 	}
 	if result.Refused != nil {
-		return s.checked(w, l, result.Refused)
+		return s.checked(ctx, w, l, &result)
 	}
 	if s.mayMove(w, l, &result) {
 		w.need.Write = true
@@ -319,7 +319,8 @@
 }
 
 // checked decides what follows from a failed check; nothing ran.
-func (s *session) checked(w *work, l *loan, e *back.ServerError) (again bool, refusal, failure error) {
+func (s *session) checked(ctx context.Context, w *work, l *loan, r *back.Result) (again bool, refusal, failure error) {
+	e := r.Refused
 	s.endLoan(true)
 	s.dropAnswer()
 	switch e.Code {
@@ -332,8 +333,8 @@
 	case group.CodeNotPrimary, group.CodeSealed:
 		return s.deposed(w, l)
 	case group.CodeRecorded:
-		repeatsServed.Inc()
-		return false, nil, s.send(&pgproto3.CommandComplete{CommandTag: []byte(e.Detail)})
+		refusal, failure = s.repeated(ctx, w, l, r)
+		return false, refusal, failure
 	case group.CodeMismatch:
 		return false, fault.Refuse(fault.RequestMismatch, 0, "request identifier %q was used for another statement", w.plan.request), nil
 	}
@@ -341,6 +342,28 @@
 	return false, fault.Refuse(fault.Internal, 0, "a check failed at the endpoint: %s", e.Message).Because(e), nil
 }
 
+// repeated answers a request whose identifier is recorded, as the first run
+// would have been answered: after a majority holds the write, and with a token
+// that covers it. The primary of the loan's term holds the record, so that its
+// position is confirmed in that term, whatever term it was written in.
+func (s *session) repeated(ctx context.Context, w *work, l *loan, r *back.Result) (refusal, failure error) {
+	if r.Mark.Zero() {
+		return fault.Lose(r.Refused, "the request has run before, and its position could not be learned"), nil
+	}
+	s.hold = true
+	s.token = s.token.With(w.route.Group.Name, r.Mark)
+	s.shown = true
+	held := back.Result{Mark: ident.Mark{Term: l.term, Position: r.Mark.Position}, Confirmed: r.Confirmed}
+	if err := s.confirm(ctx, w, &held); err != nil {
+		return err, nil
+	}
+	repeatsServed.Inc()
+	if err := s.send(&pgproto3.CommandComplete{CommandTag: []byte(r.Refused.Detail)}); err != nil {
+		return nil, err
+	}
+	return nil, s.sendToken()
+}
+
 // deposed reports an endpoint that is not the primary it was taken for.
 func (s *session) deposed(w *work, l *loan) (again bool, refusal, failure error) {
 	g := w.route.Group
