--- a/internal/stand/soak/effect.go
+++ b/internal/stand/soak/effect.go
@@ -36,10 +36,11 @@
 }
 
 // endpointFaults joins the lasting faults of one endpoint that are on. The
-// replication lag is never below base.
+// replication lag, which a primary gives its replicas, is never below base; the
+// apply lag is the one of a replica.
 func endpointFaults(on []active, name ident.Endpoint, base time.Duration) endpt.Faults {
 	cutGroup, cutCallers := false, false
-	lag, slow := envdoc.Duration(base), envdoc.Duration(0)
+	lag, apply, slow := envdoc.Duration(base), envdoc.Duration(0), envdoc.Duration(0)
 	for _, f := range on {
 		if f.endpoint != name {
 			continue
@@ -51,9 +52,10 @@
 			cutCallers = true
 		case LagReplicas:
 			lag = max(lag, envdoc.Duration(f.Delay))
+			apply = max(apply, envdoc.Duration(f.Delay))
 		case SlowStatements:
 			slow = max(slow, envdoc.Duration(f.Delay))
 		}
 	}
-	return endpt.Faults{CutGroup: &cutGroup, CutCallers: &cutCallers, ReplicationLag: &lag, Slow: &slow}
+	return endpt.Faults{CutGroup: &cutGroup, CutCallers: &cutCallers, ReplicationLag: &lag, ApplyLag: &apply, Slow: &slow}
 }
