--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "run load")
 	}
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "interrupted, nothing was decided")
+	}
 	if err := faults.Close(); err != nil {
 		return nil, errors.Wrap(err, "inject faults")
 	}
