--- a/internal/stmt/kind.go
+++ b/internal/stmt/kind.go
@@ -94,46 +94,6 @@
 	return Set
 }
 
-// dirtyWords are what may leave state on a connection after a transaction.
-var dirtyWords = []string{"SET", "TEMP", "TEMPORARY", "ADVISORY", "SET_CONFIG", "PREPARE", "LISTEN", "HOLD", "SETVAL", "LOAD"}
-
-// dirties reports whether any word of sql may leave state on a connection. An
-// UPDATE needs the word SET, so there only a second one counts.
-func dirties(sql string) bool {
-	allowedSets := 0
-	for rest := skipBlank(sql); rest != ""; rest = skipBlank(rest) {
-		word, tail := cutWord(rest)
-		if word == "" {
-			rest = rest[1:]
-			continue
-		}
-		rest = tail
-		if strings.EqualFold(word, "UPDATE") {
-			allowedSets++
-			continue
-		}
-		if strings.EqualFold(word, "SET") && allowedSets > 0 {
-			allowedSets--
-			continue
-		}
-		if dirtyWord(word) {
-			return true
-		}
-	}
-	return false
-}
-
-const advisoryPrefix = "PG_ADVISORY"
-
-func dirtyWord(word string) bool {
-	for _, w := range dirtyWords {
-		if len(word) == len(w) && strings.EqualFold(word, w) {
-			return true
-		}
-	}
-	return len(word) > len(advisoryPrefix) && strings.EqualFold(word[:len(advisoryPrefix)], advisoryPrefix)
-}
-
 // several reports whether text follows the first semicolon. A semicolon in a
 // literal counts too, which only makes the answer more careful.
 func several(sql string) bool {
--- /dev/null
+++ b/internal/stmt/shape.go
@@ -0,0 +1,24 @@
+package stmt
+
+import "strings"
+
+// EndsBlock reports whether the last words of a text of several statements end
+// the transaction.
+func (t *Text) EndsBlock() bool {
+	if !t.Several {
+		return false
+	}
+	at := strings.LastIndexByte(strings.TrimRight(t.SQL, " \t\r\n\f;"), ';')
+	word, rest := cutWord(skipBlank(t.SQL[at+1:]))
+	kind := kindOf(word, rest)
+	return kind == Commit || kind == Rollback
+}
+
+// Returns reports whether the text may return rows.
+func (t *Text) Returns() bool {
+	if t.Kind == Read {
+		return true
+	}
+	head, _ := cutWord(skipBlank(t.SQL))
+	return strings.EqualFold(head, "WITH") || strings.Contains(strings.ToUpper(t.SQL), "RETURNING")
+}
