Keep repeats, refusals and lost answers true on the request path

Causes, each read in the code and, where a test is named, seen to fail before: - The repeat of BEGIN with a recorded identifier was answered as done with no transaction open, so the rest of it ran again by itself (testdata/repeats: before "INSERT 0 1", after "error MR004", then 25P02 up to the end). - A recorded outcome was given before a majority held it (TestRepeatWaitsForAMajority: before 1 holder, 3 of 3 runs; after at least 2, 5 of 5 runs). It now waits in the loan's term, as the record may be older. - The answer to a repeat in the extended protocol lacked ParseComplete, BindComplete and NoData. Rows and several outcomes are not kept: MR004. - An identifier inside an open transaction was ignored; it is now recorded. - A Parse that failed or was refused kept its name, so that its repeat got 42P05 (TestFailedPrepareLeavesItsNameFree fails before, passes after). - A refusal inside a transaction left it open, so that COMMIT kept a part. - COMMIT and ROLLBACK were refused on read-only routes. - "BEGIN READ ONLY; COMMIT; INSERT" passed for a read, so that at the primary it could be acknowledged unconfirmed and repeated. Whatever follows an end in one batch is now a write, and a loss of it is an unknown outcome. - A lone Sync, Close or Parse after a lost transaction ended it, so that later statements ran outside it. - A cancel that hit the read of the last write hid a write from confirmation. - An unexpected ReadyForQuery or unknown frame of an endpoint was relayed, a failed reset was shown as the caller's answer, and a statement whose Close was skipped by an error was prepared twice. - Held answers had no bound; beyond 32 MiB the outcome is unknown.

Not tested one by one: the last four items.

--- a/internal/back/run.go
+++ b/internal/back/run.go
@@ -33,6 +33,9 @@
 	Wrote     bool
 	Mark      ident.Mark     // of that write
 	Confirmed ident.Position // that the endpoint knew of in the mark's term
+	// Unread is true when the last write could not be read, because the batch
+	// left a failed transaction open.
+	Unread bool
 }
 
 // LostError is an exchange that ended without a whole answer.
@@ -154,6 +157,9 @@
 	if e.kind == 'Z' && kind == 'Z' {
 		return in.ready(body)
 	}
+	if !strings.ContainsRune(answerKinds, rune(kind)) {
+		return &LostError{Sent: stmt.Some, cause: errors.Wrapf(errProtocol, "%q in place of %q", kind, e.kind)}
+	}
 	if e.last && kind == 'D' {
 		return in.lastWrite(body)
 	}
@@ -168,6 +174,10 @@
 	return nil
 }
 
+// answerKinds are the frames that answer statements. Any other, or a
+// ReadyForQuery that is not due, means that answers are no longer in step.
+const answerKinds = "123CDInstT"
+
 // completes reports whether a frame of kind got ends the answer that waits for
 // a frame of kind want.
 func completes(want, got byte) bool {
@@ -189,12 +199,21 @@
 	return nil
 }
 
+// codeFailedBlock is the SQLSTATE of a statement in a failed transaction.
+const codeFailedBlock = "25P02"
+
 // fail takes an error and skips the answers that it cancels.
 func (in *intake) fail(body []byte) error {
 	var failure *ServerError
 	if err := decodeError(body); !errors.As(err, &failure) {
 		return &LostError{Sent: stmt.Some, cause: err}
 	}
+	if in.expects[0].reset {
+		return &LostError{Sent: stmt.Some, cause: failure}
+	}
+	if in.expects[0].last && failure.Code != codeFailedBlock {
+		return &LostError{Sent: stmt.Some, cause: failure} // what was written is not known
+	}
 	if in.expects[0].check && (in.conn.prefix == 0 || isCheck(failure.Code)) {
 		in.refuse(failure)
 	} else if err := in.answer(failure, body); err != nil {
@@ -205,7 +224,8 @@
 }
 
 func (in *intake) refuse(failure *ServerError) {
-	if in.expects[0].last || in.result.Refused != nil {
+	if in.expects[0].last {
+		in.result.Unread = true
 		return
 	}
 	in.result.Refused = failure
@@ -241,12 +261,16 @@
 }
 
 // skip drops the answers up to the next ReadyForQuery. Statements whose Parse
-// is among them are not known on the connection.
+// is among them are not known on the connection; those whose Close is among
+// them still are.
 func (in *intake) skip() {
 	for len(in.expects) > 0 && in.expects[0].kind != 'Z' {
 		if name := in.expects[0].parsed; name != "" {
 			delete(in.conn.prepared, name)
 		}
+		if name := in.expects[0].closed; name != "" {
+			in.conn.prepared[name] = struct{}{}
+		}
 		in.expects = in.expects[1:]
 	}
 }
--- a/internal/back/send.go
+++ b/internal/back/send.go
@@ -14,7 +14,9 @@
 	check  bool   // belongs to the prelude: its error means that nothing ran
 	last   bool   // the row of marjoram.last_write()
 	own    []byte // sent to the caller in place of an endpoint's frame
+	reset  bool   // answers the reset; its error makes the connection useless
 	parsed string // the prepared statement whose Parse this answers
+	closed string // the prepared statement whose Close this answers
 }
 
 const noRowLimit = 0
@@ -42,7 +44,7 @@
 // reset drops the state that an earlier transaction may have left.
 func (c *Conn) reset() {
 	c.query("DISCARD ALL")
-	c.expects = append(c.expects, expect{kind: 'C', hidden: true}, expect{kind: 'Z', hidden: true})
+	c.expects = append(c.expects, expect{kind: 'C', hidden: true, reset: true}, expect{kind: 'Z', hidden: true})
 	clear(c.prepared)
 	c.dirty = false
 }
@@ -98,7 +100,7 @@
 		return err
 	}
 	if at := len(c.expects) - 1; at >= 0 && c.expects[at].parsed == k.name {
-		c.expects[at].check = true
+		c.expects[at].check, c.expects[at].last = true, last
 	}
 	bind := pgproto3.Bind{PreparedStatement: k.name}
 	for i := range k.n {
@@ -111,7 +113,7 @@
 	if c.buf, err = (&pgproto3.Execute{MaxRows: noRowLimit}).Encode(c.buf); err != nil {
 		return errors.Wrap(err, "encode execute")
 	}
-	c.expects = append(c.expects, expect{kind: '2', hidden: true, check: true}, expect{kind: 'C', hidden: true, check: true, last: last})
+	c.expects = append(c.expects, expect{kind: '2', hidden: true, check: true, last: last}, expect{kind: 'C', hidden: true, check: true, last: last})
 	return nil
 }
 
@@ -146,7 +148,7 @@
 			return errors.Wrap(err, "encode close")
 		}
 		delete(c.prepared, name)
-		c.expects = append(c.expects, expect{kind: '3', hidden: true})
+		c.expects = append(c.expects, expect{kind: '3', hidden: true, closed: name})
 		return nil
 	}
 	return nil
--- a/internal/front/collect.go
+++ b/internal/front/collect.go
@@ -113,6 +113,7 @@
 	}
 	p := back.NewPrepared(stmt.Scan(m.Query), m.ParameterOIDs)
 	s.prepared[m.Name] = p
+	s.named = append(s.named, m.Name)
 	b.Steps = append(b.Steps, back.Step{Op: back.OpParse, Statement: p})
 	return nil
 }
--- a/internal/front/out.go
+++ b/internal/front/out.go
@@ -15,13 +15,23 @@
 	flushBytes = 64 << 10
 	// callerWrite bounds how long a caller may take to read its answer.
 	callerWrite = 30 * time.Second
+	// maxHeld bounds the bytes that are held back until a write is confirmed.
+	maxHeld = 32 << 20
 )
 
+var errTooMuchHeld = fault.Lose(nil, "the answer to a write is longer than %d bytes; it may have taken effect", maxHeld)
+
 // Relay takes one frame of an endpoint for the caller. Frames are held back
 // from the first CommandComplete of a batch that may have written, until the
 // write is confirmed.
 func (s *session) Relay(kind byte, body []byte) error {
 	s.out = frame.Append(s.out, kind, body)
+	if kind == '1' {
+		s.parsed++
+	}
+	if s.hold && len(s.out) > maxHeld {
+		return errTooMuchHeld
+	}
 	if s.careful && (kind == 'C' || kind == 's') {
 		s.hold = true
 	}
--- a/internal/front/plan.go
+++ b/internal/front/plan.go
@@ -16,6 +16,8 @@
 	write    bool // goes to the primary
 	readOnly bool // the endpoint must refuse writes
 	commits  bool // may end a transaction with effect
+	ends     bool // ends a transaction
+	opens    bool // leaves a transaction open
 	request  stmt.RequestID
 	digest   string
 	refusal  error
@@ -39,6 +41,7 @@
 	if len(b.Steps) > 0 {
 		p.empty = false
 	}
+	p.write = p.write || p.ends && !p.readOnly
 	if p.request != "" {
 		p.digest = digest(b)
 	}
@@ -52,17 +55,21 @@
 	if t.Kind != stmt.Empty {
 		p.empty = false
 	}
-	if t.Several {
+	if t.Several || p.ends && t.Kind != stmt.Empty {
 		p.commits = true
+		p.write = true // what follows an end runs in a transaction of its own
 	}
 	switch t.Kind {
 	case stmt.Read, stmt.Empty:
-		p.write = p.write || t.Several
+	case stmt.Begin:
+		p.opens, p.write = !t.EndsBlock(), true
 	case stmt.BeginRead:
-		p.readOnly = true
+		p.opens = !t.EndsBlock()
+		p.readOnly = p.readOnly || !t.Several
 	case stmt.Commit:
-		p.commits = true
-		p.write = true
+		p.commits, p.ends, p.opens = true, true, false
+	case stmt.Rollback:
+		p.ends, p.opens = true, false
 	case stmt.Unsupported:
 		p.refusal = fault.Refuse(fault.Unsupported, 0, "the statement needs a connection of its own, which is not offered")
 	case stmt.Set:
--- /dev/null
+++ b/internal/front/repeat.go
@@ -0,0 +1,106 @@
+package front
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/back"
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// recorded serves the repeat of a request that is committed already: it waits
+// until a majority holds the record, then gives the recorded outcome.
+func (s *session) recorded(ctx context.Context, w *work, l *loan, r *back.Result) (refusal, failure error) {
+	repeatsServed.Inc()
+	s.hold = true
+	// The record may be of an earlier term. The primary of this term holds it,
+	// so that it is safe once this term has confirmed its position.
+	proof := *r
+	proof.Mark.Term = max(l.term, r.Mark.Term)
+	if r.Mark.Zero() {
+		return fault.Lose(r.Refused, "the request is recorded, but not where"), nil
+	}
+	if err := s.confirm(ctx, w, &proof); err != nil {
+		return err, nil
+	}
+	s.token = s.token.With(w.route.Group.Name, r.Mark)
+	s.shown = true
+	if w.plan.opens {
+		s.status = 'E' // what follows must not run outside the transaction
+	}
+	if w.plan.opens || !replayable(w.batch) {
+		return committedAlready(w.plan.request, r.Refused), nil
+	}
+	if err := s.answerBatch(w.batch, r.Refused.Detail); err != nil {
+		return nil, err
+	}
+	return nil, s.sendToken()
+}
+
+// committedAlready answers a repeat whose answer is not kept, such as rows or
+// the outcomes of several statements.
+func committedAlready(request ident.Request, e *back.ServerError) error {
+	return &fault.Error{
+		Outcome: fault.Answered,
+		Code:    group.CodeRecorded,
+		Message: "request " + string(request) + " is committed already, with " + e.Detail,
+	}
+}
+
+func mismatch(request ident.Request) error {
+	return fault.Refuse(fault.RequestMismatch, 0, "request identifier %q was used for another statement", request)
+}
+
+// replayable reports whether the recorded command tag is the whole answer.
+func replayable(b *back.Batch) bool {
+	if b.Simple != nil {
+		return !b.Simple.Several && !b.Simple.Returns()
+	}
+	runs := 0
+	for i := range b.Steps {
+		step := &b.Steps[i]
+		if step.Op == back.OpExecute {
+			runs++
+		}
+		if step.Op == back.OpBind && step.Statement.Returns() {
+			return false
+		}
+	}
+	return runs == 1
+}
+
+// answerBatch gives the answer of an endpoint to a batch that returns no rows.
+func (s *session) answerBatch(b *back.Batch, tag string) error {
+	if b.Simple != nil {
+		return s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	}
+	for i := range b.Steps {
+		if err := s.answerStep(&b.Steps[i], tag); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) answerStep(step *back.Step, tag string) error {
+	switch step.Op {
+	case back.OpParse:
+		s.parsed++
+		return s.send(&pgproto3.ParseComplete{})
+	case back.OpBind:
+		return s.send(&pgproto3.BindComplete{})
+	case back.OpDescribe:
+		if err := s.send(&pgproto3.ParameterDescription{ParameterOIDs: step.Statement.Types}); err != nil {
+			return err
+		}
+		return s.send(&pgproto3.NoData{})
+	case back.OpPortal:
+		return s.send(&pgproto3.NoData{})
+	case back.OpExecute:
+		return s.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	}
+	return s.send(&pgproto3.CloseComplete{})
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
 	"k8s.io/klog/v2"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
@@ -31,6 +30,8 @@
 	index int
 	role  group.Role
 	term  ident.Term
+	// request is the identifier recorded with the transaction.
+	request stmt.RequestID
 }
 
 // work is one batch on its way to an endpoint.
@@ -158,7 +159,7 @@
 		return s.lost(w, l, err)
 	}
 	if result.Refused != nil {
-		return s.checked(w, l, result.Refused)
+		return s.checked(ctx, w, l, &result)
 	}
 	if s.mayMove(w, l, &result) {
 		w.need.Write = true
@@ -270,6 +271,7 @@
 	p := back.Prelude{Lead: l.term, Floor: w.need.Floor, ReadOnly: w.plan.readOnly, LastWrite: !w.plan.readOnly}
 	if w.plan.request != "" && w.need.Write {
 		p.Once, p.Digest = w.plan.request, w.plan.digest
+		l.request = p.Once
 	}
 	return p
 }
@@ -277,6 +279,7 @@
 // run exchanges the batch with the lent endpoint.
 func (s *session) run(l *loan, w *work, p back.Prelude) (back.Result, error) {
 	c := l.conn.Cancel()
+	s.parsed = 0
 	s.setRunning(&c)
 	defer s.setRunning(nil)
 	return l.conn.Run(w.batch, &p, s, w.deadline)
@@ -302,6 +305,9 @@
 // lost decides what follows when an exchange ended without a whole answer.
 func (s *session) lost(w *work, l *loan, err error) (again bool, refusal, failure error) {
 	s.endLoan(false)
+	if errors.Is(err, errTooMuchHeld) {
+		return false, err, nil
+	}
 	var lost *back.LostError
 	if !errors.As(err, &lost) {
 		return false, nil, err // the caller itself is gone
@@ -317,9 +323,10 @@
 }
 
 // checked decides what follows from a failed check; nothing ran.
-func (s *session) checked(w *work, l *loan, e *back.ServerError) (again bool, refusal, failure error) {
+func (s *session) checked(ctx context.Context, w *work, l *loan, r *back.Result) (again bool, refusal, failure error) {
 	s.endLoan(true)
 	s.out = s.out[:0]
+	e := r.Refused
 	switch e.Code {
 	case group.CodeBehind, group.CodeStale:
 		if l.role == group.PrimaryRole {
@@ -330,10 +337,10 @@
 	case group.CodeNotPrimary, group.CodeSealed:
 		return s.deposed(w, l)
 	case group.CodeRecorded:
-		repeatsServed.Inc()
-		return false, nil, s.send(&pgproto3.CommandComplete{CommandTag: []byte(e.Detail)})
+		refusal, failure = s.recorded(ctx, w, l, r)
+		return false, refusal, failure
 	case group.CodeMismatch:
-		return false, fault.Refuse(fault.RequestMismatch, 0, "request identifier %q was used for another statement", w.plan.request), nil
+		return false, mismatch(w.plan.request), nil
 	}
 	klog.ErrorS(e, "Check failed", "endpoint", l.conn.Endpoint)
 	return false, fault.Refuse(fault.Internal, 0, "a check failed at the endpoint: %s", e.Message).Because(e), nil
@@ -362,6 +369,9 @@
 	if r.Status == 'I' {
 		s.endLoan(true)
 	}
+	if r.Unread && w.plan.ends {
+		return fault.Lose(r.Failed, "what was committed ahead of the error could not be learned"), nil
+	}
 	if !r.Wrote {
 		return nil, nil
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -36,9 +36,11 @@
 	status   byte // transaction status as the caller sees it
 	lent     *loan
 
-	careful bool // the batch may write
-	hold    bool // answers wait for a confirmation
-	relayed bool // a part of the answer has been written
+	careful bool     // the batch may write
+	hold    bool     // answers wait for a confirmation
+	relayed bool     // a part of the answer has been written
+	parsed  int      // statements of the batch that the endpoint has parsed
+	named   []string // the statements that the batch parses, in order
 
 	mu      sync.Mutex
 	socket  net.Conn
@@ -135,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	s.careful, s.hold, s.relayed = false, false, false
+	s.careful, s.hold, s.relayed, s.parsed = false, false, false, 0
 	if refusal == nil {
 		refusal, err = s.dispatch(ctx, b)
 	}
@@ -143,9 +145,30 @@
 		return err
 	}
 	if refusal != nil {
+		s.parsed = 0
+		s.failTransaction()
 		if err := s.refuse(refusal); err != nil {
 			return err
 		}
 	}
+	s.forgetUnparsed()
 	return s.ready()
 }
+
+// failTransaction fails the open transaction after a refusal, as any error in
+// a transaction does, so that a later COMMIT keeps no part of it.
+func (s *session) failTransaction() {
+	if s.lent != nil {
+		s.endLoan(false)
+		s.status = 'E'
+	}
+}
+
+// forgetUnparsed forgets the statements whose Parse was not answered with
+// success, so that the caller may prepare them again under the same name.
+func (s *session) forgetUnparsed() {
+	for _, name := range s.named[min(s.parsed, len(s.named)):] {
+		delete(s.prepared, name)
+	}
+	s.named = s.named[:0]
+}
--- a/internal/front/transact.go
+++ b/internal/front/transact.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/back"
 	"github.com/marjoramrudder/marjoramrudder/internal/fault"
@@ -17,10 +16,13 @@
 func (s *session) continueTransaction(w *work) (refusal, failure error) {
 	l := s.lent
 	s.careful = l.role == group.PrimaryRole
-	result, err := s.run(l, w, back.Prelude{LastWrite: s.careful})
+	result, err := s.run(l, w, s.preludeInside(w, l))
 	if err != nil {
 		return s.lostTransaction(w, l, err)
 	}
+	if result.Refused != nil {
+		return s.refusedInside(w, result.Refused), nil
+	}
 	if s.wasDeposed(&result) {
 		s.status = result.Status
 		if s.status == 'I' {
@@ -33,10 +35,36 @@
 	return s.settle(ctx, w, &result)
 }
 
+// preludeInside returns the checks of a batch in an open transaction. The first
+// statement that bears a request identifier records it with the transaction.
+func (s *session) preludeInside(w *work, l *loan) back.Prelude {
+	p := back.Prelude{LastWrite: s.careful}
+	if s.careful && w.plan.runs && w.plan.request != "" && w.plan.request != l.request {
+		p.Once, p.Digest = w.plan.request, w.plan.digest
+		l.request = p.Once
+	}
+	return p
+}
+
+// refusedInside answers a failed check in an open transaction.
+func (s *session) refusedInside(w *work, e *back.ServerError) error {
+	switch e.Code {
+	case group.CodeRecorded:
+		return committedAlready(w.plan.request, e)
+	case group.CodeMismatch:
+		return mismatch(w.plan.request)
+	}
+	return fault.Refuse(e.Code, 0, "a check failed in the transaction: %s", e.Message).Because(e)
+}
+
 // lostTransaction says what became of a transaction whose connection was lost.
 // Without a commit on its way the endpoint has rolled it back.
 func (s *session) lostTransaction(w *work, l *loan, err error) (refusal, failure error) {
 	s.endLoan(false)
+	if errors.Is(err, errTooMuchHeld) {
+		s.status = 'I'
+		return err, nil
+	}
 	var lost *back.LostError
 	if !errors.As(err, &lost) {
 		return nil, err
@@ -55,18 +83,12 @@
 // failed transaction: everything is refused until the caller ends it.
 func (s *session) afterLoss(b *back.Batch) (refusal, failure error) {
 	if !ends(b) {
-		return fault.Refuse("25P02", 0, "the transaction was lost; end it before anything else"), nil
+		return fault.Refuse("25P02", 0, "the transaction failed; end it before anything else"), nil
 	}
-	s.status = 'I'
-	for i := range b.Steps {
-		if err := s.answerLocally(b.Steps[i].Op); err != nil {
-			return nil, err
-		}
-	}
-	if b.Simple != nil {
-		return nil, s.answerLocally(back.OpExecute)
+	if b.Runs() {
+		s.status = 'I'
 	}
-	return nil, nil
+	return nil, s.answerBatch(b, "ROLLBACK")
 }
 
 // ends reports whether a batch is nothing but the end of a transaction.
@@ -74,8 +96,14 @@
 	if b.Simple != nil {
 		return endsText(b.Simple)
 	}
+	bound := false
 	for i := range b.Steps {
-		if p := b.Steps[i].Statement; p != nil && !endsText(&p.Text) {
+		step := &b.Steps[i]
+		if step.Statement != nil && !endsText(&step.Statement.Text) {
+			return false
+		}
+		bound = bound || step.Op == back.OpBind
+		if step.Op == back.OpExecute && !bound {
 			return false
 		}
 	}
@@ -85,24 +113,3 @@
 func endsText(t *stmt.Text) bool {
 	return !t.Several && (t.Kind == stmt.Commit || t.Kind == stmt.Rollback)
 }
-
-// answerLocally gives the answer of an endpoint to the end of a failed
-// transaction.
-func (s *session) answerLocally(op back.Op) error {
-	switch op {
-	case back.OpParse:
-		return s.send(&pgproto3.ParseComplete{})
-	case back.OpBind:
-		return s.send(&pgproto3.BindComplete{})
-	case back.OpDescribe:
-		if err := s.send(&pgproto3.ParameterDescription{}); err != nil {
-			return err
-		}
-		return s.send(&pgproto3.NoData{})
-	case back.OpPortal:
-		return s.send(&pgproto3.NoData{})
-	case back.OpExecute:
-		return s.send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
-	}
-	return s.send(&pgproto3.CloseComplete{})
-}
