--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,5 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/token
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/envdoc
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/peer
+	$(GO) test -run '^$$' -fuzz FuzzReader -fuzztime 30s ./internal/frame
+	$(GO) test -run '^$$' -fuzz FuzzCaller -fuzztime 30s ./internal/front
--- a/internal/front/out.go
+++ b/internal/front/out.go
@@ -21,6 +21,9 @@
 
 var errTooMuchHeld = fault.Lose(nil, "the answer to a write is longer than %d bytes; it may have taken effect", maxHeld)
 
+// commitTag is the body of the answer to a COMMIT that took effect.
+const commitTag = "COMMIT\x00"
+
 // Relay takes one frame of an endpoint for the caller. Frames are held back
 // from the first CommandComplete of a batch that may have written, until the
 // write is confirmed.
@@ -29,6 +32,9 @@
 	if kind == '1' {
 		s.parsed++
 	}
+	if kind == 'C' && string(body) == commitTag {
+		s.committed = true
+	}
 	if s.hold && len(s.out) > maxHeld {
 		return errTooMuchHeld
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -279,7 +279,7 @@
 // run exchanges the batch with the lent endpoint.
 func (s *session) run(l *loan, w *work, p back.Prelude) (back.Result, error) {
 	c := l.conn.Cancel()
-	s.parsed = 0
+	s.parsed, s.committed = 0, false
 	s.setRunning(&c)
 	defer s.setRunning(nil)
 	return l.conn.Run(w.batch, &p, s, w.deadline)
@@ -369,7 +369,7 @@
 	if r.Status == 'I' {
 		s.endLoan(true)
 	}
-	if r.Unread && w.plan.ends {
+	if r.Unread && s.committed {
 		return fault.Lose(r.Failed, "what was committed ahead of the error could not be learned"), nil
 	}
 	if !r.Wrote {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -36,11 +36,12 @@
 	status   byte // transaction status as the caller sees it
 	lent     *loan
 
-	careful bool     // the batch may write
-	hold    bool     // answers wait for a confirmation
-	relayed bool     // a part of the answer has been written
-	parsed  int      // statements of the batch that the endpoint has parsed
-	named   []string // the statements that the batch parses, in order
+	careful   bool     // the batch may write
+	hold      bool     // answers wait for a confirmation
+	relayed   bool     // a part of the answer has been written
+	parsed    int      // statements of the batch that the endpoint has parsed
+	committed bool     // the batch has ended a transaction with effect
+	named     []string // the statements that the batch parses, in order
 
 	mu      sync.Mutex
 	socket  net.Conn
--- a/internal/front/transact.go
+++ b/internal/front/transact.go
@@ -38,7 +38,7 @@
 // preludeInside returns the checks of a batch in an open transaction. The first
 // statement that bears a request identifier records it with the transaction.
 func (s *session) preludeInside(w *work, l *loan) back.Prelude {
-	p := back.Prelude{LastWrite: s.careful}
+	p := back.Prelude{LastWrite: s.careful && w.plan.runs}
 	if s.careful && w.plan.runs && w.plan.request != "" && w.plan.request != l.request {
 		p.Once, p.Digest = w.plan.request, w.plan.digest
 		l.request = p.Once
