--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,81 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/acct"
+	"github.com/marjoramrudder/marjoramrudder/internal/back"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
+)
+
+// BenchmarkRelay measures whole answers of one row and of many, with a caller
+// and an endpoint in this process.
+func BenchmarkRelay(b *testing.B) {
+	for _, rows := range []int{1, 1000} {
+		b.Run(fmt.Sprint(rows), func(b *testing.B) {
+			g := NewWithT(b)
+			conn := dial(b, newStage(b, func(*Options) {}).address, plain)
+			batch := &pgx.Batch{}
+			for i := range rows {
+				batch.Queue("INSERT INTO stock (id, item) VALUES ($1, 'charcoal')", fmt.Sprint(i))
+			}
+			g.Expect(conn.SendBatch(context.Background(), batch).Close()).To(Succeed())
+			b.ReportAllocs()
+			for b.Loop() {
+				answer, err := conn.Query(context.Background(), "SELECT id, item FROM stock")
+				g.Expect(err).NotTo(HaveOccurred())
+				count := 0
+				for answer.Next() {
+					count++
+				}
+				g.Expect(count).To(Equal(rows))
+			}
+		})
+	}
+}
+
+// BenchmarkRelayFrame measures what the relay itself does for one row.
+func BenchmarkRelayFrame(b *testing.B) {
+	s := &session{out: make([]byte, 0, 2*flushBytes)}
+	row := make([]byte, 60)
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(s.out) > flushBytes/2 {
+			s.out = s.out[:0]
+		}
+		_ = s.Relay('D', row)
+	}
+}
+
+// BenchmarkDecide measures the decisions about one statement together.
+var bindOne = pgproto3.Bind{Parameters: [][]byte{[]byte("7")}}
+
+func BenchmarkDecide(b *testing.B) {
+	s := newStage(b, func(*Options) {})
+	route := s.server.table.Get("r")
+	var gate acct.Gate = openGate{}
+	se := &session{server: s.server}
+	step, err := back.NewPrepared(stmt.Scan("SELECT item FROM stock WHERE id = $1"), nil).Bind(bindOne)
+	NewWithT(b).Expect(err).NotTo(HaveOccurred())
+	batch := &back.Batch{Steps: []back.Step{step, {Op: back.OpExecute}}}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		if gate.Check(&se.badge, now) != nil || gate.SpendWait(context.Background(), &se.badge, now) != nil {
+			b.Fatal("refused")
+		}
+		w := &work{batch: batch, plan: planOf(batch, route), route: route}
+		choice := se.choose(w, route.Group.Keeper.View(), now)
+		if choice.Index == group.NoEndpoint {
+			b.Fatal("no endpoint")
+		}
+	}
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -202,9 +202,7 @@
 	g := w.route.Group
 	changed := g.Keeper.Changed()
 	view := g.Keeper.View()
-	need := w.need
-	need.Load = func(i int) int { return g.load(view, i) }
-	choice := view.Choose(need, time.Now())
+	choice := s.choose(w, view, time.Now())
 	if choice.Index == group.NoEndpoint {
 		return nil, s.park(ctx, w, changed)
 	}
@@ -227,6 +225,14 @@
 	return nil, err
 }
 
+// choose returns the endpoint for the batch.
+func (s *session) choose(w *work, view *group.View, now time.Time) group.Choice {
+	g := w.route.Group
+	need := w.need
+	need.Load = func(i int) int { return g.load(view, i) }
+	return view.Choose(need, now)
+}
+
 // unreachable reports an endpoint that could not be connected to, and waits
 // for a change when it was the primary.
 func (s *session) unreachable(ctx context.Context, w *work, name ident.Endpoint, c *group.Choice, changed <-chan struct{}) error {
