Run nothing of a pipelined transaction whose BEGIN was refused

Cause: a refused BEGIN left the session idle, so that statements the caller had sent before it saw the refusal ran and committed one by one. Ruled out: failing the session after every refused BEGIN; a caller that reads the refusal first and repeats BEGIN would be refused again. Change: when more input is there already, the session is in a failed transaction up to COMMIT or ROLLBACK. Input still on the way is not seen.

Also: a read that was lost at an endpoint and then refused keeps its code and hint, but says "unknown" in place of "not run", since it may have run. Found by reading; no test covers it.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -42,6 +42,7 @@
 	need     group.Need
 	deadline time.Time
 	attempts int
+	reached  bool // an endpoint that was lost may have run the batch
 }
 
 // dispatch serves one batch. It returns a refusal for the caller, or an error
@@ -59,6 +60,7 @@
 	if done, err := s.local(b, &p); done || err != nil {
 		return nil, err
 	}
+	s.opening = p.opens && p.runs
 	if p.refusal != nil {
 		return p.refusal, nil
 	}
@@ -92,12 +94,25 @@
 		return err, nil
 	}
 	refusal, failure = s.start(ctx, w)
+	if refusal != nil && w.reached {
+		refusal = mayHaveRun(refusal)
+	}
 	if refusal != nil && fault.Of(refusal).Outcome == fault.NotRun {
 		s.server.gate.Return(&s.badge, time.Now())
 	}
 	return refusal, failure
 }
 
+// mayHaveRun keeps the code and the hint of a refusal, but not the claim that
+// nothing ran: a read was lost at one endpoint before it was refused.
+func mayHaveRun(refusal error) error {
+	e := *fault.Of(refusal)
+	if e.Outcome == fault.NotRun {
+		e.Outcome = fault.Unknown
+	}
+	return &e
+}
+
 // start runs a batch that opens a transaction or is one by itself.
 func (s *session) start(ctx context.Context, w *work) (refusal, failure error) {
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
@@ -322,6 +337,7 @@
 	loss := stmt.Loss{Sent: lost.Sent, Relayed: s.relayed, Harmless: !s.careful || !w.plan.runs}
 	if stmt.Judge(loss) == stmt.Elsewhere {
 		s.out, s.hold = s.out[:0], false
+		w.reached = w.reached || lost.Sent == stmt.Some && w.plan.runs
 		w.need.Avoid = w.need.Avoid.With(l.index)
 		return true, nil, nil
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -41,6 +41,7 @@
 	relayed   bool     // a part of the answer has been written
 	parsed    int      // statements of the batch that the endpoint has parsed
 	committed bool     // the batch has ended a transaction with effect
+	opening   bool     // the batch leaves a transaction open
 	named     []string // the statements that the batch parses, in order
 
 	mu      sync.Mutex
@@ -138,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	s.careful, s.hold, s.relayed, s.parsed = false, false, false, 0
+	s.careful, s.hold, s.relayed, s.parsed, s.opening = false, false, false, 0, false
 	if refusal == nil {
 		refusal, err = s.dispatch(ctx, b)
 	}
@@ -148,6 +149,7 @@
 	if refusal != nil {
 		s.parsed = 0
 		s.failTransaction()
+		s.failUnopened()
 		if err := s.refuse(refusal); err != nil {
 			return err
 		}
@@ -165,6 +167,14 @@
 	}
 }
 
+// failUnopened fails a transaction whose BEGIN was refused, when the caller has
+// sent more before it saw the refusal. That must not run outside of it.
+func (s *session) failUnopened() {
+	if s.opening && s.status == 'I' && s.reader.Buffered() > 0 {
+		s.status = 'E'
+	}
+}
+
 // forgetUnparsed forgets the statements whose Parse was not answered with
 // success, so that the caller may prepare them again under the same name.
 func (s *session) forgetUnparsed() {
--- a/internal/front/stage_test.go
+++ b/internal/front/stage_test.go
@@ -14,6 +14,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/acct"
 	"github.com/marjoramrudder/marjoramrudder/internal/back"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
 	"github.com/marjoramrudder/marjoramrudder/internal/group"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
@@ -22,16 +23,24 @@
 
 const farAhead ident.Position = 1 << 60
 
-// openGate allows everything.
-type openGate struct{ acct.Gate }
+// openGate allows everything, but for the requests that refuse counts.
+type openGate struct {
+	acct.Gate
+	refuse *atomic.Int32
+}
 
 func (openGate) Login(r ident.Route, a ident.Account, _ string, _ time.Time) (acct.Badge, error) {
 	return acct.Badge{Route: r, Account: a}, nil
 }
-func (openGate) Check(*acct.Badge, time.Time) error                      { return nil }
-func (openGate) SpendWait(context.Context, *acct.Badge, time.Time) error { return nil }
-func (openGate) Return(*acct.Badge, time.Time)                           {}
-func (openGate) Weight(*acct.Badge) int                                  { return 1 }
+func (openGate) Check(*acct.Badge, time.Time) error { return nil }
+func (g openGate) SpendWait(context.Context, *acct.Badge, time.Time) error {
+	if g.refuse != nil && g.refuse.Add(-1) >= 0 {
+		return fault.Refuse(fault.OverLimit, time.Second, "refused by the test")
+	}
+	return nil
+}
+func (openGate) Return(*acct.Badge, time.Time) {}
+func (openGate) Weight(*acct.Badge) int        { return 1 }
 
 // stillKeeper takes every replica for caught up, so that the endpoints' own
 // checks decide.
@@ -50,6 +59,7 @@
 type stage struct {
 	server  *Server
 	keeper  *stillKeeper
+	refuse  *atomic.Int32
 	address string
 }
 
@@ -66,6 +76,7 @@
 		view.Endpoints = append(view.Endpoints, group.Seen{Endpoint: e, Status: status, At: time.Now(), Reachable: true})
 		pools[e.Name] = back.NewPool(e, back.Credentials{User: "proxy"}, e.Connections, back.NewFifo(100))
 	}
+	refuse := new(atomic.Int32)
 	keeper := &stillKeeper{view: view}
 	control := back.NewControl(view.Endpoints[0].Endpoint, back.Credentials{User: "proxy"})
 	confirmer := back.NewConfirmer(func(ident.Term) group.Server { return control })
@@ -79,7 +90,7 @@
 	options := DefaultOptions()
 	options.AllowPlain = true
 	change(&options)
-	s := &stage{keeper: keeper, server: NewServer(l, openGate{}, table, event.NewLog("i", 10), options), address: l.Addr().String()}
+	s := &stage{keeper: keeper, refuse: refuse, server: NewServer(l, openGate{refuse: refuse}, table, event.NewLog("i", 10), options), address: l.Addr().String()}
 	s.server.Start()
 	t.Cleanup(func() {
 		g.Expect(s.server.Close()).To(Succeed())
