--- a/internal/front/pipe_test.go
+++ b/internal/front/pipe_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -9,42 +10,93 @@
 	. "github.com/onsi/gomega"
 )
 
-// TestNothingRunsBehindARefusedBegin pipelines a transaction whose BEGIN is
-// refused: the rest, sent before the refusal was seen, must not run by itself.
-func TestNothingRunsBehindARefusedBegin(t *testing.T) {
+// rawCaller sends messages as they are and names the answers.
+type rawCaller struct {
+	g      *WithT
+	socket net.Conn
+	in     *pgproto3.Frontend
+}
+
+func dialRaw(t *testing.T, s *stage) *rawCaller {
 	g := NewWithT(t)
-	s := newStage(t, func(*Options) {})
 	socket, err := net.Dial("tcp", s.address)
 	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = socket.Close() }()
+	t.Cleanup(func() { _ = socket.Close() })
 	_ = socket.SetDeadline(time.Now().Add(callerEnds))
-	in := pgproto3.NewFrontend(socket, socket)
-	converse := func(messages ...pgproto3.FrontendMessage) []string {
-		_, err := socket.Write(encode(messages))
-		g.Expect(err).NotTo(HaveOccurred())
-		var out []string
-		for ends := 0; ends < len(messages); {
-			m, err := in.Receive()
-			g.Expect(err).NotTo(HaveOccurred())
-			switch m := m.(type) {
-			case *pgproto3.ErrorResponse:
-				out = append(out, m.Code)
-			case *pgproto3.CommandComplete:
-				out = append(out, string(m.CommandTag))
-			case *pgproto3.ReadyForQuery:
-				out = append(out, string(m.TxStatus))
-				ends++
-			}
+	c := &rawCaller{g: g, socket: socket, in: pgproto3.NewFrontend(socket, socket)}
+	c.converse(1, &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "r"}})
+	return c
+}
+
+// converse sends messages and reads up to the given number of ReadyForQuery.
+func (c *rawCaller) converse(ends int, messages ...pgproto3.FrontendMessage) (out []string) {
+	_, err := c.socket.Write(encode(messages))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	for ends > 0 {
+		m, err := c.in.Receive()
+		c.g.Expect(err).NotTo(HaveOccurred())
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			out = append(out, m.Code)
+		case *pgproto3.CommandComplete:
+			out = append(out, string(m.CommandTag))
+		case *pgproto3.ReadyForQuery:
+			out = append(out, string(m.TxStatus))
+			ends--
+		case *pgproto3.ParameterStatus:
+		default:
+			out = append(out, fmt.Sprintf("%T", m)[len("*pgproto3."):])
 		}
-		return out
 	}
-	converse(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "r"}})
+	return out
+}
+
+// TestNothingRunsBehindARefusedBegin pipelines a transaction whose BEGIN is
+// refused: the rest, sent before the refusal was seen, must not run by itself.
+func TestNothingRunsBehindARefusedBegin(t *testing.T) {
+	g := NewWithT(t)
+	s := newStage(t, func(*Options) {})
+	c := dialRaw(t, s)
 	s.refuse.Store(1)
-	insert := &pgproto3.Query{String: "INSERT INTO stock (id) VALUES ('1')"}
-	g.Expect(converse(&pgproto3.Query{String: "BEGIN"}, insert, &pgproto3.Query{String: "COMMIT"}, insert)).
+	begin, insert := &pgproto3.Query{String: "BEGIN"}, &pgproto3.Query{String: "INSERT INTO stock (id) VALUES ('1')"}
+	g.Expect(c.converse(4, begin, insert, &pgproto3.Query{String: "COMMIT"}, insert)).
 		To(Equal([]string{"53300", "E", "25P02", "E", "ROLLBACK", "I", "INSERT 0 1", "I"}))
 	// Without more to come the session stays as it was, and BEGIN may be repeated.
 	s.refuse.Store(1)
-	g.Expect(converse(&pgproto3.Query{String: "BEGIN"})).To(Equal([]string{"53300", "I"}))
-	g.Expect(converse(&pgproto3.Query{String: "BEGIN"})).To(Equal([]string{"BEGIN", "T"}))
+	g.Expect(c.converse(1, begin)).To(Equal([]string{"53300", "I"}))
+	g.Expect(c.converse(1, begin)).To(Equal([]string{"BEGIN", "T"}))
+}
+
+// TestRepeatAnswersEveryMessage gives the repeat of a committed request the
+// answers that its driver waits for.
+func TestRepeatAnswersEveryMessage(t *testing.T) {
+	g := NewWithT(t)
+	c := dialRaw(t, newStage(t, func(*Options) {}))
+	want := []string{"ParseComplete", "BindComplete", "NoData", "INSERT 0 1", "I"}
+	for range 3 {
+		g.Expect(c.converse(1,
+			&pgproto3.Parse{Query: "INSERT INTO stock (id) VALUES ($1) /*request_id='1'*/"},
+			&pgproto3.Bind{Parameters: [][]byte{[]byte("x")}},
+			&pgproto3.Describe{ObjectType: 'P'},
+			&pgproto3.Execute{},
+			&pgproto3.Sync{},
+		)).To(Equal(want))
+	}
+}
+
+// TestErrorInsideABatch skips the rest up to the Sync and keeps nothing.
+func TestErrorInsideABatch(t *testing.T) {
+	g := NewWithT(t)
+	c := dialRaw(t, newStage(t, func(*Options) {}))
+	var batch []pgproto3.FrontendMessage
+	for _, id := range []string{"1", "1", "2"} {
+		batch = append(batch,
+			&pgproto3.Parse{Query: "INSERT INTO stock (id) VALUES ($1)"},
+			&pgproto3.Bind{Parameters: [][]byte{[]byte(id)}},
+			&pgproto3.Execute{})
+	}
+	g.Expect(c.converse(1, append(batch, &pgproto3.Sync{})...)).To(Equal([]string{
+		"ParseComplete", "BindComplete", "INSERT 0 1", "ParseComplete", "BindComplete", "23505", "I",
+	}))
+	g.Expect(c.converse(1, &pgproto3.Query{String: "SELECT id FROM stock"})).To(Equal([]string{"RowDescription", "SELECT 0", "I"}))
 }
