Close a connection that may hold a session's lock; bound prepared texts

Cause, found by reading: an advisory lock that a caller took for its session stayed with the pooled connection until the reset ahead of the next transaction on it, so that others waited for a lock nobody held. And 4,096 prepared texts of one caller could each be as large as a message. Change: a connection that ran such a text is not taken back into the pool; the prepared texts of a caller are bounded together by MaxBatch. Tested: what counts as such a text. Not tested: the pool's side of it (the stand-in has no advisory locks) and the bound.

--- a/internal/back/conn.go
+++ b/internal/back/conn.go
@@ -43,6 +43,7 @@
 	last     ident.Mark // of the last write seen by LastWrite
 	status   byte       // transaction status of the last ReadyForQuery
 	dirty    bool       // needs a reset before the next transaction
+	locked   bool       // may hold locks that other callers wait for
 	broken   bool       // an answer is outstanding or the protocol was lost
 	pid      uint32
 	secret   []byte
@@ -155,7 +156,7 @@
 }
 
 // Clean reports whether the connection may serve another transaction.
-func (c *Conn) Clean() bool { return !c.broken && c.status == 'I' }
+func (c *Conn) Clean() bool { return !c.broken && !c.locked && c.status == 'I' }
 
 // Status returns the transaction status: I, T or E.
 func (c *Conn) Status() byte { return c.status }
--- a/internal/back/send.go
+++ b/internal/back/send.go
@@ -5,6 +5,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/frame"
+	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
 )
 
 // expect is one answer that the endpoint owes.
@@ -31,7 +32,7 @@
 	var err error
 	if b.Simple != nil {
 		err = c.encodeSimple(b.Simple.SQL)
-		c.dirty = c.dirty || b.Simple.Dirties
+		c.soil(b.Simple)
 	} else {
 		err = c.encodeSteps(b)
 	}
@@ -41,6 +42,13 @@
 	return err
 }
 
+// soil notes what a statement may leave on the connection. A lock is not kept
+// until the reset ahead of the next transaction, which may come much later.
+func (c *Conn) soil(t *stmt.Text) {
+	c.dirty = c.dirty || t.Dirties
+	c.locked = c.locked || t.Locks
+}
+
 // reset drops the state that an earlier transaction may have left.
 func (c *Conn) reset() {
 	c.query("DISCARD ALL")
@@ -167,7 +175,7 @@
 		if err := c.prepare(s.Statement.name, s.Statement.SQL, s.Statement.Types); err != nil {
 			return err
 		}
-		c.dirty = c.dirty || s.Statement.Dirties
+		c.soil(&s.Statement.Text)
 		c.push(s.Raw, '2')
 	case OpDescribe:
 		return c.describe(s.Statement)
--- a/internal/front/collect.go
+++ b/internal/front/collect.go
@@ -111,13 +111,25 @@
 	if _, taken := s.prepared[m.Name]; taken && m.Name != "" {
 		return fault.Refuse("42P05", 0, "prepared statement %q already exists", m.Name)
 	}
+	if s.preparedBytes+len(m.Query) > s.server.options.MaxBatch {
+		return fault.Refuse("54000", 0, "more than %d bytes of prepared statements", s.server.options.MaxBatch)
+	}
 	p := back.NewPrepared(stmt.Scan(m.Query), m.ParameterOIDs)
+	s.forget(m.Name)
 	s.prepared[m.Name] = p
+	s.preparedBytes += len(p.SQL)
 	s.named = append(s.named, m.Name)
 	b.Steps = append(b.Steps, back.Step{Op: back.OpParse, Statement: p})
 	return nil
 }
 
+func (s *session) forget(name string) {
+	if p := s.prepared[name]; p != nil {
+		s.preparedBytes -= len(p.SQL)
+		delete(s.prepared, name)
+	}
+}
+
 func (s *session) statement(name string) (*back.Prepared, error) {
 	p := s.prepared[name]
 	if p == nil {
@@ -178,7 +190,7 @@
 		b.Steps = append(b.Steps, back.Step{Op: back.OpClose, Raw: frame.Append(nil, 'C', body)})
 		return nil
 	}
-	delete(s.prepared, m.Name)
+	s.forget(m.Name)
 	b.Steps = append(b.Steps, back.Step{Op: back.OpForget})
 	return nil
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -32,9 +32,10 @@
 	shown  bool       // the caller showed a token, or a floor was learned
 	floor  ident.Mark // of a session without token
 
-	prepared map[string]*back.Prepared
-	status   byte // transaction status as the caller sees it
-	lent     *loan
+	prepared      map[string]*back.Prepared
+	preparedBytes int
+	status        byte // transaction status as the caller sees it
+	lent          *loan
 
 	careful   bool     // the batch may write
 	hold      bool     // answers wait for a confirmation
@@ -179,7 +180,7 @@
 // success, so that the caller may prepare them again under the same name.
 func (s *session) forgetUnparsed() {
 	for _, name := range s.named[min(s.parsed, len(s.named)):] {
-		delete(s.prepared, name)
+		s.forget(name)
 	}
 	s.named = s.named[:0]
 }
--- a/internal/stmt/dirty.go
+++ b/internal/stmt/dirty.go
@@ -56,6 +56,13 @@
 	return strings.EqualFold(word, "DO") || strings.EqualFold(word, "CALL")
 }
 
+// locks reports whether a dirtying text may take a lock of the whole session.
+// Code that no word shows is taken for harmless here: it costs the connection.
+func locks(sql string) bool {
+	upper := strings.ToUpper(sql)
+	return strings.Contains(upper, "PG_ADVISORY_LOCK") || strings.Contains(upper, "PG_TRY_ADVISORY_LOCK")
+}
+
 func dirtyWord(word string) bool {
 	for _, w := range dirtyWords {
 		if strings.EqualFold(word, w) {
--- a/internal/stmt/kind.go
+++ b/internal/stmt/kind.go
@@ -28,6 +28,7 @@
 	Kind    Kind
 	Several bool // more than one statement may stand in the text
 	Dirties bool // may leave state on a connection
+	Locks   bool // may leave a lock that others wait for
 	Request RequestID
 }
 
@@ -40,6 +41,7 @@
 	t.Kind = kindOf(word, rest)
 	t.Several = several(head)
 	t.Dirties = dirties(plain)
+	t.Locks = t.Dirties && locks(plain)
 	return t
 }
 
--- a/internal/stmt/scan_test.go
+++ b/internal/stmt/scan_test.go
@@ -43,3 +43,15 @@
 		stmt.Scan("SELECT quantity FROM stock WHERE item = $1")
 	}
 }
+
+func TestLocksOfASession(t *testing.T) {
+	g := NewWithT(t)
+	for sql, locks := range map[string]bool{
+		"SELECT pg_advisory_lock(1)":            true,
+		"select pg_try_advisory_lock_shared(1)": true,
+		"SELECT pg_advisory_xact_lock(1)":       false,
+		"SET LOCAL statement_timeout = 1":       false,
+	} {
+		g.Expect(stmt.Scan(sql).Locks).To(Equal(locks), sql)
+	}
+}
