--- a/internal/back/send.go
+++ b/internal/back/send.go
@@ -5,6 +5,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/frame"
+	"github.com/marjoramrudder/marjoramrudder/internal/stmt"
 )
 
 // expect is one answer that the endpoint owes.
@@ -14,7 +15,9 @@
 	check  bool   // belongs to the prelude: its error means that nothing ran
 	last   bool   // the row of marjoram.last_write()
 	own    []byte // sent to the caller in place of an endpoint's frame
+	reset  bool   // answers the reset; its error makes the connection useless
 	parsed string // the prepared statement whose Parse this answers
+	closed string // the prepared statement whose Close this answers
 }
 
 const noRowLimit = 0
@@ -29,7 +32,7 @@
 	var err error
 	if b.Simple != nil {
 		err = c.encodeSimple(b.Simple.SQL)
-		c.dirty = c.dirty || b.Simple.Dirties
+		c.soil(b.Simple)
 	} else {
 		err = c.encodeSteps(b)
 	}
@@ -39,10 +42,17 @@
 	return err
 }
 
+// soil notes what a statement may leave on the connection. A lock is not kept
+// until the reset ahead of the next transaction, which may come much later.
+func (c *Conn) soil(t *stmt.Text) {
+	c.dirty = c.dirty || t.Dirties
+	c.locked = c.locked || t.Locks
+}
+
 // reset drops the state that an earlier transaction may have left.
 func (c *Conn) reset() {
 	c.query("DISCARD ALL")
-	c.expects = append(c.expects, expect{kind: 'C', hidden: true}, expect{kind: 'Z', hidden: true})
+	c.expects = append(c.expects, expect{kind: 'C', hidden: true, reset: true}, expect{kind: 'Z', hidden: true})
 	clear(c.prepared)
 	c.dirty = false
 }
@@ -98,7 +108,7 @@
 		return err
 	}
 	if at := len(c.expects) - 1; at >= 0 && c.expects[at].parsed == k.name {
-		c.expects[at].check = true
+		c.expects[at].check, c.expects[at].last = true, last
 	}
 	bind := pgproto3.Bind{PreparedStatement: k.name}
 	for i := range k.n {
@@ -111,7 +121,7 @@
 	if c.buf, err = (&pgproto3.Execute{MaxRows: noRowLimit}).Encode(c.buf); err != nil {
 		return errors.Wrap(err, "encode execute")
 	}
-	c.expects = append(c.expects, expect{kind: '2', hidden: true, check: true}, expect{kind: 'C', hidden: true, check: true, last: last})
+	c.expects = append(c.expects, expect{kind: '2', hidden: true, check: true, last: last}, expect{kind: 'C', hidden: true, check: true, last: last})
 	return nil
 }
 
@@ -146,7 +156,7 @@
 			return errors.Wrap(err, "encode close")
 		}
 		delete(c.prepared, name)
-		c.expects = append(c.expects, expect{kind: '3', hidden: true})
+		c.expects = append(c.expects, expect{kind: '3', hidden: true, closed: name})
 		return nil
 	}
 	return nil
@@ -165,7 +175,7 @@
 		if err := c.prepare(s.Statement.name, s.Statement.SQL, s.Statement.Types); err != nil {
 			return err
 		}
-		c.dirty = c.dirty || s.Statement.Dirties
+		c.soil(&s.Statement.Text)
 		c.push(s.Raw, '2')
 	case OpDescribe:
 		return c.describe(s.Statement)
--- a/internal/front/out.go
+++ b/internal/front/out.go
@@ -11,23 +11,33 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/frame"
 )
 
-// parseComplete is the message type that confirms a preparation.
-const parseComplete = '1'
-
 const (
 	flushBytes = 64 << 10
 	// callerWrite bounds how long a caller may take to read its answer.
 	callerWrite = 30 * time.Second
+	// maxHeld bounds the bytes that are held back until a write is confirmed.
+	maxHeld = 32 << 20
 )
 
+var errTooMuchHeld = fault.Lose(nil, "the answer to a write is longer than %d bytes; it may have taken effect", maxHeld)
+
+// commitTag is the body of the answer to a COMMIT that took effect.
+const commitTag = "COMMIT\x00"
+
 // Relay takes one frame of an endpoint for the caller. Frames are held back
 // from the first CommandComplete of a batch that may have written, until the
 // write is confirmed.
 func (s *session) Relay(kind byte, body []byte) error {
 	s.out = frame.Append(s.out, kind, body)
-	if kind == parseComplete {
+	if kind == '1' {
 		s.parsed++
 	}
+	if kind == 'C' && string(body) == commitTag {
+		s.committed = true
+	}
+	if s.hold && len(s.out) > maxHeld {
+		return errTooMuchHeld
+	}
 	if s.careful && (kind == 'C' || kind == 's') {
 		s.hold = true
 	}
@@ -38,14 +48,6 @@
 	return s.flush()
 }
 
-// dropAnswer takes back what has not been written of an answer.
-func (s *session) dropAnswer() {
-	s.out = s.out[:0]
-	if !s.relayed {
-		s.parsed = 0
-	}
-}
-
 func (s *session) send(m pgproto3.BackendMessage) error {
 	var err error
 	s.out, err = m.Encode(s.out)
@@ -78,7 +80,7 @@
 
 // refuse drops what is held back of an answer and gives err in its place.
 func (s *session) refuse(err error) error {
-	s.dropAnswer()
+	s.out = s.out[:0]
 	e := fault.Of(err)
 	countRefusal(e)
 	return s.send(response("ERROR", e))
@@ -86,7 +88,7 @@
 
 // fatal gives err and ends the session.
 func (s *session) fatal(err error) error {
-	s.dropAnswer()
+	s.out = s.out[:0]
 	if errors.Is(err, errGone) {
 		return err
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
 	"k8s.io/klog/v2"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
@@ -31,6 +30,8 @@
 	index int
 	role  group.Role
 	term  ident.Term
+	// request is the identifier recorded with the transaction.
+	request stmt.RequestID
 }
 
 // work is one batch on its way to an endpoint.
@@ -41,6 +42,7 @@
 	need     group.Need
 	deadline time.Time
 	attempts int
+	reached  bool // an endpoint that was lost may have run the batch
 }
 
 // dispatch serves one batch. It returns a refusal for the caller, or an error
@@ -58,6 +60,7 @@
 	if done, err := s.local(b, &p); done || err != nil {
 		return nil, err
 	}
+	s.opening = p.opens && p.runs
 	if p.refusal != nil {
 		return p.refusal, nil
 	}
@@ -91,12 +94,25 @@
 		return err, nil
 	}
 	refusal, failure = s.start(ctx, w)
+	if refusal != nil && w.reached {
+		refusal = mayHaveRun(refusal)
+	}
 	if refusal != nil && fault.Of(refusal).Outcome == fault.NotRun {
 		s.server.gate.Return(&s.badge, time.Now())
 	}
 	return refusal, failure
 }
 
+// mayHaveRun keeps the code and the hint of a refusal, but not the claim that
+// nothing ran: a read was lost at one endpoint before it was refused.
+func mayHaveRun(refusal error) error {
+	e := *fault.Of(refusal)
+	if e.Outcome == fault.NotRun {
+		e.Outcome = fault.Unknown
+	}
+	return &e
+}
+
 // start runs a batch that opens a transaction or is one by itself.
 func (s *session) start(ctx context.Context, w *work) (refusal, failure error) {
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
@@ -163,7 +179,7 @@
 	if s.mayMove(w, l, &result) {
 		w.need.Write = true
 		s.endLoan(true)
-		s.dropAnswer()
+		s.out = s.out[:0]
 		movedReads.Inc()
 		return true, nil, nil
 	}
@@ -188,8 +204,7 @@
 // the batch. A single transaction took no effect and may run elsewhere.
 func (s *session) overtaken(w *work, l *loan, r *back.Result) (again bool, refusal, failure error) {
 	s.endLoan(r.Status == 'I')
-	s.dropAnswer()
-	s.hold = false
+	s.out, s.hold = s.out[:0], false
 	if w.plan.commits {
 		return false, fault.Lose(r.Failed, "the endpoint was replaced in the midst of several transactions"), nil
 	}
@@ -202,9 +217,7 @@
 	g := w.route.Group
 	changed := g.Keeper.Changed()
 	view := g.Keeper.View()
-	need := w.need
-	need.Load = func(i int) int { return g.load(view, i) }
-	choice := view.Choose(need, time.Now())
+	choice := s.choose(w, view, time.Now())
 	if choice.Index == group.NoEndpoint {
 		return nil, s.park(ctx, w, changed)
 	}
@@ -227,6 +240,14 @@
 	return nil, err
 }
 
+// choose returns the endpoint for the batch.
+func (s *session) choose(w *work, view *group.View, now time.Time) group.Choice {
+	g := w.route.Group
+	need := w.need
+	need.Load = func(i int) int { return g.load(view, i) }
+	return view.Choose(need, now)
+}
+
 // unreachable reports an endpoint that could not be connected to, and waits
 // for a change when it was the primary.
 func (s *session) unreachable(ctx context.Context, w *work, name ident.Endpoint, c *group.Choice, changed <-chan struct{}) error {
@@ -271,6 +292,7 @@
 	p := back.Prelude{Lead: l.term, Floor: w.need.Floor, ReadOnly: w.plan.readOnly, LastWrite: !w.plan.readOnly}
 	if w.plan.request != "" && w.need.Write {
 		p.Once, p.Digest = w.plan.request, w.plan.digest
+		l.request = p.Once
 	}
 	return p
 }
@@ -278,6 +300,7 @@
 // run exchanges the batch with the lent endpoint.
 func (s *session) run(l *loan, w *work, p back.Prelude) (back.Result, error) {
 	c := l.conn.Cancel()
+	s.parsed, s.committed = 0, false
 	s.setRunning(&c)
 	defer s.setRunning(nil)
 	return l.conn.Run(w.batch, &p, s, w.deadline)
@@ -303,6 +326,9 @@
 // lost decides what follows when an exchange ended without a whole answer.
 func (s *session) lost(w *work, l *loan, err error) (again bool, refusal, failure error) {
 	s.endLoan(false)
+	if errors.Is(err, errTooMuchHeld) {
+		return false, err, nil
+	}
 	var lost *back.LostError
 	if !errors.As(err, &lost) {
 		return false, nil, err // the caller itself is gone
@@ -310,8 +336,8 @@
 	w.route.Group.Keeper.Failed(l.conn.Endpoint, l.term, time.Now())
 	loss := stmt.Loss{Sent: lost.Sent, Relayed: s.relayed, Harmless: !s.careful || !w.plan.runs}
 	if stmt.Judge(loss) == stmt.Elsewhere {
-		s.dropAnswer()
-		s.hold = false
+		s.out, s.hold = s.out[:0], false
+		w.reached = w.reached || lost.Sent == stmt.Some && w.plan.runs
 		w.need.Avoid = w.need.Avoid.With(l.index)
 		return true, nil, nil
 	}
@@ -320,9 +346,9 @@
 
 // checked decides what follows from a failed check; nothing ran.
 func (s *session) checked(ctx context.Context, w *work, l *loan, r *back.Result) (again bool, refusal, failure error) {
-	e := r.Refused
 	s.endLoan(true)
-	s.dropAnswer()
+	s.out = s.out[:0]
+	e := r.Refused
 	switch e.Code {
 	case group.CodeBehind, group.CodeStale:
 		if l.role == group.PrimaryRole {
@@ -333,37 +359,15 @@
 	case group.CodeNotPrimary, group.CodeSealed:
 		return s.deposed(w, l)
 	case group.CodeRecorded:
-		refusal, failure = s.repeated(ctx, w, l, r)
+		refusal, failure = s.recorded(ctx, w, l, r)
 		return false, refusal, failure
 	case group.CodeMismatch:
-		return false, fault.Refuse(fault.RequestMismatch, 0, "request identifier %q was used for another statement", w.plan.request), nil
+		return false, mismatch(w.plan.request), nil
 	}
 	klog.ErrorS(e, "Check failed", "endpoint", l.conn.Endpoint)
 	return false, fault.Refuse(fault.Internal, 0, "a check failed at the endpoint: %s", e.Message).Because(e), nil
 }
 
-// repeated answers a request whose identifier is recorded, as the first run
-// would have been answered: after a majority holds the write, and with a token
-// that covers it. The primary of the loan's term holds the record, so that its
-// position is confirmed in that term, whatever term it was written in.
-func (s *session) repeated(ctx context.Context, w *work, l *loan, r *back.Result) (refusal, failure error) {
-	if r.Mark.Zero() {
-		return fault.Lose(r.Refused, "the request has run before, and its position could not be learned"), nil
-	}
-	s.hold = true
-	s.token = s.token.With(w.route.Group.Name, r.Mark)
-	s.shown = true
-	held := back.Result{Mark: ident.Mark{Term: l.term, Position: r.Mark.Position}, Confirmed: r.Confirmed}
-	if err := s.confirm(ctx, w, &held); err != nil {
-		return err, nil
-	}
-	repeatsServed.Inc()
-	if err := s.send(&pgproto3.CommandComplete{CommandTag: []byte(r.Refused.Detail)}); err != nil {
-		return nil, err
-	}
-	return nil, s.sendToken()
-}
-
 // deposed reports an endpoint that is not the primary it was taken for.
 func (s *session) deposed(w *work, l *loan) (again bool, refusal, failure error) {
 	g := w.route.Group
@@ -387,6 +391,9 @@
 	if r.Status == 'I' {
 		s.endLoan(true)
 	}
+	if r.Unread && s.committed {
+		return fault.Lose(r.Failed, "what was committed ahead of the error could not be learned"), nil
+	}
 	if !r.Wrote {
 		return nil, nil
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -32,15 +32,18 @@
 	shown  bool       // the caller showed a token, or a floor was learned
 	floor  ident.Mark // of a session without token
 
-	prepared map[string]*back.Prepared
-	parses   []string // names that the batch prepares, in its order
-	parsed   int      // how many of them the answer confirms
-	status   byte     // transaction status as the caller sees it
-	lent     *loan
-
-	careful bool // the batch may write
-	hold    bool // answers wait for a confirmation
-	relayed bool // a part of the answer has been written
+	prepared      map[string]*back.Prepared
+	preparedBytes int
+	status        byte // transaction status as the caller sees it
+	lent          *loan
+
+	careful   bool     // the batch may write
+	hold      bool     // answers wait for a confirmation
+	relayed   bool     // a part of the answer has been written
+	parsed    int      // statements of the batch that the endpoint has parsed
+	committed bool     // the batch has ended a transaction with effect
+	opening   bool     // the batch leaves a transaction open
+	named     []string // the statements that the batch parses, in order
 
 	mu      sync.Mutex
 	socket  net.Conn
@@ -133,12 +136,11 @@
 
 // batch reads one batch and serves it.
 func (s *session) batch(ctx context.Context) error {
-	s.parses, s.parsed = s.parses[:0], 0
 	b, refusal, err := s.collect()
 	if err != nil {
 		return err
 	}
-	s.careful, s.hold, s.relayed = false, false, false
+	s.careful, s.hold, s.relayed, s.parsed, s.opening = false, false, false, 0, false
 	if refusal == nil {
 		refusal, err = s.dispatch(ctx, b)
 	}
@@ -146,18 +148,39 @@
 		return err
 	}
 	if refusal != nil {
+		s.parsed = 0
+		s.failTransaction()
+		s.failUnopened()
 		if err := s.refuse(refusal); err != nil {
 			return err
 		}
 	}
-	s.forgetUnconfirmed()
+	s.forgetUnparsed()
 	return s.ready()
 }
 
-// forgetUnconfirmed forgets the statements whose preparation the caller was
-// not told of, since it will prepare them again under the same names.
-func (s *session) forgetUnconfirmed() {
-	for _, name := range s.parses[min(s.parsed, len(s.parses)):] {
-		delete(s.prepared, name)
+// failTransaction fails the open transaction after a refusal, as any error in
+// a transaction does, so that a later COMMIT keeps no part of it.
+func (s *session) failTransaction() {
+	if s.lent != nil {
+		s.endLoan(false)
+		s.status = 'E'
+	}
+}
+
+// failUnopened fails a transaction whose BEGIN was refused, when the caller has
+// sent more before it saw the refusal. That must not run outside of it.
+func (s *session) failUnopened() {
+	if s.opening && s.status == 'I' && s.reader.Buffered() > 0 {
+		s.status = 'E'
+	}
+}
+
+// forgetUnparsed forgets the statements whose Parse was not answered with
+// success, so that the caller may prepare them again under the same name.
+func (s *session) forgetUnparsed() {
+	for _, name := range s.named[min(s.parsed, len(s.named)):] {
+		s.forget(name)
 	}
+	s.named = s.named[:0]
 }
