--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -26,6 +26,7 @@
 	testEnv    = ident.Environment("trial")
 	testKey    = "mk_test"
 	backSecret = "endpoint-password"
+	peerSecret = "a secret of the test set, long enough"
 	soon       = 10 * time.Second
 )
 
@@ -42,12 +43,20 @@
 	document  *envdoc.Document
 	proxies   []*entry.Proxy
 	addresses []string
+	admins    []string
+	timeout   envdoc.Duration // of one request
 }
 
 func newSet(t testing.TB, proxies int, changes ...func(*envdoc.Document)) *set {
+	t.Helper()
+	return newSetWithin(t, proxies, conf.DefaultRequestTimeout, changes...)
+}
+
+// newSetWithin is newSet with a bound for one request.
+func newSetWithin(t testing.TB, proxies int, timeout envdoc.Duration, changes ...func(*envdoc.Document)) *set {
 	t.Helper()
 	g := NewWithT(t)
-	s := &set{t: t, endpoints: map[ident.Endpoint]*endpt.Server{}}
+	s := &set{t: t, endpoints: map[ident.Endpoint]*endpt.Server{}, timeout: timeout}
 	var err error
 	s.platform, err = plat.Start(context.Background())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -138,6 +147,16 @@
 	return l.Addr().String()
 }
 
+// renew stops a proxy and starts another of its name, which knows nothing.
+func (s *set) renew(i int) {
+	NewWithT(s.t).Expect(s.proxies[i].Stop(context.Background())).To(Succeed())
+	s.startProxy(i)
+	last := len(s.proxies) - 1
+	s.proxies[i], s.addresses[i] = s.proxies[last], s.addresses[last]
+	s.admins[i] = s.admins[last]
+	s.proxies, s.addresses, s.admins = s.proxies[:last], s.addresses[:last], s.admins[:last]
+}
+
 func (s *set) startProxy(i int) {
 	g := NewWithT(s.t)
 	settings := &conf.Settings{
@@ -145,9 +164,9 @@
 		Listen:   conf.Listen{Callers: freeAddress(s.t), Peers: freeAddress(s.t), Admin: freeAddress(s.t)},
 		Platform: s.platform.Platform(),
 		TLS:      conf.TLS{AllowPlain: true},
-		Peers:    conf.Peers{Secret: "a secret of the test set, long enough"},
+		Peers:    conf.Peers{Secret: peerSecret},
 		Backend:  conf.Backend{User: "proxy", Password: backSecret},
-		Limits: conf.Limits{Callers: 100, QueueWait: conf.DefaultQueueWait, RequestTimeout: conf.DefaultRequestTimeout,
+		Limits: conf.Limits{Callers: 100, QueueWait: conf.DefaultQueueWait, RequestTimeout: s.timeout,
 			DrainTimeout: conf.DefaultDrainTimeout, LeaseLength: conf.DefaultLeaseLength},
 	}
 	p, err := entry.Build(settings, entry.Policies{})
@@ -155,6 +174,7 @@
 	g.Expect(p.Start()).To(Succeed())
 	s.proxies = append(s.proxies, p)
 	s.addresses = append(s.addresses, settings.Listen.Callers)
+	s.admins = append(s.admins, settings.Listen.Admin)
 }
 
 // connect returns a caller of a route, once the proxy serves it.
--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -14,6 +14,8 @@
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/conf"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/plat"
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
@@ -27,12 +29,19 @@
 // TestScripts runs the scripts under testdata. A script starts with "set" and
 // drives real proxies and stand-ins in this process:
 //
-//	set proxies=N                    start a platform, a group and N proxies
-//	caller NAME proxy=I route=R [token=OTHER]
-//	exec NAME [settle] [until=CODE] [token=OTHER]
+//	set proxies=N [timeout=D]        start a platform, a group and N proxies;
+//	                                 a request may take D
+//	caller NAME proxy=I route=R [token=OTHER] [once|answered]
+//	                                 once tries one login and prints its end,
+//	                                 answered repeats it while the proxy has
+//	                                 no document to judge the key by
+//	exec NAME [settle] [until=CODE] [token=OTHER] [replica] [times=N]
 //	                                 run the input; settle repeats it while it
 //	                                 is refused as not run, until=CODE repeats
-//	                                 it until it ends so, within the promise
+//	                                 it until it ends so, within the promise;
+//	                                 replica repeats it until a replica ran a
+//	                                 read, times=N runs it N times and prints
+//	                                 the first result that differs
 //	fault ENDPOINT FIELD=VALUE       switch a fault of an endpoint
 //	platform FIELD=VALUE             switch a fault of the platform
 //	kill ENDPOINT                    end an endpoint
@@ -43,7 +52,10 @@
 //	vanish NAME                      close the caller's socket
 //	stop I                           begin the graceful stop of a proxy
 //	stopped I                        wait for its end
+//	renew I                          stop a proxy and start it anew with nothing
 //	ran ENDPOINT KIND                count the statements of a kind
+//	holds ENDPOINT TABLE             print the ids of its own log, once it holds
+//	                                 what the others do
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		defer verifyNone(t, goleak.IgnoreCurrent())
@@ -81,9 +93,7 @@
 func (s *script) step(d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "set":
-		proxies := 1
-		d.MaybeScanArgs(s.t, "proxies", &proxies)
-		s.set = newSet(s.t, proxies)
+		s.begin(d)
 	case "caller":
 		return s.caller(d)
 	case "exec":
@@ -111,16 +121,29 @@
 		s.stop(d)
 	case "stopped":
 		s.expect(<-s.stopping[index(s.t, d)])
+	case "renew":
+		s.set.renew(index(s.t, d))
 	case "moved":
 		s.moved(ident.Endpoint(d.CmdArgs[0].Key))
 	case "ran":
 		return s.ran(d)
+	case "holds":
+		return s.holds(d)
 	default:
 		s.t.Fatalf("%s: unknown directive %s", d.Pos, d.Cmd)
 	}
 	return ""
 }
 
+func (s *script) begin(d *datadriven.TestData) {
+	proxies, text := 1, conf.DefaultRequestTimeout.String()
+	d.MaybeScanArgs(s.t, "proxies", &proxies)
+	d.MaybeScanArgs(s.t, "timeout", &text)
+	var timeout envdoc.Duration
+	s.expect(timeout.UnmarshalText([]byte(text)))
+	s.set = newSetWithin(s.t, proxies, timeout)
+}
+
 func (s *script) expect(err error) { NewWithT(s.t).ExpectWithOffset(1, err).NotTo(HaveOccurred()) }
 
 func index(t *testing.T, d *datadriven.TestData) int {
@@ -147,10 +170,29 @@
 		s.callers[d.CmdArgs[0].Key] = conn
 		return "connected\n"
 	}
+	if d.HasArg("answered") {
+		return s.answered(proxy, route)
+	}
 	s.callers[d.CmdArgs[0].Key] = s.set.connect(proxy, route, options)
 	return ""
 }
 
+// answered logs in until the proxy judges the key, and prints the verdict.
+func (s *script) answered(proxy int, route string) string {
+	var result string
+	NewWithT(s.t).Eventually(func() string {
+		conn, err := s.set.try(proxy, route, "")
+		if err == nil {
+			s.expect(conn.Close(context.Background()))
+			result = "connected\n"
+			return result
+		}
+		result = describe(nil, err)
+		return result
+	}, promise, 20*time.Millisecond).Should(Or(Equal("connected\n"), Equal("error 28P01\n")))
+	return result
+}
+
 // exec runs the input on a caller, repeated as the arguments say.
 func (s *script) exec(d *datadriven.TestData) string {
 	name, until, of := d.CmdArgs[0].Key, "", ""
@@ -159,10 +201,14 @@
 	if of != "" {
 		s.adopt(name, of)
 	}
-	deadline := time.Now().Add(promise)
+	if d.HasArg("times") {
+		return s.repeat(d)
+	}
+	deadline, reads := time.Now().Add(promise), s.replicaReads()
 	for {
 		result := run(s.callers[name], d.Input)
 		switch {
+		case d.HasArg("replica") && s.replicaReads() == reads:
 		case until != "" && !strings.HasPrefix(result, "error "+until) && !strings.Contains(result, until):
 		case d.HasArg("settle") && refused(result):
 		default:
@@ -175,6 +221,31 @@
 	}
 }
 
+// repeat runs the input several times and prints the first result that is not
+// that of the first time.
+func (s *script) repeat(d *datadriven.TestData) string {
+	var times int
+	d.ScanArgs(s.t, "times", &times)
+	conn := s.callers[d.CmdArgs[0].Key]
+	first := run(conn, d.Input)
+	for range times - 1 {
+		time.Sleep(10 * time.Millisecond)
+		if result := run(conn, d.Input); result != first {
+			return "then: " + result
+		}
+	}
+	return first
+}
+
+// replicaReads counts the reads that replicas ran.
+func (s *script) replicaReads() int64 {
+	var reads int64
+	for _, e := range s.set.endpoints {
+		reads += e.Counters().Reads[group.ReplicaRole]
+	}
+	return reads
+}
+
 // adopt makes a caller show the session token of another.
 func (s *script) adopt(name, of string) {
 	shown := s.callers[of].PgConn().ParameterStatus("marjoram.session_token")
@@ -247,6 +318,8 @@
 			f.CutAnswers = &count
 		case "Slow":
 			f.Slow = span
+		case "ApplyLag":
+			f.ApplyLag = span
 		case "ReplicationLag":
 			f.ReplicationLag = span
 		default:
@@ -281,6 +354,29 @@
 	return fmt.Sprintln(e.Counters().Statements[d.CmdArgs[1].Key])
 }
 
+// holds prints the ids of a table at an endpoint, once they are those that
+// every endpoint holds.
+func (s *script) holds(d *datadriven.TestData) string {
+	e := s.set.endpoints[ident.Endpoint(d.CmdArgs[0].Key)]
+	table := d.CmdArgs[1].Key
+	agreed := func(g Gomega) {
+		for _, other := range s.set.endpoints {
+			g.Expect(ids(e, table)).To(Equal(ids(other, table)))
+		}
+	}
+	NewWithT(s.t).Eventually(agreed, promise, 10*time.Millisecond).Should(Succeed())
+	return strings.Join(ids(e, table), "\n") + "\n"
+}
+
+func ids(e *endpt.Server, table string) []string {
+	var list []string
+	for _, row := range e.Rows(table) {
+		list = append(list, *row["id"])
+	}
+	sort.Strings(list)
+	return list
+}
+
 // run executes SQL in simple or, with a leading "$", extended mode and prints
 // the rows, the command tag or the error.
 func run(conn *pgx.Conn, sql string) string {
--- a/internal/stand/endpt/control.go
+++ b/internal/stand/endpt/control.go
@@ -26,6 +26,7 @@
 	Latency        *envdoc.Duration `json:",omitempty"`
 	Slow           *envdoc.Duration `json:",omitempty"` // added to each statement
 	CutAnswers     *int64           `json:",omitempty"` // answers to cut in the middle
+	CutAfter       *int64           `json:",omitempty"` // bytes of such an answer that get through; 0 for 16
 	LoseAnswers    *int64           `json:",omitempty"` // answers to lose after a commit
 	// DropCallers ends every connection of a caller at once; it is an action
 	// and not a state.
@@ -56,6 +57,9 @@
 	if f.CutAnswers != nil {
 		s.faults.cutAnswers.Store(*f.CutAnswers)
 	}
+	if f.CutAfter != nil {
+		s.faults.cutAfter.Store(*f.CutAfter)
+	}
 	if f.LoseAnswers != nil {
 		s.faults.loseAnswers.Store(*f.LoseAnswers)
 	}
@@ -80,11 +84,11 @@
 func (s *Server) Faults() Faults {
 	f := s.faults
 	frozen, callers, cut := f.frozen.closed(), f.callers.closed(), f.group.closed()
-	cuts, losses := f.cutAnswers.Load(), f.loseAnswers.Load()
+	cuts, after, losses := f.cutAnswers.Load(), f.cutAfter.Load(), f.loseAnswers.Load()
 	return Faults{
 		Frozen: &frozen, CutCallers: &callers, CutGroup: &cut,
 		ReplicationLag: duration(&f.lag), ApplyLag: duration(&f.apply), Latency: duration(&f.latency), Slow: duration(&f.slow),
-		CutAnswers: &cuts, LoseAnswers: &losses,
+		CutAnswers: &cuts, CutAfter: &after, LoseAnswers: &losses,
 	}
 }
 
--- a/internal/stand/endpt/faults.go
+++ b/internal/stand/endpt/faults.go
@@ -18,6 +18,7 @@
 	// cutAnswers and loseAnswers count answers that are still to be hurt.
 	cutAnswers  atomic.Int64
 	loseAnswers atomic.Int64
+	cutAfter    atomic.Int64 // bytes of an answer that is cut
 	// watch holds texts that must not arrive from callers.
 	watch atomic.Pointer[[]string]
 }
@@ -38,6 +39,14 @@
 
 func (f *faults) slowness() time.Duration { return time.Duration(f.slow.Load()) }
 
+// cutBytes is how much of an answer gets through before a cut.
+func (f *faults) cutBytes() int {
+	if n := f.cutAfter.Load(); n > 0 {
+		return int(n)
+	}
+	return defaultCutBytes
+}
+
 // takeOne counts v down and reports whether there was something to take.
 func takeOne(v *atomic.Int64) bool {
 	for {
--- a/internal/stand/endpt/session.go
+++ b/internal/stand/endpt/session.go
@@ -18,8 +18,8 @@
 const (
 	secretBytes     = 4
 	maxMessageBytes = 16 << 20
-	// cutBytes is how much of an answer gets through before a cut.
-	cutBytes = 16
+	// defaultCutBytes is how much of an answer gets through before a cut.
+	defaultCutBytes = 16
 )
 
 // errDropped ends a session whose connection a fault drops.
@@ -215,7 +215,7 @@
 		return errDropped
 	}
 	if takeOne(&x.server.faults.cutAnswers) {
-		x.link.quota = cutBytes
+		x.link.quota = x.server.faults.cutBytes()
 		_ = x.back.Flush()
 		return errDropped
 	}
