--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -17,6 +17,10 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/token"
 )
 
+// drainGrace is how long an idle caller is listened to after the instance began
+// to stop, so that a request that is on its way is served and not refused.
+const drainGrace = 50 * time.Millisecond
+
 // session is one connected caller. Its fields belong to its own goroutine,
 // but for those under mu.
 type session struct {
@@ -111,7 +115,7 @@
 	case s.lent != nil:
 		_ = s.socket.SetReadDeadline(time.Now().Add(s.server.options.RequestTimeout))
 	case s.server.draining.Load():
-		_ = s.socket.SetReadDeadline(time.Now())
+		_ = s.socket.SetReadDeadline(time.Now().Add(drainGrace))
 	}
 }
 
@@ -120,7 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.idle && s.lent == nil {
-		_ = s.socket.SetReadDeadline(time.Now())
+		_ = s.socket.SetReadDeadline(time.Now().Add(drainGrace))
 	}
 }
 
