Split the serving of a batch by idea; share the scripts' and the pauses' code

No behaviour changes: choosing an endpoint, judging its answer, and settling a write stand in files of their own; one function waits, and one puts the document of a set.

--- a/internal/back/confirm.go
+++ b/internal/back/confirm.go
@@ -74,7 +74,7 @@
 			return nil
 		}
 		if err != nil {
-			pause(ctx, confirmPause)
+			tasks.Pause(ctx, confirmPause)
 		}
 		c.settle(func(m ident.Mark) (bool, error) { return judge(m, term, status, err) })
 	}
--- a/internal/back/interrupt.go
+++ b/internal/back/interrupt.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -21,7 +23,7 @@
 	p.failAll(errors.Mark(errors.New("the primary was replaced"), ErrUnreachable), now)
 	held := maps.Clone(p.lent)
 	p.group.Go(func(ctx context.Context) error {
-		pause(ctx, grace)
+		tasks.Pause(ctx, grace)
 		p.cut(held)
 		return nil
 	})
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -204,21 +204,12 @@
 	c, err := Dial(ctx, p.endpoint.Name, p.endpoint.Address, p.creds)
 	if err != nil {
 		klog.V(2).InfoS("Endpoint connection failed", "endpoint", p.endpoint.Name, "err", err)
-		pause(ctx, dialBackoff)
+		tasks.Pause(ctx, dialBackoff)
 	}
 	p.opened(c, err, time.Now())
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (p *Pool) opened(c *Conn, err error, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/front/borrow.go
@@ -0,0 +1,101 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/back"
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// learnFloor sets the mark that the data must cover. A session that came
+// without a token learns it once, from the group.
+func (s *session) learnFloor(ctx context.Context, w *work) error {
+	w.need.Floor = s.token.Mark(w.route.Group.Name)
+	if !w.need.Floor.Zero() || s.shown {
+		return nil
+	}
+	if s.floor.Zero() {
+		floor, err := w.route.Group.Keeper.Floor(ctx, time.Now())
+		if err != nil {
+			return fault.Refuse(fault.NoPrimary, retryPrimary, "the group's position could not be learned").Because(err)
+		}
+		s.floor = floor
+	}
+	w.need.Floor = s.floor
+	return nil
+}
+
+// borrow chooses an endpoint and takes a connection to it. It returns neither
+// when the choice should be made again.
+func (s *session) borrow(ctx context.Context, w *work) (*loan, error) {
+	g := w.route.Group
+	changed := g.Keeper.Changed()
+	view := g.Keeper.View()
+	choice := s.choose(w, view, time.Now())
+	if choice.Index == group.NoEndpoint {
+		return nil, s.park(ctx, w, changed)
+	}
+	name := view.Endpoints[choice.Index].Endpoint.Name
+	pool := g.Pools[name]
+	if pool == nil {
+		w.need.Avoid = w.need.Avoid.With(choice.Index)
+		return nil, nil
+	}
+	conn, err := pool.Lend(ctx, back.Claim{Account: s.badge.Account, Weight: s.server.gate.Weight(&s.badge)}, time.Now())
+	if err == nil {
+		return &loan{pool: pool, conn: conn, index: choice.Index, role: choice.Role, term: choice.Term}, nil
+	}
+	if errors.Is(err, back.ErrUnreachable) || errors.Is(err, back.ErrClosed) {
+		return nil, s.unreachable(ctx, w, name, &choice, changed)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil, fault.Refuse(fault.OverLimit, retryPrimary, "no connection to endpoint %s came free", name).Because(err)
+	}
+	return nil, err
+}
+
+// choose returns the endpoint for the batch.
+func (s *session) choose(w *work, view *group.View, now time.Time) group.Choice {
+	g := w.route.Group
+	need := w.need
+	need.Load = func(i int) int { return g.load(view, i) }
+	return view.Choose(need, now)
+}
+
+// unreachable reports an endpoint that could not be connected to, and waits
+// for a change when it was the primary.
+func (s *session) unreachable(ctx context.Context, w *work, name ident.Endpoint, c *group.Choice, changed <-chan struct{}) error {
+	w.route.Group.Keeper.Failed(name, c.Term, time.Now())
+	if c.Role == group.PrimaryRole {
+		return s.park(ctx, w, changed)
+	}
+	w.need.Avoid = w.need.Avoid.With(c.Index)
+	return nil
+}
+
+// park waits for a primary for a bounded time; then the request is refused.
+func (s *session) park(ctx context.Context, w *work, changed <-chan struct{}) error {
+	parkedTotal.Inc()
+	w.need.Avoid = 0
+	ctx, cancel := context.WithDeadline(ctx, w.deadline.Add(s.server.options.ParkTime-s.server.options.RequestTimeout))
+	defer cancel()
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return fault.Refuse(fault.NoPrimary, retryPrimary, "group %s has no primary", w.route.Group.Name)
+	}
+}
+
+// load is the number of statements in flight at an endpoint.
+func (g *Group) load(v *group.View, index int) int {
+	if p := g.Pools[v.Endpoints[index].Endpoint.Name]; p != nil {
+		return p.Busy()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/front/settle.go
@@ -0,0 +1,69 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/back"
+	"github.com/marjoramrudder/marjoramrudder/internal/fault"
+	"github.com/marjoramrudder/marjoramrudder/internal/group"
+	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+)
+
+// settle ends a batch that was answered: it keeps the connection for an open
+// transaction, confirms a write, and tells the caller the new token.
+func (s *session) settle(ctx context.Context, w *work, r *back.Result) (refusal, failure error) {
+	s.status = r.Status
+	if r.Status == 'I' {
+		s.endLoan(true)
+	}
+	if r.Unread && s.committed {
+		return fault.Lose(r.Failed, "what was committed ahead of the error could not be learned"), nil
+	}
+	if !r.Wrote {
+		return nil, nil
+	}
+	w.observe(r)
+	s.token = s.token.With(w.route.Group.Name, r.Mark)
+	s.shown = true
+	if err := s.confirm(ctx, w, r); err != nil {
+		return err, nil
+	}
+	return nil, s.sendToken()
+}
+
+// observe tells the keeper how far the primary is, so that replicas that hold
+// the write are found at once.
+func (w *work) observe(r *back.Result) {
+	status := group.Status{Term: r.Mark.Term, Role: group.PrimaryRole, Last: r.Mark, Confirmed: r.Confirmed}
+	w.route.Group.Keeper.Observe(r.Endpoint, status, time.Now())
+}
+
+// confirm waits until a majority holds the write, where the route asks for it.
+func (s *session) confirm(ctx context.Context, w *work, r *back.Result) error {
+	if w.route.Durability == envdoc.Primary {
+		return nil
+	}
+	if r.Confirmed >= r.Mark.Position {
+		return nil
+	}
+	assert.That(s.hold || r.Failed != nil, "front.confirm.held", "a write at %v would be acknowledged before its confirmation", r.Mark)
+	began := time.Now()
+	if err := w.route.Group.Confirmer.Wait(ctx, r.Mark); err != nil {
+		return fault.Lose(err, "the write was not confirmed by a majority; it may have taken effect")
+	}
+	confirmTime.UpdateDuration(began)
+	return nil
+}
+
+// endLoan gives the lent connection back.
+func (s *session) endLoan(keep bool) {
+	if s.lent == nil {
+		return
+	}
+	l := s.lent
+	s.lent = nil
+	keep = keep && !s.wasStruck()
+	l.pool.Return(l.conn, keep, time.Now())
+}
--- a/internal/stand/soak/apply.go
+++ b/internal/stand/soak/apply.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
@@ -47,7 +49,7 @@
 
 // run waits for the fault's time, carries it out and lifts it.
 func (i *injector) run(ctx context.Context, start time.Time, f Fault) {
-	if !sleepUntil(ctx, start.Add(f.At)) {
+	if !tasks.PauseUntil(ctx, start.Add(f.At)) {
 		return
 	}
 	h := &Happened{Fault: f}
@@ -64,7 +66,7 @@
 	case f.Kind == FloodAccount:
 		h.Target = string(i.set.layout.Accounts[f.Account].Name)
 		i.book.begin(h, time.Now())
-		sleepUntil(ctx, time.Now().Add(f.Length))
+		tasks.PauseUntil(ctx, time.Now().Add(f.Length))
 		i.book.end(h, time.Now())
 	default:
 		err = i.onEndpoint(ctx, h)
@@ -124,7 +126,7 @@
 		h.Skipped = err.Error()
 		return nil
 	}
-	sleepUntil(ctx, time.Now().Add(h.Length))
+	tasks.PauseUntil(ctx, time.Now().Add(h.Length))
 	_ = i.set.signal(pid, syscall.SIGCONT) // the process may have been killed meanwhile
 	return nil
 }
@@ -134,7 +136,7 @@
 	i.book.begin(h, time.Now())
 	i.spread.storeFault(1)
 	i.turnOn(ctx, active{Fault: h.Fault})
-	sleepUntil(ctx, time.Now().Add(h.Length))
+	tasks.PauseUntil(ctx, time.Now().Add(h.Length))
 	i.turnOff(ctx, active{Fault: h.Fault})
 	i.spread.storeFault(-1)
 	i.book.end(h, time.Now())
@@ -175,7 +177,7 @@
 	i.book.begin(h, time.Now())
 	a := active{h.Fault, e.Name}
 	i.turnOn(ctx, a)
-	sleepUntil(ctx, time.Now().Add(h.Length))
+	tasks.PauseUntil(ctx, time.Now().Add(h.Length))
 	i.turnOff(ctx, a)
 	i.book.end(h, time.Now())
 	return nil
@@ -279,6 +281,6 @@
 		if f(ctx) == nil {
 			return
 		}
-		sleepUntil(ctx, time.Now().Add(liftPause))
+		tasks.PauseUntil(ctx, time.Now().Add(liftPause))
 	}
 }
--- a/internal/stand/soak/keys.go
+++ b/internal/stand/soak/keys.go
@@ -90,10 +90,10 @@
 	for i := range k.set.layout.Proxies {
 		group.Go(func(ctx context.Context) error { return k.use(ctx, i, u) })
 	}
-	sleepUntil(ctx, time.Now().Add(keyLife))
+	tasks.PauseUntil(ctx, time.Now().Add(keyLife))
 	if k.settle(ctx, envdoc.ErrNoKey, func(d *envdoc.Document) (*envdoc.Document, error) { return d.WithdrawKey(SpareAccount, hash) }) {
 		u.withdraw(time.Now())
-		sleepUntil(ctx, time.Now().Add(keyAfterlife))
+		tasks.PauseUntil(ctx, time.Now().Add(keyAfterlife))
 		k.mu.Lock()
 		k.rounds++
 		k.mu.Unlock()
--- a/internal/stand/soak/leave.go
+++ b/internal/stand/soak/leave.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/endpt"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/layout"
 )
@@ -35,12 +37,12 @@
 // gets no new work.
 func (i *injector) watchLeaving(ctx context.Context, h *Happened, e layout.Endpoint) {
 	until := h.From.Add(h.Length)
-	if !sleepUntil(ctx, h.From.Add(min(spreadBound, h.Length))) {
+	if !tasks.PauseUntil(ctx, h.From.Add(min(spreadBound, h.Length))) {
 		return
 	}
 	pid, _ := i.set.pid(h.Target)
 	before, errBefore := i.set.counters(ctx, e)
-	sleepUntil(ctx, until)
+	tasks.PauseUntil(ctx, until)
 	after, errAfter := i.set.counters(ctx, e)
 	next, _ := i.set.pid(h.Target)
 	if errBefore == nil && errAfter == nil && pid == next && work(after) > work(before) && !i.spread.storeFaultSince(h.From) {
--- a/internal/stand/soak/run.go
+++ b/internal/stand/soak/run.go
@@ -93,7 +93,7 @@
 	if err := r.office.check(final); err != nil {
 		r.book.violate(time.Now(), OneWinner, "the history could not be read: "+err.Error())
 	}
-	sleepUntil(final, time.Now().Add(spreadBound+time.Second)) // the last version spreads
+	tasks.PauseUntil(final, time.Now().Add(spreadBound+time.Second)) // the last version spreads
 	if err := watchers.Close(); err != nil {
 		return nil, errors.Wrap(err, "watch processes")
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,11 +12,7 @@
 bin/stand layout --profile demo --dir "$SET_DIR" || exit 1
 start_set
 settings=$SET_DIR/proxy-1.toml
-for _ in $(seq 100); do
-  bin/marjoramrudder env put --settings "$settings" --unannounced --author demo "$SET_DIR/document.toml" >"$SET_DIR/put" 2>&1 && break
-  sleep 0.1
-done
-tail -n 1 "$SET_DIR/put"
+put_document demo || exit 1
 sleep 2 # the parts of the quotas fill up
 
 bin/stand load --dir "$SET_DIR" --duration 20s --share 0.6 --json "$SET_DIR/report.json" >"$SET_DIR/load" 2>&1 &
--- a/scripts/idle.sh
+++ b/scripts/idle.sh
@@ -13,11 +13,7 @@
 bin/stand layout --profile "${2:-carbonella}" --proxies "${1:-8}" --dir "$SET_DIR" || exit 1
 start_set
 settings=$SET_DIR/proxy-1.toml
-for _ in $(seq 100); do
-  bin/marjoramrudder env put --settings "$settings" --unannounced --author idle "$SET_DIR/document.toml" >"$SET_DIR/put" 2>&1 && break
-  sleep 0.1
-done
-tail -n 1 "$SET_DIR/put"
+put_document idle || exit 1
 sleep 20
 
 # value SETTINGS METRIC prints the sum of a metric of one proxy.
--- a/scripts/set.sh
+++ b/scripts/set.sh
@@ -33,6 +33,21 @@
   done <"$SET_DIR/processes"
 }
 
+# put_document AUTHOR puts the set's document in force, as soon as the platform
+# answers.
+put_document() {
+  local status=1
+  for _ in $(seq 100); do
+    "$SET_BIN/marjoramrudder" env put --settings "$SET_DIR/proxy-1.toml" --unannounced --author "$1" \
+      "$SET_DIR/document.toml" >"$SET_DIR/put" 2>&1
+    status=$?
+    [ $status = 0 ] && break
+    sleep 0.1
+  done
+  tail -n 1 "$SET_DIR/put"
+  return $status
+}
+
 # stop_set wakes what was paused and ends every process: the proxies first, as
 # they tell the platform that they leave.
 stop_set() {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -25,13 +25,6 @@
 
 bin/stand layout --profile "$profile" --dir "$SET_DIR" || exit 1
 start_set
-accepted=1
-for _ in $(seq 100); do
-  bin/marjoramrudder env put --settings "$SET_DIR/proxy-1.toml" --unannounced --author soak "$SET_DIR/document.toml" >"$SET_DIR/put" 2>&1
-  accepted=$?
-  [ $accepted = 0 ] && break
-  sleep 0.1
-done
-[ $accepted = 0 ] || { cat "$SET_DIR/put"; exit 1; }
+put_document soak || exit 1
 sleep 2 # the parts of the quotas fill up
 bin/stand soak --dir "$SET_DIR" --seed "$seed" --duration "$duration" --json "$SET_DIR/report.json"
