--- /dev/null
+++ b/pkg/token/example_test.go
@@ -0,0 +1,15 @@
+package token_test
+
+import (
+	"fmt"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+	"github.com/marjoramrudder/marjoramrudder/pkg/token"
+)
+
+func ExampleToken_With() {
+	session := token.Token{}.With("orders", ident.Mark{Term: 3, Position: 17})
+	shown, err := token.Parse(session.String())
+	fmt.Println(shown.Mark("orders"), err)
+	// Output: {3 17} <nil>
+}
