Take a token in one place for Spend and SpendWait; drop the second gate interface

Both methods held the same look-up and the same first try. WaitingGate repeated what Gate had taken over.

--- a/internal/acct/admit.go
+++ b/internal/acct/admit.go
@@ -26,7 +26,7 @@
 	clock   func() time.Time
 }
 
-var _ WaitingGate = (*Admission)(nil)
+var _ Gate = (*Admission)(nil)
 
 // NewAdmission returns the gate. Wake asks for a TokensShort and must not
 // block; clock is read by SpendWait alone, after it has waited.
@@ -59,40 +59,40 @@
 
 // Spend implements Gate.
 func (a *Admission) Spend(badge *Badge, now time.Time) error {
-	if badge.Account == "" {
-		return nil
-	}
-	l := a.limiter.of(badge.Account)
+	l, s, err := a.try(badge, now)
 	if l == nil {
-		return a.unknown(badge)
-	}
-	l.tried.Add(1)
-	at := a.limiter.at(now)
-	s := l.supply.Load()
-	if a.take(l, s, at) {
-		return nil
+		return err
 	}
 	l.missed.Add(1)
 	a.short(l)
-	return refuse(l, s, at)
+	return refuse(l, s, a.limiter.at(now))
 }
 
-// SpendWait implements WaitingGate. It allocates only when it waits.
+// SpendWait implements Gate. It allocates only when it waits.
 func (a *Admission) SpendWait(ctx context.Context, badge *Badge, now time.Time) error {
+	l, s, err := a.try(badge, now)
+	if l == nil {
+		return err
+	}
+	return a.wait(ctx, l, s, badge, now)
+}
+
+// try takes a token that is here. Without one it returns the limit that has
+// run out, and its supply; otherwise the limit is nil and err is the answer.
+func (a *Admission) try(badge *Badge, now time.Time) (l *limit, s *supply, err error) {
 	if badge.Account == "" {
-		return nil
+		return nil, nil, nil
 	}
-	l := a.limiter.of(badge.Account)
+	l = a.limiter.of(badge.Account)
 	if l == nil {
-		return a.unknown(badge)
+		return nil, nil, a.unknown(badge)
 	}
 	l.tried.Add(1)
-	at := a.limiter.at(now)
-	s := l.supply.Load()
-	if a.take(l, s, at) {
-		return nil
+	s = l.supply.Load()
+	if a.take(l, s, a.limiter.at(now)) {
+		return nil, nil, nil
 	}
-	return a.wait(ctx, l, s, badge, now)
+	return l, s, nil
 }
 
 func (a *Admission) wait(ctx context.Context, l *limit, s *supply, badge *Badge, now time.Time) error {
--- a/internal/acct/gate.go
+++ b/internal/acct/gate.go
@@ -34,20 +34,12 @@
 	Spend(badge *Badge, now time.Time) error
 	// SpendWait is Spend for a caller that can wait a few milliseconds while
 	// other instances are asked for tokens. It blocks only for that time, and
-	// only when this instance has no token.
+	// only when this instance has no token. A small account has its tokens at
+	// one or two instances; Spend refuses at the others until a token has
+	// come, SpendWait fetches it.
 	SpendWait(ctx context.Context, badge *Badge, now time.Time) error
 	// Return gives back the token of a request that ended not run.
 	Return(badge *Badge, now time.Time)
 	// Weight returns the account's weight, 1 for callers of open routes.
 	Weight(badge *Badge) int
 }
-
-// WaitingGate is a Gate for request paths that can wait a few milliseconds. A
-// small account has its tokens at one or two instances; Spend refuses at the
-// others until a token has come, SpendWait fetches it.
-type WaitingGate interface {
-	Gate
-	// SpendWait is Spend, but waits a few milliseconds at most while other
-	// instances are asked for tokens, or until ctx ends.
-	SpendWait(ctx context.Context, badge *Badge, now time.Time) error
-}
