--- a/cmd/marjoramrudder/main.go
+++ b/cmd/marjoramrudder/main.go
@@ -58,6 +58,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		proxyCommand(),
+		platformCommand(),
 		envCommand(),
 		keyCommand(),
 		statusCommand(),
--- /dev/null
+++ b/cmd/marjoramrudder/platform.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/platform"
+)
+
+// platformVariable names the platform's settings file.
+const platformVariable = "MARJORAMRUDDER_CONFIG"
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run an instance on the platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platformVariable), Required: true, TakesFile: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := platform.LoadSettings(c.String("config"))
+			if err != nil {
+				return usagef("%v", err)
+			}
+			sink := trace.Install(os.Stdout, string(settings.Instance))
+			defer func() { _ = sink.Close() }()
+			return platform.Serve(ctx, settings)
+		},
+	}
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,20 @@
+// Package clock reads the time that leases, floors and timeouts are measured
+// by. It goes on while the machine is suspended and is not set by anyone, which
+// neither the time of day nor Go's monotonic reading offers together.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since the machine started as a time.Time. Only
+// differences between two readings on one machine mean anything.
+func Now() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now()
+	}
+	return time.Unix(t.Sec, t.Nsec)
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,7 +13,8 @@
 	MaxDocument = 1 << 20
 	// MaxFrame bounds every frame in bytes.
 	MaxFrame = MaxDocument + maxPlain
-	// maxLeases bounds a frame that lists leases, to about 1500 of them.
+	// maxLeases bounds a frame that lists leases or members, to about 1500 of
+	// them.
 	maxLeases = 64 << 10
 	// maxPlain bounds every other frame.
 	maxPlain = 4 << 10
@@ -133,6 +134,20 @@
 		return decodeAs[LeaseAsk](kind, body)
 	case LeaseHoldKind:
 		return decodeAs[LeaseHold](kind, body)
+	case CallKind:
+		return decodeAs[Call](kind, body)
+	case AnswerKind:
+		return decodeAs[Answer](kind, body)
+	case PulseKind:
+		return decodeAs[Pulse](kind, body)
+	case ReachAskKind:
+		return decodeAs[ReachAsk](kind, body)
+	case ReachToldKind:
+		return decodeAs[ReachTold](kind, body)
+	case GrantAskKind:
+		return decodeAs[GrantAsk](kind, body)
+	case GrantKind:
+		return decodeAs[Grant](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
@@ -147,9 +162,9 @@
 
 func maxFrameOf(kind Kind) int {
 	switch kind {
-	case DocumentKind:
+	case DocumentKind, CallKind, AnswerKind:
 		return MaxFrame
-	case LeaseAskKind:
+	case LeaseAskKind, PulseKind:
 		return maxLeases
 	}
 	return maxPlain
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -17,8 +17,15 @@
 	LeavingKind     Kind = 8
 	LeaseAskKind    Kind = 9
 	LeaseHoldKind   Kind = 10
+	CallKind        Kind = 11
+	AnswerKind      Kind = 12
+	PulseKind       Kind = 13
+	ReachAskKind    Kind = 14
+	ReachToldKind   Kind = 15
+	GrantAskKind    Kind = 16
+	GrantKind       Kind = 17
 
-	kinds = 11
+	kinds = 18
 )
 
 // String returns the name of the message type, for metrics and errors.
@@ -26,7 +33,8 @@
 	names := [kinds]string{
 		"Unknown", "Hello", "Head", "DocumentAsk", "Document",
 		"GroupState", "TokenAsk", "TokenGive", "Leaving",
-		"LeaseAsk", "LeaseHold",
+		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
+		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -57,6 +65,20 @@
 		return LeaseAskKind
 	case LeaseHold:
 		return LeaseHoldKind
+	case Call:
+		return CallKind
+	case Answer:
+		return AnswerKind
+	case Pulse:
+		return PulseKind
+	case ReachAsk:
+		return ReachAskKind
+	case ReachTold:
+		return ReachToldKind
+	case GrantAsk:
+		return GrantAskKind
+	case Grant:
+		return GrantKind
 	}
 	return 0
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -67,19 +67,22 @@
 	return err
 }
 
-// send queues a frame, or drops and counts it when too much waits already.
-func (l *link) send(f frame) {
+// send queues a frame, or drops and counts it when too much waits already. It
+// reports whether the frame was queued.
+func (l *link) send(f frame) bool {
 	size := int64(len(f.bytes))
 	if l.queued.Add(size) > queueBytes {
 		l.queued.Add(-size)
 		l.stats.dropped.Inc()
-		return
+		return false
 	}
 	select {
 	case l.queue <- f:
+		return true
 	default:
 		l.queued.Add(-size)
 		l.stats.dropped.Inc()
+		return false
 	}
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -91,16 +91,17 @@
 func (m *Mesh) Address() string { return m.listener.Addr().String() }
 
 // Send implements Sender.
-func (m *Mesh) Send(to ident.Instance, message Message) {
+func (m *Mesh) Send(to ident.Instance, message Message) { m.Offer(to, message) }
+
+// Offer sends like Send and reports whether the message was queued.
+func (m *Mesh) Offer(to ident.Instance, message Message) bool {
 	l := (*m.links.Load())[to]
 	if l == nil {
 		m.stats.dropped.Inc()
-		return
+		return false
 	}
 	f, ok := m.encode(message)
-	if ok {
-		l.send(f)
-	}
+	return ok && l.send(f)
 }
 
 // Broadcast implements Sender.
@@ -193,8 +194,10 @@
 	m.stats.connected.Inc()
 	opened := m.log.Emit(now, PeerConnected, event.Subject{Peer: l.peer.Instance}, event.Ref{}, "")
 	klog.V(1).InfoS("Peer connected", "peer", l.peer.Instance)
+	m.options.watch(l.peer.Instance, true)
 	err := l.run()
 	m.unregister(l)
+	m.options.watch(l.peer.Instance, false)
 	m.stats.connected.Dec()
 	m.log.Emit(time.Now(), PeerLost, event.Subject{Peer: l.peer.Instance}, opened, err.Error())
 	klog.V(1).InfoS("Peer lost", "peer", l.peer.Instance, "reason", err)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
@@ -115,6 +116,80 @@
 	Length time.Duration
 }
 
+// Call asks the recipient to run a call at an endpoint of its group. Number
+// tells the sender's calls apart.
+type Call struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Call   engine.Call
+}
+
+// Answer answers a Call. Tx names the transaction that holds a connection at
+// the sender, zero if none does.
+type Answer struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Answer engine.Answer
+	Tx     engine.TxID
+}
+
+// Pulse tells what the sender knows and can do. It is sent regularly and upon
+// each change.
+type Pulse struct {
+	// Version is the configuration in force at the sender.
+	Version ident.Version
+	// Serving is set once the sender can serve groups, Leaving while it stops.
+	Serving bool
+	Leaving bool
+	// Unfit lists the groups whose primary the sender alone can't reach.
+	Unfit []ident.Group
+	// Members are the instances that the sender knows to exist.
+	Members []Member
+}
+
+// Member is one instance as its peers know it.
+type Member struct {
+	_          struct{} `cbor:",toarray"`
+	Instance   ident.Instance
+	DataCentre ident.DataCentre
+	Address    string
+	Start      int64
+}
+
+// ReachAsk asks whether the recipient reaches an endpoint.
+type ReachAsk struct {
+	Number   uint64
+	Group    ident.Group
+	Endpoint ident.Endpoint
+}
+
+// ReachTold answers a ReachAsk. Leads is what the endpoint says of itself.
+type ReachTold struct {
+	Number  uint64
+	Reached bool
+	Leads   bool
+}
+
+// GrantAsk asks the instance that keeps an account's quota for operations.
+// Wanted is how many the sender expects to need, Unspent how many of its
+// earlier grants it returns.
+type GrantAsk struct {
+	_       struct{} `cbor:",toarray"`
+	Account ident.Account
+	Wanted  ident.Tokens
+	Unspent ident.Tokens
+}
+
+// Grant answers a GrantAsk. The operations may be spent until Length after the
+// question was sent. RetryIn is when more is expected.
+type Grant struct {
+	_       struct{} `cbor:",toarray"`
+	Account ident.Account
+	Count   ident.Tokens
+	Length  time.Duration
+	RetryIn time.Duration
+}
+
 // Leaving tells that the sender stops and takes no more asks.
 type Leaving struct{}
 
@@ -128,6 +203,13 @@
 func (LeaseAsk) message()    {}
 func (LeaseHold) message()   {}
 func (Leaving) message()     {}
+func (Call) message()        {}
+func (Answer) message()      {}
+func (Pulse) message()       {}
+func (ReachAsk) message()    {}
+func (ReachTold) message()   {}
+func (GrantAsk) message()    {}
+func (Grant) message()       {}
 
 // Handler takes what arrives. It is called from one goroutine for each peer
 // and must not block.
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/tls"
 	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -29,6 +31,7 @@
 	queueMessages     int
 	serverTLS         *tls.Config
 	clientTLS         *tls.Config
+	watch             func(peer ident.Instance, up bool)
 }
 
 func defaultOptions() options {
@@ -39,6 +42,7 @@
 		backoffMin:        backoffMin,
 		backoffMax:        backoffMax,
 		queueMessages:     queueMessages,
+		watch:             func(ident.Instance, bool) {},
 	}
 }
 
@@ -68,3 +72,9 @@
 func WithTLS(server, client *tls.Config) Option {
 	return func(o *options) { o.serverTLS, o.clientTLS = server, client }
 }
+
+// WithWatch makes the mesh call f, which must not block, when a connection to
+// a peer is open and when it is lost.
+func WithWatch(f func(peer ident.Instance, up bool)) Option {
+	return func(o *options) { o.watch = f }
+}
--- /dev/null
+++ b/internal/relay/front.go
@@ -0,0 +1,230 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// ErrMalformed reports input that is no statement. The session goes on.
+var ErrMalformed = errors.New("malformed statement")
+
+var statementSeconds = metrics.GetOrCreateHistogram("marjoram_statement_seconds")
+
+// Caller is one caller's connection in the caller's own protocol.
+type Caller interface {
+	// Login reads who the caller is.
+	Login() (ident.Route, string, error)
+	// Welcome ends the login. With a reason other than NoReason it refuses it.
+	Welcome(reason engine.Reason) error
+	// Next reads a statement. ErrMalformed leaves the session open.
+	Next() (engine.Statement, error)
+	// Reply answers the statement that was read last.
+	Reply(s engine.Statement, a engine.Answer) error
+	Close() error
+}
+
+// Gate counts operations against the accounts' quotas.
+type Gate interface {
+	// Spend takes one operation, or says when to come back.
+	Spend(a ident.Account, q engine.Quota) (ok bool, retryIn time.Duration)
+}
+
+// Front serves callers' sessions.
+type Front struct {
+	router  *Router
+	gate    Gate
+	catalog *atomic.Pointer[engine.Catalog]
+
+	next     atomic.Uint64
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	stopping bool
+}
+
+// session is one caller with its state.
+type session struct {
+	caller Caller
+	state  *engine.Session
+	place  Place
+	id     ident.Session
+	busy   atomic.Bool // a statement is being served
+	inTx   atomic.Bool
+}
+
+// NewFront returns a front that uses the catalog in force at each statement.
+func NewFront(r *Router, g Gate, catalog *atomic.Pointer[engine.Catalog]) *Front {
+	return &Front{router: r, gate: g, catalog: catalog, sessions: make(map[*session]struct{})}
+}
+
+// Serve serves one caller until it leaves.
+func (f *Front) Serve(ctx context.Context, c Caller) error {
+	defer func() { _ = c.Close() }()
+	route, key, err := c.Login()
+	if err != nil {
+		return errors.Wrap(err, "log in")
+	}
+	id := ident.Session(f.next.Add(1))
+	_, _, reason := f.catalog.Load().Admit(route, key)
+	if reason != engine.NoReason {
+		trace.Event("LoginRefused", "Session", id, "Route", route, "Reason", reason.String(), "Version", f.catalog.Load().Version)
+		return errors.Wrap(c.Welcome(reason), "refuse login")
+	}
+	s := &session{caller: c, state: engine.NewSession(id, route, key), id: id}
+	if !f.enter(s) {
+		return errors.Wrap(c.Welcome(engine.Overloaded), "refuse login")
+	}
+	defer f.leave(s)
+	if err := c.Welcome(engine.NoReason); err != nil {
+		return errors.Wrap(err, "welcome caller")
+	}
+	return f.loop(ctx, s)
+}
+
+func (f *Front) loop(ctx context.Context, s *session) error {
+	for {
+		statement, err := s.caller.Next()
+		if errors.Is(err, ErrMalformed) {
+			a := engine.Refuse(engine.Malformed, 0, err.Error())
+			a.State = s.state.State()
+			if err := s.caller.Reply(statement, a); err != nil {
+				return errors.Wrap(err, "reply")
+			}
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "read statement")
+		}
+		s.busy.Store(true)
+		hangup, err := f.statement(ctx, s, statement)
+		s.inTx.Store(s.state.State() != engine.Idle)
+		s.busy.Store(false)
+		if err != nil || hangup || f.mustEnd(s) {
+			return errors.Wrap(err, "serve statement")
+		}
+	}
+}
+
+// statement serves one statement and replies.
+func (f *Front) statement(ctx context.Context, s *session, statement engine.Statement) (hangup bool, err error) {
+	began := clock.Now()
+	group := s.state.Group()
+	step := s.state.Receive(statement, f.catalog.Load())
+	if step.Discard != 0 {
+		f.router.End(group, Place{Instance: s.place.Instance, Tx: step.Discard})
+	}
+	if step.Starts {
+		if refusal, ok := f.spend(s); !ok {
+			refusal.State = engine.Idle
+			s.state.Forget()
+			f.report(s, statement, refusal, began)
+			return false, s.caller.Reply(statement, refusal)
+		}
+	}
+	if step.Answer != nil {
+		if !step.Answer.OK() {
+			f.report(s, statement, *step.Answer, began)
+		}
+		return step.Hangup, s.caller.Reply(statement, *step.Answer)
+	}
+	a := f.call(ctx, s, step.Call)
+	f.report(s, statement, a, began)
+	return false, s.caller.Reply(statement, a)
+}
+
+func (f *Front) call(ctx context.Context, s *session, call *engine.Call) engine.Answer {
+	a, place := f.router.Run(ctx, call, s.place)
+	if call.Phase != engine.Single {
+		s.place = place
+	}
+	if discard := s.state.Finish(call, &a, place.Tx); discard != 0 {
+		f.router.End(call.Group, Place{Instance: s.place.Instance, Tx: discard})
+	}
+	return a
+}
+
+func (f *Front) spend(s *session) (engine.Answer, bool) {
+	account := s.state.Account()
+	known, ok := f.catalog.Load().Accounts[account]
+	if !ok {
+		return engine.Answer{}, true
+	}
+	ok, retryIn := f.gate.Spend(account, known.Quota)
+	if ok {
+		return engine.Answer{}, true
+	}
+	return engine.Refuse(engine.OverQuota, retryIn, "the account has used its rate"), false
+}
+
+// report logs what became of a statement and counts it.
+func (f *Front) report(s *session, statement engine.Statement, a engine.Answer, began time.Time) {
+	took := clock.Now().Sub(began)
+	rules := s.state.Rules()
+	countOutcome(rules.Name, a)
+	statementSeconds.Update(took.Seconds())
+	if a.OK() && took < rules.Target {
+		return
+	}
+	trace.Event("Statement",
+		"Request", statement.ID, "Session", s.id, "Route", rules.Name, "Account", s.state.Account(),
+		"Outcome", a.Outcome.String(), "Reason", a.Reason.String(), "Detail", a.Detail, "Endpoint", a.Endpoint,
+		"Home", s.place.Instance, "Version", f.catalog.Load().Version, "Took", took.String(),
+		"Waited", a.Waited.String(), "FloorAge", a.FloorAge.String(), "Tries", a.Tries, "RetryIn", a.RetryIn.String())
+}
+
+func countOutcome(route ident.Route, a engine.Answer) {
+	name := `marjoram_statements_total{outcome="` + a.Outcome.String() + `",reason="` + a.Reason.String() + `"}`
+	metrics.GetOrCreateCounter(name).Inc()
+}
+
+func (f *Front) enter(s *session) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sessions[s] = struct{}{}
+	return true
+}
+
+func (f *Front) leave(s *session) {
+	f.mu.Lock()
+	delete(f.sessions, s)
+	f.mu.Unlock()
+	group := s.state.Group()
+	if tx := s.state.Abandon(); tx != 0 {
+		f.router.End(group, Place{Instance: s.place.Instance, Tx: tx})
+	}
+}
+
+// mustEnd reports whether a session ends now that it is idle.
+func (f *Front) mustEnd(s *session) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopping && s.state.State() == engine.Idle
+}
+
+// Stop ends the sessions that are idle, and the others as they become so.
+func (f *Front) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopping = true
+	for s := range f.sessions {
+		if !s.busy.Load() && !s.inTx.Load() {
+			_ = s.caller.Close()
+		}
+	}
+}
+
+// Sessions returns how many callers are connected.
+func (f *Front) Sessions() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sessions)
+}
--- /dev/null
+++ b/internal/relay/home.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// maxTries bounds the endpoints that one call is offered to.
+	maxTries = 4
+	// tickInterval is how often waiting calls are checked against their time.
+	tickInterval = 20 * time.Millisecond
+	// dialTimeout is several round trips and a slot's wait.
+	dialTimeout = 400 * time.Millisecond
+	// cleanTimeout limits the rollback of an ended transaction.
+	cleanTimeout = 500 * time.Millisecond
+	// readTimeout limits the first try of a read that can be repeated.
+	readTimeout = 400 * time.Millisecond
+	// busyPause is the pause before a statement of an open transaction is
+	// offered again to an endpoint without a free slot.
+	busyPause = 10 * time.Millisecond
+)
+
+// grant is what a waiting call receives: a connection or a refusal.
+type grant struct {
+	sched.Grant
+	conn *endpointConn
+	deny *sched.Deny
+}
+
+// held is a connection inside a transaction.
+type held struct {
+	conn  *endpointConn
+	owner ident.Instance
+	busy  bool
+	ended bool // close it as soon as the running statement is over
+	used  time.Time
+}
+
+// Home holds one group's endpoint connections.
+type Home struct {
+	group   ident.Group
+	dialer  Dialer
+	tasks   *tasks.Group
+	observe func(sched.Message)
+
+	mu      sync.Mutex
+	sched   *sched.Group
+	conns   map[sched.ConnID]*endpointConn
+	waiting map[sched.Ticket]chan grant
+	txs     map[engine.TxID]*held
+	tickets sched.Ticket
+	nextTx  engine.TxID
+	idleTx  time.Duration
+}
+
+// NewHome returns a home without endpoints. Observe is told, outside any lock,
+// what answers proved about endpoints.
+func NewHome(ctx context.Context, group ident.Group, d Dialer, observe func(sched.Message)) *Home {
+	h := &Home{
+		group: group, dialer: d, tasks: tasks.New(ctx), observe: observe,
+		sched:   sched.New(),
+		conns:   make(map[sched.ConnID]*endpointConn),
+		waiting: make(map[sched.Ticket]chan grant),
+		txs:     make(map[engine.TxID]*held),
+	}
+	h.tasks.Go(h.tick)
+	return h
+}
+
+// Tell passes a message to the group's model.
+func (h *Home) Tell(m sched.Message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.update(clock.Now(), m)
+}
+
+// SetIdleTx limits how long a transaction may stay without a statement.
+func (h *Home) SetIdleTx(limit time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.idleTx = limit
+}
+
+// Open returns how many transactions hold a connection.
+func (h *Home) Open() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.txs)
+}
+
+// Close ends all transactions and connections and waits for the goroutines.
+func (h *Home) Close() error {
+	err := h.tasks.Close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		_ = c.Close()
+	}
+	return err
+}
+
+// Run runs a call for owner's session and returns the transaction that now
+// holds a connection, zero if none does.
+func (h *Home) Run(ctx context.Context, owner ident.Instance, call *engine.Call) (engine.Answer, engine.TxID) {
+	switch call.Phase {
+	case engine.Next:
+		return h.next(call)
+	case engine.End:
+		h.end(call.Tx)
+		return engine.Answer{Outcome: engine.Answered}, 0
+	}
+	return h.start(ctx, owner, call)
+}
+
+// start offers a call that opens a transaction, or stands alone, to endpoints
+// until one runs it.
+func (h *Home) start(ctx context.Context, owner ident.Instance, call *engine.Call) (engine.Answer, engine.TxID) {
+	until := clock.Now().Add(call.Budget)
+	var avoid []ident.Endpoint
+	var waited time.Duration
+	last := engine.Refuse(engine.Overloaded, busyPause, "no endpoint ran the statement")
+	for try := 1; try <= maxTries; try++ {
+		g := h.acquire(ctx, call, avoid, until)
+		if g.deny != nil {
+			a := engine.Refuse(g.deny.Reason, g.deny.RetryIn, g.deny.Detail)
+			a.Waited, a.Tries = waited+g.deny.Waited, try-1
+			return a, 0
+		}
+		waited += g.Waited
+		a, tx, again := h.attempt(call, g, owner, until)
+		a.Waited, a.FloorAge, a.Tries, a.Endpoint = waited, g.FloorAge, try, g.Endpoint
+		if !again || clock.Now().After(until) {
+			return a, tx
+		}
+		avoid = append(avoid, g.Endpoint)
+		last = a
+	}
+	return last, 0
+}
+
+// attempt runs a call on a granted connection. Again is set when nothing of it
+// is kept and another endpoint may run it.
+func (h *Home) attempt(call *engine.Call, g grant, owner ident.Instance, until time.Time) (a engine.Answer, tx engine.TxID, again bool) {
+	began := clock.Now()
+	timeout := until.Sub(began)
+	if call.Repeatable() {
+		timeout = min(timeout, readTimeout)
+	}
+	a, err := h.exchange(call, g, timeout)
+	took := clock.Now().Sub(began)
+	if err != nil {
+		h.breakConn(g.conn, sched.Trouble{Endpoint: g.Endpoint, Kind: sched.Silent})
+		trace.Trouble("EndpointLost", err, "Group", h.group, "Endpoint", g.Endpoint, "Request", call.Statement.ID, "Took", took.String())
+		lost := call.LostAnswer("the endpoint's answer is lost")
+		if errors.Is(err, errSetup) {
+			lost = engine.Refuse(engine.Aborted, busyPause, "the endpoint refused the session's state")
+		}
+		return lost, 0, call.Repeatable() || errors.Is(err, errSetup)
+	}
+	if a.OK() && call.Phase == engine.First && call.Statement.Op != engine.Commit {
+		h.heard(g.Endpoint, began, took, a, g.Strict)
+		return a, h.hold(g.conn, owner), false
+	}
+	h.finish(g.conn, a.State != engine.Idle)
+	if a.Outcome == engine.NotRun {
+		t := troubleOf(g.Endpoint, a.Reason)
+		h.Tell(t)
+		h.observe(t)
+		return a, 0, true
+	}
+	h.heard(g.Endpoint, began, took, a, g.Strict || call.Statement.Writes())
+	return a, 0, a.Reason == engine.Failed && call.Phase == engine.Single && call.Repeatable()
+}
+
+func troubleOf(e ident.Endpoint, r engine.Reason) sched.Trouble {
+	switch r {
+	case engine.Lagging:
+		return sched.Trouble{Endpoint: e, Kind: sched.Behind}
+	case engine.ReadOnly:
+		return sched.Trouble{Endpoint: e, Kind: sched.NotLeading}
+	}
+	return sched.Trouble{Endpoint: e, Kind: sched.Full}
+}
+
+// exchange sends what the call needs, one request after the other, so that no
+// statement follows one that was refused.
+func (h *Home) exchange(call *engine.Call, g grant, timeout time.Duration) (engine.Answer, error) {
+	if err := g.conn.adopt(call.Values, timeout); err != nil {
+		return engine.Answer{}, err
+	}
+	after := g.After
+	if begin, needed := opening(call, g.Strict); needed {
+		a, err := g.conn.run(begin, after, timeout)
+		if err != nil || !a.OK() {
+			return a, err
+		}
+		after = ident.Mark{}
+	}
+	return g.conn.run(call.Statement, after, timeout)
+}
+
+// opening returns the statement that opens a transaction for the call. A read
+// that must be current runs in a plain transaction, because an endpoint that
+// has lost the lead refuses every statement of one.
+func opening(call *engine.Call, strict bool) (engine.Statement, bool) {
+	own := engine.Statement{Op: engine.Begin}
+	switch {
+	case call.Phase == engine.First && call.Start.Op == engine.BeginRead && strict:
+		return own, true
+	case call.Phase == engine.First:
+		return call.Start, true
+	case strict && !call.Statement.Writes():
+		return own, true
+	}
+	return own, false
+}
+
+// next runs a further statement of an open transaction.
+func (h *Home) next(call *engine.Call) (engine.Answer, engine.TxID) {
+	t := h.resume(call.Tx)
+	if t == nil {
+		return engine.Refuse(engine.Aborted, 0, "the transaction has ended"), 0
+	}
+	until := clock.Now().Add(call.Budget)
+	a, err := h.nextOnce(call, t.conn, until)
+	if err != nil {
+		h.dropTx(call.Tx)
+		h.breakConn(t.conn, sched.Trouble{Endpoint: t.conn.endpoint, Kind: sched.Silent})
+		trace.Trouble("EndpointLost", err, "Group", h.group, "Endpoint", t.conn.endpoint, "Request", call.Statement.ID)
+		a = call.LostAnswer("the endpoint's answer is lost")
+		a.Endpoint = t.conn.endpoint
+		return a, 0
+	}
+	a.Endpoint, a.Tries = t.conn.endpoint, 1
+	if call.Statement.Op == engine.Commit || !a.OK() {
+		h.dropTx(call.Tx)
+		h.finish(t.conn, !a.OK())
+		return a, 0
+	}
+	h.rest(call.Tx, t)
+	return a, call.Tx
+}
+
+func (h *Home) nextOnce(call *engine.Call, c *endpointConn, until time.Time) (engine.Answer, error) {
+	for {
+		began := clock.Now()
+		timeout := until.Sub(began)
+		if err := c.adopt(call.Values, timeout); err != nil {
+			return engine.Answer{}, err
+		}
+		a, err := c.run(call.Statement, ident.Mark{}, timeout)
+		if err != nil {
+			return a, err
+		}
+		if a.Reason == engine.Overloaded && a.State == engine.InTx && clock.Now().Add(busyPause).Before(until) {
+			time.Sleep(busyPause)
+			continue
+		}
+		h.heard(c.endpoint, began, clock.Now().Sub(began), a, call.Leader && call.Statement.Op != engine.Commit)
+		return a, nil
+	}
+}
+
+func (h *Home) heard(e ident.Endpoint, began time.Time, took time.Duration, a engine.Answer, led bool) {
+	m := sched.Heard{Endpoint: e, Began: began, Took: took, Mark: a.Mark, Led: led && a.OK(), Ran: a.Outcome == engine.Answered}
+	h.Tell(m)
+	h.observe(m)
+}
--- /dev/null
+++ b/internal/relay/lend.go
@@ -0,0 +1,252 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// acquire waits for a connection or a refusal.
+func (h *Home) acquire(ctx context.Context, call *engine.Call, avoid []ident.Endpoint, until time.Time) grant {
+	answer := make(chan grant, 1)
+	h.mu.Lock()
+	h.tickets++
+	ticket := h.tickets
+	h.waiting[ticket] = answer
+	h.update(clock.Now(), sched.Ask{Ticket: ticket, Call: call, Avoid: avoid, Until: until})
+	h.mu.Unlock()
+	select {
+	case g := <-answer:
+		return g
+	case <-ctx.Done():
+	}
+	return h.giveUp(ticket, answer)
+}
+
+// giveUp takes a waiting call back. A connection that was granted meanwhile is
+// returned.
+func (h *Home) giveUp(ticket sched.Ticket, answer chan grant) grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.waiting, ticket)
+	h.update(clock.Now(), sched.Cancel{Ticket: ticket})
+	select {
+	case g := <-answer:
+		if g.conn != nil {
+			h.update(clock.Now(), sched.Freed{Conn: g.conn.id})
+		}
+	default:
+	}
+	return grant{deny: &sched.Deny{Ticket: ticket, Reason: engine.Aborted, Detail: "the caller is gone"}}
+}
+
+// update passes a message to the model and carries its commands out. The
+// caller holds the mutex.
+func (h *Home) update(now time.Time, m sched.Message) {
+	for _, c := range h.sched.Update(now, m) {
+		switch c := c.(type) {
+		case sched.Grant:
+			h.reply(c.Ticket, grant{Grant: c, conn: h.conns[c.Conn]})
+		case sched.Deny:
+			h.reply(c.Ticket, grant{deny: &c})
+		case sched.Dial:
+			h.tasks.Go(func(ctx context.Context) error {
+				h.dial(ctx, c)
+				return nil
+			})
+		case sched.Drop:
+			h.forgetConn(c.Conn)
+		}
+	}
+}
+
+func (h *Home) reply(t sched.Ticket, g grant) {
+	answer := h.waiting[t]
+	delete(h.waiting, t)
+	if answer != nil {
+		answer <- g
+	}
+}
+
+func (h *Home) forgetConn(id sched.ConnID) {
+	c := h.conns[id]
+	delete(h.conns, id)
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+func (h *Home) dial(ctx context.Context, d sched.Dial) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := h.dialer.Dial(ctx, h.group, d.Endpoint, d.Account)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.conns[d.Conn] = newEndpointConn(d.Conn, d.Endpoint.ID, raw)
+		h.update(clock.Now(), sched.Opened{Conn: d.Conn, Result: sched.Connected})
+		return
+	}
+	result := sched.Unreachable
+	var e *DialError
+	if errors.As(err, &e) {
+		result = e.Result
+	}
+	trace.Trouble("DialFailed", err, "Group", h.group, "Endpoint", d.Endpoint.ID, "Account", d.Account)
+	h.update(clock.Now(), sched.Opened{Conn: d.Conn, Result: result})
+	if result == sched.Unreachable {
+		h.tasks.Go(func(context.Context) error {
+			h.observe(sched.Trouble{Endpoint: d.Endpoint.ID, Kind: sched.Silent})
+			return nil
+		})
+	}
+}
+
+// finish gives a connection back, after a rollback if a transaction is open on
+// it. The caller's answer does not wait for that.
+func (h *Home) finish(c *endpointConn, rollback bool) {
+	if !rollback && !c.worn() {
+		h.Tell(sched.Freed{Conn: c.id})
+		return
+	}
+	h.tasks.Go(func(context.Context) error {
+		h.clean(c)
+		return nil
+	})
+}
+
+func (h *Home) clean(c *endpointConn) {
+	a, err := c.Do(Request{Statement: engine.Statement{Op: engine.Rollback}}, cleanTimeout)
+	if err != nil || a.State != engine.Idle || c.worn() {
+		h.closeConn(c)
+		return
+	}
+	h.Tell(sched.Freed{Conn: c.id})
+}
+
+func (h *Home) closeConn(c *endpointConn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forgetConn(c.id)
+	h.update(clock.Now(), sched.Broken{Conn: c.id})
+}
+
+// breakConn closes a connection whose answer is lost.
+func (h *Home) breakConn(c *endpointConn, t sched.Trouble) {
+	h.closeConn(c)
+	h.Tell(t)
+	h.observe(t)
+}
+
+// hold keeps a connection for the transaction that is open on it.
+func (h *Home) hold(c *endpointConn, owner ident.Instance) engine.TxID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nextTx++
+	h.txs[h.nextTx] = &held{conn: c, owner: owner, used: clock.Now()}
+	h.update(clock.Now(), sched.Rested{Conn: c.id})
+	return h.nextTx
+}
+
+// resume takes a transaction's connection for its next statement.
+func (h *Home) resume(id engine.TxID) *held {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.txs[id]
+	if t == nil || t.busy || t.ended {
+		return nil
+	}
+	t.busy = true
+	h.update(clock.Now(), sched.Resumed{Conn: t.conn.id})
+	return t
+}
+
+// rest keeps the connection until the next statement, unless the transaction
+// was ended meanwhile.
+func (h *Home) rest(id engine.TxID, t *held) {
+	h.mu.Lock()
+	ended := t.ended
+	t.busy, t.used = false, clock.Now()
+	if !ended {
+		h.update(clock.Now(), sched.Rested{Conn: t.conn.id})
+	}
+	h.mu.Unlock()
+	if ended {
+		h.dropTx(id)
+		h.finish(t.conn, true)
+	}
+}
+
+func (h *Home) dropTx(id engine.TxID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.txs, id)
+}
+
+// end rolls a transaction back, at once or after its running statement.
+func (h *Home) end(id engine.TxID) {
+	h.mu.Lock()
+	t := h.txs[id]
+	if t == nil || t.ended {
+		h.mu.Unlock()
+		return
+	}
+	t.ended = true
+	busy := t.busy
+	if !busy {
+		delete(h.txs, id)
+		h.update(clock.Now(), sched.Resumed{Conn: t.conn.id})
+	}
+	h.mu.Unlock()
+	if !busy {
+		h.finish(t.conn, true)
+	}
+}
+
+// EndOf rolls back the transactions of an instance that is gone.
+func (h *Home) EndOf(owner ident.Instance) {
+	for _, id := range h.pick(func(t *held) bool { return t.owner == owner }) {
+		h.end(id)
+	}
+}
+
+// endIdle rolls back transactions that waited too long for their callers.
+func (h *Home) endIdle(now time.Time) {
+	h.mu.Lock()
+	limit := h.idleTx
+	h.mu.Unlock()
+	idle := func(t *held) bool { return !t.busy && engine.IdleTimeout(t.used, now, limit) }
+	for _, id := range h.pick(idle) {
+		trace.Event("TransactionIdle", "Group", h.group, "Transaction", id, "Limit", limit.String())
+		h.end(id)
+	}
+}
+
+func (h *Home) pick(match func(*held) bool) []engine.TxID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []engine.TxID
+	for id, t := range h.txs {
+		if match(t) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (h *Home) tick(ctx context.Context) error {
+	for ctx.Err() == nil {
+		tasks.Pause(ctx, tickInterval)
+		h.Tell(sched.Tick{})
+		h.endIdle(clock.Now())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/node.go
@@ -0,0 +1,342 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/roster"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/store"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// pulseInterval is how often an instance tells the others of itself when
+	// nothing changes.
+	pulseInterval = time.Second
+	// linkInterval and linkTimeout bound the time until a peer that hangs is
+	// given up: their sum, about half of the shortest statement timeout.
+	linkInterval = 200 * time.Millisecond
+	linkTimeout  = 400 * time.Millisecond
+	// linkBackoff bounds the pause between two dials of a peer.
+	linkBackoffLeast = 50 * time.Millisecond
+	linkBackoffMost  = 500 * time.Millisecond
+	// linkQueue is how many messages may wait for one peer.
+	linkQueue = 4096
+	// servingDelay is the time from the first configuration and directory to
+	// the instance's offer to serve groups, in which its links come up.
+	servingDelay = 700 * time.Millisecond
+	// logCapacity is how many records the time line keeps.
+	logCapacity = 512
+)
+
+// Listing is one entry of the directory.
+type Listing struct {
+	Group    ident.Group
+	Endpoint sched.Endpoint
+}
+
+// Decoder decodes the text of a configuration.
+type Decoder func(text []byte) (*engine.Catalog, error)
+
+// NodeConfig is what a Node needs to know.
+type NodeConfig struct {
+	Self        roster.Member
+	Environment ident.Environment
+	Secret      string
+	Listener    net.Listener
+	Dialer      Dialer
+	Decode      Decoder
+}
+
+// Node is one instance: its sessions, its links, and the groups it serves.
+type Node struct {
+	config  NodeConfig
+	tasks   *tasks.Group
+	catalog atomic.Pointer[engine.Catalog]
+	front   *Front
+	router  *Router
+	mesh    *peer.Mesh
+
+	mu      sync.Mutex
+	roster  *roster.Roster
+	homes   map[ident.Group]*Home
+	entries map[ident.Group][]sched.Endpoint
+	text    []byte // of the configuration in force
+	loaded  bool   // a directory was seen
+	serving bool
+	leaving bool
+}
+
+// NewNode returns a node that has not started.
+func NewNode(ctx context.Context, c NodeConfig) (*Node, error) {
+	n := &Node{
+		config: c, tasks: tasks.New(ctx), roster: roster.New(c.Self),
+		homes: make(map[ident.Group]*Home), entries: make(map[ident.Group][]sched.Endpoint),
+	}
+	n.catalog.Store(emptyCatalog())
+	n.router = NewRouter(n.tasks.Context(), c.Self.Instance, n)
+	n.front = NewFront(n.router, openGate{}, &n.catalog)
+	hello := peer.Hello{Instance: c.Self.Instance, Environment: c.Environment, Start: uint64(c.Self.Start)}
+	log := event.NewLog(c.Self.Instance, logCapacity)
+	mesh, err := peer.NewMesh(hello, c.Listener, c.Secret, n.handlers(), log,
+		peer.WithHeartbeat(linkInterval, linkTimeout), peer.WithQueue(linkQueue),
+		peer.WithBackoff(linkBackoffLeast, linkBackoffMost), peer.WithWatch(n.connected))
+	if err != nil {
+		return nil, errors.Wrap(err, "open links")
+	}
+	n.mesh = mesh
+	n.router.SetLink(mesh)
+	return n, nil
+}
+
+func emptyCatalog() *engine.Catalog {
+	c := &engine.Catalog{}
+	c.Index()
+	return c
+}
+
+// openGate admits everything.
+type openGate struct{}
+
+// Spend implements Gate.
+func (openGate) Spend(ident.Account, engine.Quota) (bool, time.Duration) { return true, 0 }
+
+// Start begins to talk to other instances.
+func (n *Node) Start() {
+	n.mesh.Start()
+	n.tasks.Go(n.pulses)
+}
+
+// Front returns where callers are served.
+func (n *Node) Front() *Front { return n.front }
+
+// Close ends everything and waits for it.
+func (n *Node) Close() error {
+	err := errors.Wrap(n.mesh.Close(), "close links")
+	err = errors.CombineErrors(err, n.tasks.Close())
+	err = errors.CombineErrors(err, n.router.Close())
+	n.mu.Lock()
+	homes := slices.Collect(maps.Values(n.homes))
+	n.mu.Unlock()
+	for _, h := range homes {
+		err = errors.CombineErrors(err, h.Close())
+	}
+	return err
+}
+
+// Ready reports whether the instance takes callers.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.catalog.Load().Version > 0 && n.loaded && !n.leaving
+}
+
+// Leave tells the others that this instance stops, and ends idle sessions.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.pulse()
+}
+
+// SetConfig puts a configuration in force if it is newer. Source says where it
+// came from, for the log.
+func (n *Node) SetConfig(text []byte, source string) {
+	c, err := n.config.Decode(text)
+	if err != nil {
+		trace.Trouble("ConfigUnusable", err, "Source", source, "Kept", n.catalog.Load().Version)
+		return
+	}
+	n.mu.Lock()
+	old := n.catalog.Load()
+	if c.Version <= old.Version {
+		n.mu.Unlock()
+		return
+	}
+	n.catalog.Store(c)
+	n.text = text
+	n.adopt(c)
+	n.mu.Unlock()
+	trace.Event("ConfigInForce", "Version", c.Version, "Before", old.Version, "Source", source, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
+	n.pulse()
+}
+
+// adopt tells every group its limits. The caller holds the mutex.
+func (n *Node) adopt(c *engine.Catalog) {
+	for g, limits := range c.Groups {
+		h := n.homes[g]
+		if h == nil {
+			h = NewHome(n.tasks.Context(), g, n.config.Dialer, func(sched.Message) {})
+			n.homes[g] = h
+			h.Tell(sched.Directory{Endpoints: n.entries[g]})
+			n.lead(g)
+		}
+		h.Tell(sched.Limits{MaxConns: limits.MaxConns})
+		h.SetIdleTx(c.IdleTx)
+	}
+}
+
+// lead takes the primary from the directory. The caller holds the mutex.
+func (n *Node) lead(g ident.Group) {
+	for _, e := range n.entries[g] {
+		if e.Leads {
+			n.homes[g].Tell(sched.Leader{Endpoint: e.ID, Usable: true})
+		}
+	}
+}
+
+// SetDirectory replaces the list of endpoints.
+func (n *Node) SetDirectory(all []Listing) {
+	entries := make(map[ident.Group][]sched.Endpoint)
+	for _, l := range all {
+		entries[l.Group] = append(entries[l.Group], l.Endpoint)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.entries, n.loaded = entries, true
+	for g, h := range n.homes {
+		h.Tell(sched.Directory{Endpoints: entries[g]})
+		n.lead(g)
+	}
+}
+
+// SetMembers replaces the list of instances that exist.
+func (n *Node) SetMembers(all []roster.Member) {
+	n.mu.Lock()
+	seen := make(map[ident.Instance]bool)
+	for _, m := range all {
+		seen[m.Instance] = true
+		n.roster.Learn(m)
+	}
+	for _, m := range n.roster.Members() {
+		if !seen[m.Instance] {
+			n.roster.Forget(m.Instance)
+		}
+	}
+	n.mu.Unlock()
+	n.dialMembers()
+}
+
+func (n *Node) dialMembers() {
+	n.mu.Lock()
+	var out []store.Member
+	for _, m := range n.roster.Members() {
+		out = append(out, store.Member{Instance: m.Instance, DataCentre: m.DataCentre, Peer: m.Address})
+	}
+	n.mu.Unlock()
+	n.mesh.SetMembers(out)
+}
+
+// HomeOf implements Homes.
+func (n *Node) HomeOf(g ident.Group, avoid ...ident.Instance) ident.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.Home(g, avoid...)
+}
+
+// Local implements Homes.
+func (n *Node) Local(g ident.Group) *Home {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.homes[g]
+}
+
+// connected takes a link to another instance that opened or was lost.
+func (n *Node) connected(p ident.Instance, up bool) {
+	n.mu.Lock()
+	n.roster.Connected(p, up)
+	homes := slices.Collect(maps.Values(n.homes))
+	n.mu.Unlock()
+	trace.Event("PeerLink", "Peer", p, "Up", up)
+	if up {
+		n.mesh.Offer(p, n.own())
+		return
+	}
+	n.router.Lost(p)
+	for _, h := range homes {
+		h.EndOf(p)
+	}
+}
+
+func (n *Node) handlers() *peer.Router {
+	r := peer.NewRouter()
+	peer.Handle(r, func(from ident.Instance, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.Pulse, _ time.Time) { n.hear(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.DocumentAsk, _ time.Time) { n.giveConfig(from) })
+	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
+	return r
+}
+
+// hear takes what another instance says of itself.
+func (n *Node) hear(from ident.Instance, m peer.Pulse) {
+	n.mu.Lock()
+	n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
+	fresh := false
+	for _, o := range m.Members {
+		fresh = n.roster.Learn(roster.Member{Instance: o.Instance, DataCentre: o.DataCentre, Address: o.Address, Start: o.Start}) || fresh
+	}
+	n.mu.Unlock()
+	if fresh {
+		n.dialMembers()
+	}
+	if m.Version > n.catalog.Load().Version {
+		n.mesh.Offer(from, peer.DocumentAsk{Version: m.Version})
+	}
+}
+
+func (n *Node) giveConfig(to ident.Instance) {
+	n.mu.Lock()
+	m := peer.Document{Version: n.catalog.Load().Version, Text: n.text}
+	n.mu.Unlock()
+	if m.Version > 0 {
+		n.mesh.Offer(to, m)
+	}
+}
+
+// own returns what this instance says of itself.
+func (n *Node) own() peer.Pulse {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := roster.State{Version: n.catalog.Load().Version, Serving: n.serving, Leaving: n.leaving}
+	n.roster.SetOwn(s)
+	p := peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving}
+	for _, m := range n.roster.Members() {
+		p.Members = append(p.Members, peer.Member{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address, Start: m.Start})
+	}
+	return p
+}
+
+func (n *Node) pulse() { n.mesh.Broadcast(n.own()) }
+
+func (n *Node) pulses(ctx context.Context) error {
+	var since time.Time
+	for ctx.Err() == nil {
+		now := clock.Now()
+		if !n.Ready() {
+			since = now
+		}
+		n.mu.Lock()
+		if !n.serving && now.Sub(since) > servingDelay {
+			n.serving = true
+		}
+		n.mu.Unlock()
+		n.pulse()
+		tasks.Pause(ctx, pulseInterval)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/port.go
@@ -0,0 +1,81 @@
+// Package relay runs calls: at an endpoint, when this instance holds the
+// group's connections, or at the instance that does. It carries out what the
+// deciding packages say and holds no policy of its own.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Order is a control statement that an endpoint understands.
+type Order uint8
+
+// The orders.
+const (
+	NoOrder Order = iota
+	// Reset drops the connection's variables and prepared statements.
+	Reset
+	// Status asks for a Report.
+	Status
+	// Seal stops a replica from receiving from primaries below Term.
+	Seal
+	// Unseal takes a Seal back.
+	Unseal
+	// StepDown makes a primary of a lower term a replica.
+	StepDown
+)
+
+// Request is one exchange with an endpoint.
+type Request struct {
+	Statement engine.Statement
+	// As is the endpoint's name of the prepared statement to run or prepare.
+	As string
+	// After is the position that the endpoint must hold, zero for none.
+	After ident.Mark
+	// Order, when set, is sent in place of a statement.
+	Order Order
+	Term  ident.Term
+}
+
+// Report is what an endpoint says of itself.
+type Report struct {
+	Leads    bool
+	Term     ident.Term
+	Received ident.Mark
+	// Held is the highest term that the endpoint was sealed with.
+	Held ident.Term
+	Lag  time.Duration
+	Busy int
+	// Conns counts the connections of all callers.
+	Conns int
+}
+
+// Conn is an open connection to an endpoint. Only one exchange runs at a time.
+type Conn interface {
+	// Do sends a request and returns the answer. An error means that the
+	// connection can't be used any more and that the answer is lost.
+	Do(r Request, timeout time.Duration) (engine.Answer, error)
+	Close() error
+}
+
+// DialError tells why a connection was not opened.
+type DialError struct {
+	Result sched.DialResult
+	Cause  error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return "open endpoint connection: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// Dialer opens endpoint connections. Its errors are of type DialError.
+type Dialer interface {
+	Dial(ctx context.Context, group ident.Group, e sched.Endpoint, account ident.Account) (Conn, error)
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,152 @@
+// Package roster decides which instance does what: it keeps who exists, who is
+// in touch and what each says of itself, and names for every group and account
+// the instance that serves it. Instances that see the same others agree without
+// talking; where they disagree for a moment, work is done twice as dear but not
+// wrongly. It does no I/O.
+package roster
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/fleet"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Member is one instance that exists, in touch or not.
+type Member struct {
+	Instance   ident.Instance
+	DataCentre ident.DataCentre
+	Address    string
+	Start      int64
+}
+
+// State is what an instance says of itself.
+type State struct {
+	Version ident.Version
+	// Serving is set once the instance has what it needs to serve groups.
+	Serving bool
+	Leaving bool
+	// Unfit lists groups whose primary this instance alone can't reach.
+	Unfit []ident.Group
+}
+
+// Roster is one instance's view of all. It is not safe for concurrent use.
+type Roster struct {
+	self    ident.Instance
+	own     State
+	members map[ident.Instance]Member
+	up      map[ident.Instance]bool
+	states  map[ident.Instance]State
+	dark    map[ident.Instance]bool
+}
+
+// New returns a roster that knows only self.
+func New(self Member) *Roster {
+	return &Roster{
+		self:    self.Instance,
+		members: map[ident.Instance]Member{self.Instance: self},
+		up:      make(map[ident.Instance]bool),
+		states:  make(map[ident.Instance]State),
+		dark:    make(map[ident.Instance]bool),
+	}
+}
+
+// Learn adds or replaces a member. It reports whether anything changed.
+func (r *Roster) Learn(m Member) bool {
+	old, known := r.members[m.Instance]
+	if m.Instance == r.self || known && old.Start >= m.Start {
+		return false
+	}
+	r.members[m.Instance] = m
+	return !known || old.Address != m.Address
+}
+
+// Forget removes a member that is gone for good.
+func (r *Roster) Forget(n ident.Instance) {
+	if n == r.self {
+		return
+	}
+	delete(r.members, n)
+	delete(r.states, n)
+	delete(r.up, n)
+	delete(r.dark, n)
+}
+
+// Members returns all members in order, self included.
+func (r *Roster) Members() []Member {
+	out := make([]Member, 0, len(r.members))
+	for _, n := range slices.Sorted(maps.Keys(r.members)) {
+		out = append(out, r.members[n])
+	}
+	return out
+}
+
+// Connected takes a link to n that opened, or that was lost. A link that was
+// lost in silence leaves it open whether the other still runs.
+func (r *Roster) Connected(n ident.Instance, up bool) {
+	if up {
+		r.up[n] = true
+		delete(r.dark, n)
+		return
+	}
+	delete(r.up, n)
+	delete(r.states, n)
+	r.dark[n] = true
+}
+
+// Hear takes what n says of itself.
+func (r *Roster) Hear(n ident.Instance, s State) {
+	if r.up[n] {
+		r.states[n] = s
+	}
+}
+
+// Own returns what this instance says of itself.
+func (r *Roster) Own() State { return r.own }
+
+// SetOwn replaces what this instance says of itself.
+func (r *Roster) SetOwn(s State) { r.own = s }
+
+// Reachable returns how many instances are in touch, self included, and how
+// many exist.
+func (r *Roster) Reachable() (reached, all int) { return len(r.up) + 1, len(r.members) }
+
+// Newest returns an instance whose configuration is newer than version.
+func (r *Roster) Newest(version ident.Version) (ident.Instance, ident.Version) {
+	best, at := ident.Instance(""), version
+	for n, s := range r.states {
+		if s.Version > at || s.Version == at && best != "" && n < best {
+			best, at = n, s.Version
+		}
+	}
+	return best, at
+}
+
+// Home returns the instance that holds the connections of a group, other than
+// those to avoid. It is self when no other will do.
+func (r *Roster) Home(g ident.Group, avoid ...ident.Instance) ident.Instance {
+	fit := func(s State) bool { return s.Serving && !s.Leaving && !slices.Contains(s.Unfit, g) }
+	return r.first("group/"+string(g), fit, avoid)
+}
+
+// Keeper returns the instance that keeps an account's quota.
+func (r *Roster) Keeper(a ident.Account) ident.Instance {
+	return r.first("account/"+string(a), func(s State) bool { return s.Serving && !s.Leaving }, nil)
+}
+
+func (r *Roster) first(key string, fit func(State) bool, avoid []ident.Instance) ident.Instance {
+	var all []ident.Instance
+	if fit(r.own) && !slices.Contains(avoid, r.self) {
+		all = append(all, r.self)
+	}
+	for n := range r.up {
+		if s, ok := r.states[n]; ok && fit(s) && !slices.Contains(avoid, n) {
+			all = append(all, n)
+		}
+	}
+	if len(all) == 0 {
+		return r.self
+	}
+	return fleet.Rank(key, all)[0]
+}
--- /dev/null
+++ b/internal/sched/endpoint.go
@@ -0,0 +1,96 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// slotSlack is how many calls an endpoint gets beyond its slots, so that a
+	// slot does not stand idle for the length of a round trip.
+	slotSlack = 1
+	// behindPause keeps reads away from a replica that lacked a position.
+	behindPause = 150 * time.Millisecond
+	// fullPause keeps calls away from an endpoint that had no slot.
+	fullPause = 20 * time.Millisecond
+	// silentPause keeps reads away from an endpoint that did not answer.
+	silentPause = time.Second
+	// capPause is how long a refused connection lowers the share of the cap.
+	capPause = time.Second
+	// dialPause is the pause after a failed dial.
+	dialPause = 200 * time.Millisecond
+	// speedShare is the weight of one answer in an endpoint's mean time.
+	speedShare = 0.1
+)
+
+// endpoint is the state of one server of the group.
+type endpoint struct {
+	Endpoint
+	open    int // connections, those being dialled included
+	active  int // dials and calls that take a slot
+	mark    ident.Mark
+	avoid   time.Time // no reads before
+	full    time.Time // no calls before
+	noDial  time.Time // no dials before
+	capped  time.Time // the share is lowered until
+	share   int       // connections allowed while capped
+	speed   time.Duration
+	removed bool
+}
+
+func (e *endpoint) room(now time.Time) bool {
+	return e.active < max(1, e.Slots)+slotSlack && !now.Before(e.full)
+}
+
+func (e *endpoint) limit(now time.Time, share int) int {
+	if now.Before(e.capped) {
+		return min(share, e.share)
+	}
+	return share
+}
+
+func (e *endpoint) heard(h Heard) {
+	if h.Mark.Covers(e.mark) || h.Mark.Term > e.mark.Term {
+		e.mark = h.Mark
+	}
+	if !h.Ran {
+		return
+	}
+	if e.speed == 0 {
+		e.speed = h.Took
+	}
+	e.speed += time.Duration(speedShare * float64(h.Took-e.speed))
+}
+
+func (e *endpoint) trouble(kind TroubleKind, now time.Time) {
+	switch kind {
+	case Behind:
+		e.avoid = now.Add(behindPause)
+	case Full:
+		e.full = now.Add(fullPause)
+	case Silent:
+		e.avoid = now.Add(silentPause)
+	}
+}
+
+// connState is what a connection does.
+type connState uint8
+
+const (
+	dialling connState = iota + 1
+	idle
+	working
+	resting // inside a transaction, between statements
+)
+
+// conn is one connection, which belongs to one account for good.
+type conn struct {
+	id       ConnID
+	endpoint *endpoint
+	account  ident.Account
+	state    connState
+	since    time.Time
+}
+
+func (c *conn) takesSlot() bool { return c.state == dialling || c.state == working }
--- /dev/null
+++ b/internal/sched/group.go
@@ -0,0 +1,246 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// capShare is the part of an endpoint's connections that one instance
+	// opens; the rest is for the instance that takes over before the endpoint
+	// has noticed the loss of the first.
+	capShare = 0.625
+	// idleLimit closes connections that nobody used for this long.
+	idleLimit = 20 * time.Second
+	// firstService is the assumed time of a call before any was measured.
+	firstService = 15 * time.Millisecond
+)
+
+// Group is the model of one database group: its endpoints, connections and
+// waiting calls. Update is its only way to change.
+type Group struct {
+	limits    Limits
+	endpoints map[ident.Endpoint]*endpoint
+	conns     map[ConnID]*conn
+	waiting   []*waiter
+	busy      map[ident.Account]int // connections that work or rest
+	floors    floors
+	leader    Leader
+	service   time.Duration // mean time of a call that took a slot
+	next      ConnID
+	order     uint64
+	out       []Command
+}
+
+// New returns a group without endpoints.
+func New() *Group {
+	return &Group{
+		endpoints: make(map[ident.Endpoint]*endpoint),
+		conns:     make(map[ConnID]*conn),
+		busy:      make(map[ident.Account]int),
+		service:   firstService,
+	}
+}
+
+// Update takes one message at the given time and returns what has to be done.
+func (g *Group) Update(now time.Time, m Message) []Command {
+	g.out = nil
+	g.apply(now, m)
+	g.expire(now)
+	g.dispatch(now)
+	return g.out
+}
+
+func (g *Group) apply(now time.Time, m Message) {
+	switch m := m.(type) {
+	case Ask:
+		g.ask(now, m)
+	case Cancel:
+		g.forget(m.Ticket)
+	case Opened:
+		g.opened(now, m)
+	case Freed:
+		g.settle(now, m.Conn, idle)
+	case Broken:
+		g.broken(m.Conn)
+	case Rested:
+		g.settle(now, m.Conn, resting)
+	case Resumed:
+		g.settle(now, m.Conn, working)
+	case Heard:
+		g.heard(m)
+	case Trouble:
+		if e := g.endpoints[m.Endpoint]; e != nil {
+			e.trouble(m.Kind, now)
+		}
+	case Directory:
+		g.directory(m)
+	case Limits:
+		g.limits = m
+	case Leader:
+		g.leader = m
+	case Shrink:
+		g.dropIdle(now, 0)
+	case Tick:
+		g.dropIdle(now, idleLimit)
+	}
+}
+
+// Floor returns the position that a read with this bound would need.
+func (g *Group) Floor(now time.Time, maxLag time.Duration) (ident.Mark, time.Duration, bool) {
+	return g.floors.floor(now, maxLag)
+}
+
+// Waiting returns how many calls wait.
+func (g *Group) Waiting() int { return len(g.waiting) }
+
+func (g *Group) emit(c Command) { g.out = append(g.out, c) }
+
+func (g *Group) opened(now time.Time, m Opened) {
+	c := g.conns[m.Conn]
+	if c == nil {
+		return
+	}
+	switch m.Result {
+	case Connected:
+		g.change(now, c, idle)
+		if c.endpoint.removed {
+			g.drop(c)
+		}
+		return
+	case CapReached:
+		c.endpoint.capped = now.Add(capPause)
+		c.endpoint.share = max(1, c.endpoint.open-1)
+	case Unreachable:
+		c.endpoint.noDial = now.Add(dialPause)
+		c.endpoint.avoid = now.Add(dialPause)
+	}
+	g.remove(c)
+}
+
+// settle moves a granted connection on.
+func (g *Group) settle(now time.Time, id ConnID, state connState) {
+	c := g.conns[id]
+	if c == nil {
+		return
+	}
+	assert.That(c.state == working || c.state == resting, "sched connection in use", "connection %d is %d", id, c.state)
+	g.change(now, c, state)
+	if state == idle && (c.endpoint.removed || c.endpoint.Draining) {
+		g.drop(c)
+	}
+}
+
+func (g *Group) change(now time.Time, c *conn, state connState) {
+	g.count(c, -1)
+	c.state, c.since = state, now
+	g.count(c, 1)
+}
+
+// count keeps the sums over connections in step with c's state.
+func (g *Group) count(c *conn, by int) {
+	if c.takesSlot() {
+		c.endpoint.active += by
+	}
+	if c.state == working || c.state == resting {
+		g.busy[c.account] += by
+		if g.busy[c.account] == 0 {
+			delete(g.busy, c.account)
+		}
+	}
+}
+
+func (g *Group) broken(id ConnID) {
+	if c := g.conns[id]; c != nil {
+		g.remove(c)
+	}
+}
+
+func (g *Group) remove(c *conn) {
+	g.count(c, -1)
+	c.endpoint.open--
+	delete(g.conns, c.id)
+}
+
+func (g *Group) drop(c *conn) {
+	g.remove(c)
+	g.emit(Drop{Conn: c.id})
+}
+
+func (g *Group) dropIdle(now time.Time, after time.Duration) {
+	for _, c := range g.conns {
+		if c.state == idle && now.Sub(c.since) >= after {
+			g.drop(c)
+		}
+	}
+}
+
+func (g *Group) heard(h Heard) {
+	e := g.endpoints[h.Endpoint]
+	if e == nil {
+		return
+	}
+	e.heard(h)
+	if h.Led {
+		g.floors.learn(h.Began, h.Mark)
+	}
+	if h.Ran {
+		g.service += (h.Took - g.service) / 16
+	}
+}
+
+func (g *Group) directory(m Directory) {
+	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
+	for _, d := range m.Endpoints {
+		seen[d.ID] = true
+		e := g.endpoints[d.ID]
+		if e == nil || e.Address != d.Address || e.Born != d.Born {
+			g.retire(e)
+			e = &endpoint{}
+			g.endpoints[d.ID] = e
+		}
+		e.Endpoint = d
+		if d.Draining {
+			g.dropIdleAt(e)
+		}
+	}
+	for id, e := range g.endpoints {
+		if !seen[id] {
+			g.retire(e)
+			delete(g.endpoints, id)
+		}
+	}
+}
+
+// retire closes what is idle at an endpoint that is no longer listed.
+func (g *Group) retire(e *endpoint) {
+	if e == nil {
+		return
+	}
+	e.removed = true
+	g.dropIdleAt(e)
+}
+
+func (g *Group) dropIdleAt(e *endpoint) {
+	for _, c := range g.conns {
+		if c.endpoint == e && c.state == idle {
+			g.drop(c)
+		}
+	}
+}
+
+// share returns how many connections this instance may open to an endpoint.
+func (g *Group) share() int {
+	if g.limits.MaxConns == 0 {
+		return 1
+	}
+	return max(1, int(capShare*float64(g.limits.MaxConns)))
+}
+
+// deny refuses a call that waits or has just come.
+func (g *Group) deny(now time.Time, w *waiter, reason engine.Reason, retryIn time.Duration, detail string) {
+	g.emit(Deny{Ticket: w.ticket, Reason: reason, RetryIn: retryIn, Detail: detail, Waited: now.Sub(w.since)})
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,183 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// The costs by which endpoints are compared, in calls that wait at a slot.
+const (
+	costDial   = 0.8 // a new connection takes a slot for a while
+	costSwap   = 1.5 // and one of another account is lost
+	costLeader = 0.4 // the primary's slots are also wanted by writes
+	costSlow   = 0.5 // each multiple of the group's mean time
+)
+
+// target is what a call needs of an endpoint.
+type target struct {
+	after    ident.Mark
+	floorAge time.Duration
+	strict   bool
+}
+
+// place grants a connection to w, or starts what will lead to one. It reports
+// whether w left the queue.
+func (g *Group) place(now time.Time, w *waiter) bool {
+	t := g.target(now, w.call)
+	e := g.choose(now, w, t)
+	if e == nil {
+		return false
+	}
+	if c := g.idleOf(e, w.call.Account); c != nil {
+		g.change(now, c, working)
+		g.emit(Grant{
+			Ticket: w.ticket, Conn: c.id, Endpoint: e.ID,
+			After: t.after, Strict: t.strict, FloorAge: t.floorAge, Waited: now.Sub(w.since),
+		})
+		return true
+	}
+	g.prepare(now, e, w.call.Account)
+	return false
+}
+
+// target works out the freshness that a call needs. Without a proof that is
+// young enough a read goes to the primary, which then gives one.
+func (g *Group) target(now time.Time, c *engine.Call) target {
+	if c.Leader {
+		return target{strict: true}
+	}
+	mark, age, ok := g.floors.floor(now, c.MaxLag)
+	if !ok {
+		return target{strict: true}
+	}
+	if c.Own.Term > mark.Term || c.Own.Covers(mark) {
+		mark = c.Own
+	}
+	return target{after: mark, floorAge: age}
+}
+
+// choose returns the endpoint with the least cost that can take the call now,
+// or nil.
+func (g *Group) choose(now time.Time, w *waiter, t target) *endpoint {
+	if t.strict {
+		return g.chooseLeader(now, w)
+	}
+	var best *endpoint
+	bestCost := 0.0
+	for _, e := range g.endpoints {
+		if !g.fits(now, e, w, t) {
+			continue
+		}
+		if cost := g.cost(e, w.call.Account); best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil && len(w.avoid) > 0 {
+		return g.chooseLeader(now, w)
+	}
+	return best
+}
+
+func (g *Group) chooseLeader(now time.Time, w *waiter) *endpoint {
+	if !g.leader.Usable {
+		return nil
+	}
+	e := g.endpoints[g.leader.Endpoint]
+	if e == nil || !e.room(now) {
+		return nil
+	}
+	if g.idleOf(e, w.call.Account) == nil && !g.mayOpen(now, e) {
+		return nil
+	}
+	return e
+}
+
+func (g *Group) fits(now time.Time, e *endpoint, w *waiter, t target) bool {
+	switch {
+	case e.Draining, !e.room(now), now.Before(e.avoid), slices.Contains(w.avoid, e.ID):
+		return false
+	case e.ID == g.leader.Endpoint && !g.leader.Usable:
+		return false
+	}
+	return g.idleOf(e, w.call.Account) != nil || g.mayOpen(now, e)
+}
+
+func (g *Group) cost(e *endpoint, account ident.Account) float64 {
+	cost := float64(e.active) / float64(max(1, e.Slots)) * 2
+	if e.ID == g.leader.Endpoint {
+		cost += costLeader
+	}
+	if g.idleOf(e, account) == nil {
+		cost += costDial
+		if e.open >= g.share() {
+			cost += costSwap - costDial
+		}
+	}
+	if e.speed > g.service {
+		cost += costSlow * (float64(e.speed)/float64(g.service) - 1)
+	}
+	return cost
+}
+
+// mayOpen reports whether a connection can be opened, closing an idle one of
+// another account if need be.
+func (g *Group) mayOpen(now time.Time, e *endpoint) bool {
+	if now.Before(e.noDial) {
+		return false
+	}
+	return e.open < e.limit(now, g.share()) || g.victim(e) != nil
+}
+
+// prepare opens a connection for account, unless one that is being opened will
+// do.
+func (g *Group) prepare(now time.Time, e *endpoint, account ident.Account) {
+	for _, c := range g.conns {
+		if c.endpoint == e && c.account == account && c.state == dialling {
+			return
+		}
+	}
+	if e.open >= e.limit(now, g.share()) {
+		v := g.victim(e)
+		if v == nil {
+			return
+		}
+		g.drop(v)
+	}
+	g.next++
+	c := &conn{id: g.next, endpoint: e, account: account, state: dialling, since: now}
+	g.conns[c.id] = c
+	e.open++
+	g.count(c, 1)
+	g.emit(Dial{Conn: c.id, Endpoint: e.Endpoint, Account: account})
+}
+
+// idleOf returns the account's idle connection that was used last.
+func (g *Group) idleOf(e *endpoint, account ident.Account) *conn {
+	var best *conn
+	for _, c := range g.conns {
+		if c.endpoint != e || c.account != account || c.state != idle {
+			continue
+		}
+		if best == nil || c.since.After(best.since) || c.since.Equal(best.since) && c.id < best.id {
+			best = c
+		}
+	}
+	return best
+}
+
+// victim returns the idle connection that was unused for longest.
+func (g *Group) victim(e *endpoint) *conn {
+	var best *conn
+	for _, c := range g.conns {
+		if c.endpoint != e || c.state != idle {
+			continue
+		}
+		if best == nil || c.since.Before(best.since) || c.since.Equal(best.since) && c.id < best.id {
+			best = c
+		}
+	}
+	return best
+}
