Replace a lost, cut off or leaving primary: internal/lead and its runner

Change: a pure keeper per group (Searching, Steady, Doubting, Sealing, Promoting, Switching). Replicas are sealed and heard before one is promoted; a leaving primary is replaced while it serves, all replicas but the successor sealed first.

--- /dev/null
+++ b/internal/lead/advance.go
@@ -0,0 +1,323 @@
+package lead
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// advance does what time and the latest message allow.
+func (k *Keeper) advance(now time.Time) {
+	k.forgetGone(now)
+	k.fitness(now)
+	if !k.home {
+		return
+	}
+	k.claim(now)
+	switch k.state {
+	case Searching:
+		k.probeAll(now)
+		k.replaceMissing(now)
+	case Steady:
+		k.watch(now)
+	case Doubting:
+		k.doubt(now)
+	case Sealing:
+		k.seal(now)
+	case Promoting:
+		k.promote(now)
+	case Switching:
+		k.switchOver(now)
+	}
+}
+
+func (k *Keeper) forgetGone(now time.Time) {
+	for id, s := range k.servers {
+		if !s.gone.IsZero() && now.Sub(s.gone) > goneTime {
+			delete(k.servers, id)
+		}
+	}
+}
+
+// claim keeps the right to promote ready, before there is trouble.
+func (k *Keeper) claim(now time.Time) {
+	if k.epoch != 0 || now.Sub(k.claimed) < claimPause || now.Sub(k.became) < settleTime {
+		return
+	}
+	k.claimed = now
+	k.emit(Claim{})
+}
+
+func (k *Keeper) fitness(now time.Time) {
+	if !k.unfit.IsZero() && now.Sub(k.unfit) > unfitTime {
+		k.unfit = time.Time{}
+		k.emit(Unfit{})
+	}
+}
+
+// probeAll asks every endpoint that was not asked lately.
+func (k *Keeper) probeAll(now time.Time) {
+	for id, s := range k.servers {
+		if now.Sub(s.asked) >= probeInterval {
+			s.asked = now
+			k.emit(Probe{Endpoint: id})
+		}
+	}
+}
+
+// replaceMissing promotes a replica when no endpoint says that it leads.
+func (k *Keeper) replaceMissing(now time.Time) {
+	if now.Sub(k.since) < 2*deathTime || k.heardSince(k.since) == 0 {
+		return
+	}
+	if l := k.servers[k.leader]; l != nil && l.heard.After(l.failed) && l.report.Leads {
+		return
+	}
+	k.enter(now, Sealing, "no endpoint leads")
+}
+
+func (k *Keeper) heardSince(t time.Time) int {
+	n := 0
+	for _, s := range k.servers {
+		if s.heard.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// watch begins the replacement of a primary that is leaving or gone.
+func (k *Keeper) watch(now time.Time) {
+	s := k.servers[k.leader]
+	switch {
+	case s == nil || !s.gone.IsZero():
+		k.enter(now, Doubting, "it left the directory")
+		k.emit(AskOthers{Endpoint: k.leader})
+	case s.Draining && k.successor() != nil && k.epoch != 0:
+		k.target, k.sent, k.allAt = "", time.Time{}, time.Time{}
+		k.enter(now, Switching, "it is leaving")
+	}
+}
+
+// doubt waits for the primary, its replicas and the other instances.
+func (k *Keeper) doubt(now time.Time) {
+	k.probeAll(now)
+	l := k.servers[k.leader]
+	answered := l != nil && l.heard.After(k.since)
+	if answered && k.stuck(now) {
+		k.enter(now, Sealing, "no replica receives from it")
+		return
+	}
+	if answered || now.Sub(k.since) < deathTime {
+		return
+	}
+	if k.alone {
+		k.unfit = now
+		k.emit(Unfit{Unfit: true})
+		k.enter(now, Searching, "only this instance does not reach it")
+		return
+	}
+	k.enter(now, Sealing, "nobody reaches it")
+}
+
+// seal stops the replicas and names the most advanced one.
+func (k *Keeper) seal(now time.Time) {
+	term := k.sealTerm()
+	heard := 0
+	for id, s := range k.servers {
+		if id == k.leader {
+			continue
+		}
+		if s.sealed >= term {
+			heard++
+			continue
+		}
+		if now.Sub(s.asked) >= probeInterval {
+			s.asked = now
+			k.emit(Seal{Endpoint: id, Term: term})
+		}
+	}
+	if heard < k.quorum() || k.epoch == 0 {
+		return
+	}
+	target := k.furthest(term)
+	if target == nil {
+		return
+	}
+	k.target, k.sent = target.ID, time.Time{}
+	k.enter(now, Promoting, "enough replicas are sealed")
+	k.promote(now)
+}
+
+// sealTerm is above every term that was seen.
+func (k *Keeper) sealTerm() ident.Term {
+	term := k.term
+	for _, s := range k.servers {
+		term = max(term, s.report.Term, s.report.Received.Term)
+	}
+	return term + 1
+}
+
+// quorum is how many sealed replicas hold every acknowledged commit between
+// them.
+func (k *Keeper) quorum() int {
+	replicas := 0
+	for id, s := range k.servers {
+		if id != k.leader && s.gone.IsZero() {
+			replicas++
+		}
+	}
+	replicas = max(replicas, k.size-1)
+	return max(1, replicas-k.sync+1)
+}
+
+// furthest returns the sealed replica that has received most; among equals one
+// that stays.
+func (k *Keeper) furthest(term ident.Term) *server {
+	var all []*server
+	for id, s := range k.servers {
+		if id != k.leader && s.sealed >= term && !s.report.Received.Zero() {
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b *server) int {
+		return cmp.Or(
+			compareMarks(b.report.Received, a.report.Received),
+			compareBool(a.Draining, b.Draining),
+			compareBool(a.ID == k.refused, b.ID == k.refused),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return all[0]
+}
+
+func compareMarks(a, b ident.Mark) int {
+	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Position, b.Position))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// promote names the target and waits until it leads.
+func (k *Keeper) promote(now time.Time) {
+	if now.Sub(k.since) > promoteLimit {
+		k.enter(now, Sealing, "the promotion took too long")
+		return
+	}
+	if k.pending != "" && k.pending != k.target {
+		k.pending, k.epoch, k.claimed = "", 0, now
+		k.emit(Claim{})
+	}
+	if k.sent.IsZero() && k.epoch != 0 {
+		assert.That(k.target != "", "lead promotion has a target", "state %s", k.state)
+		k.sent = now
+		k.emit(Promote{Endpoint: k.target, Epoch: k.epoch})
+	}
+	if s := k.servers[k.target]; s != nil && now.Sub(s.asked) >= probeInterval/3 {
+		s.asked = now
+		k.emit(Probe{Endpoint: k.target})
+	}
+}
+
+// successor returns the replica that a leaving primary hands over to.
+func (k *Keeper) successor() *server {
+	var best *server
+	for id, s := range k.servers {
+		if id == k.leader || s.Draining || !s.gone.IsZero() {
+			continue
+		}
+		if best == nil || compareMarks(s.report.Received, best.report.Received) > 0 ||
+			compareMarks(s.report.Received, best.report.Received) == 0 && id < best.ID {
+			best = s
+		}
+	}
+	return best
+}
+
+// switchOver replaces a primary that still serves: all replicas but the
+// successor are sealed, so that every later acknowledgement comes from the
+// successor, and the successor has caught up with what came before.
+func (k *Keeper) switchOver(now time.Time) {
+	if k.target == "" {
+		s := k.successor()
+		if s == nil {
+			k.enter(now, Steady, "no successor")
+			return
+		}
+		k.target = s.ID
+	}
+	target := k.servers[k.target]
+	if target == nil || target.Draining || now.Sub(k.since) > promoteLimit {
+		k.unsealAll()
+		k.enter(now, Doubting, "the successor is not ready")
+		return
+	}
+	if !k.othersSealed(now) {
+		k.allAt = time.Time{}
+		return
+	}
+	if k.allAt.IsZero() {
+		k.allAt = now
+	}
+	if now.Sub(target.asked) >= probeInterval/3 {
+		target.asked = now
+		k.emit(Probe{Endpoint: k.target})
+	}
+	leader := k.servers[k.leader]
+	if leader != nil && now.Sub(leader.asked) >= probeInterval/3 {
+		leader.asked = now
+		k.emit(Probe{Endpoint: k.leader})
+	}
+	if leader == nil || !k.caughtUp(leader, target) || k.epoch == 0 {
+		return
+	}
+	k.enter(now, Promoting, "the successor holds all that was acknowledged")
+	k.sent = time.Time{}
+	k.promote(now)
+}
+
+// othersSealed seals every replica but the successor and reports whether all
+// have answered.
+func (k *Keeper) othersSealed(now time.Time) bool {
+	term, all := k.sealTerm(), true
+	for id, s := range k.servers {
+		if id == k.leader || id == k.target || !s.gone.IsZero() || s.sealed >= term {
+			continue
+		}
+		all = false
+		if now.Sub(s.asked) >= probeInterval {
+			s.asked = now
+			k.emit(Seal{Endpoint: id, Term: term})
+		}
+	}
+	return all
+}
+
+// caughtUp reports whether the successor holds what the primary showed after
+// the others were sealed.
+func (k *Keeper) caughtUp(leader, target *server) bool {
+	return !leader.report.Asked.Before(k.allAt) && !target.report.Asked.Before(k.allAt) &&
+		!leader.report.Received.Zero() && target.report.Received.Covers(leader.report.Received)
+}
+
+func (k *Keeper) unsealAll() {
+	for id, s := range k.servers {
+		if s.sealed > k.term && id != k.leader {
+			s.sealed = 0
+			k.emit(Unseal{Endpoint: id})
+		}
+	}
+}
--- /dev/null
+++ b/internal/lead/keeper.go
@@ -0,0 +1,331 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// probeInterval is the time between two questions to the same endpoint.
+	probeInterval = 150 * time.Millisecond
+	// deathTime is how long a primary may leave probes unanswered before it is
+	// replaced: one probe's timeout, with the other instances' opinions.
+	deathTime = 350 * time.Millisecond
+	// stuckTime is how long all replicas may stay behind a position that the
+	// primary has shown before it is taken to be cut off from them.
+	stuckTime = 400 * time.Millisecond
+	// promoteTime is what a promotion usually takes, with the way there.
+	promoteTime = 700 * time.Millisecond
+	// promoteLimit is how long a promotion may take before it is begun anew.
+	promoteLimit = 3 * time.Second
+	// claimPause is the pause between two attempts to get the right to promote.
+	claimPause = 500 * time.Millisecond
+	// settleTime is how long an instance serves a group before it claims the
+	// right to promote, so that a change of mind costs no call.
+	settleTime = 300 * time.Millisecond
+	// unfitTime is how long an instance that alone misses the primary leaves
+	// the group to others.
+	unfitTime = 3 * time.Second
+	// calmTime is how long a confirmed primary is not doubted again for the
+	// same reason.
+	calmTime = 300 * time.Millisecond
+	// goneTime is how long an endpoint that left the directory still counts:
+	// entries also lapse while their servers live.
+	goneTime = 12 * time.Second
+)
+
+// State is what a Keeper believes of the primary.
+type State uint8
+
+const (
+	// Searching means that no primary is known.
+	Searching State = iota + 1
+	// Steady means that the primary is known and answers.
+	Steady
+	// Doubting means that the primary has not answered lately.
+	Doubting
+	// Sealing means that the replicas are being sealed.
+	Sealing
+	// Promoting means that a replica was named the next primary.
+	Promoting
+	// Switching means that a leaving primary is being replaced while it serves.
+	Switching
+)
+
+// String returns the state for logs.
+func (s State) String() string {
+	names := [...]string{"None", "Searching", "Steady", "Doubting", "Sealing", "Promoting", "Switching"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "Invalid"
+}
+
+// server is what is known of one endpoint.
+type server struct {
+	Endpoint
+	gone   time.Time // when it left the directory, zero while listed
+	asked  time.Time
+	report Report // the latest that did not fail
+	heard  time.Time
+	failed time.Time // of the latest question without an answer
+	sealed ident.Term
+}
+
+// Keeper is the model of one group's primary. Update is its only way to change.
+type Keeper struct {
+	state   State
+	since   time.Time
+	home    bool
+	became  time.Time // when home last changed
+	sync    int
+	size    int // endpoints that the group had at once
+	leader  ident.Endpoint
+	term    ident.Term
+	servers map[ident.Endpoint]*server
+
+	epoch   ident.Epoch
+	claimed time.Time // of the latest Claim
+	target  ident.Endpoint
+	sent    time.Time // of the latest Promote
+	// pending is the target of a Promote that may yet be carried out. Another
+	// target needs a new epoch first.
+	pending ident.Endpoint
+	allAt   time.Time // when all replicas but the successor were sealed
+	refused ident.Endpoint
+	alone   bool // another instance reaches the primary
+	unfit   time.Time
+	calm    time.Time
+	ahead   ident.Mark // a position of the primary that no replica had
+	aheadAt time.Time
+	out     []Command
+}
+
+// New returns a keeper that knows nothing.
+func New() *Keeper {
+	return &Keeper{state: Searching, servers: make(map[ident.Endpoint]*server), sync: 1}
+}
+
+// State returns what the keeper believes.
+func (k *Keeper) State() State { return k.state }
+
+// Leader returns the primary, or the latest one known.
+func (k *Keeper) Leader() (ident.Endpoint, ident.Term) { return k.leader, k.term }
+
+// Update takes one message at the given time and returns what has to be done.
+func (k *Keeper) Update(now time.Time, m Message) []Command {
+	k.out = nil
+	switch m := m.(type) {
+	case Directory:
+		k.directory(now, m)
+	case Rules:
+		k.sync = m.SyncReplicas
+	case Role:
+		k.role(now, m.Home)
+	case Led:
+		k.led(now, m)
+	case Trouble:
+		k.trouble(now, m)
+	case Report:
+		k.report(now, m)
+	case Reached:
+		k.reached(now, m)
+	case Claimed:
+		k.epoch = m.Epoch
+	case Promoted:
+		k.promoted(now, m)
+	}
+	k.advance(now)
+	return k.out
+}
+
+func (k *Keeper) emit(c Command) { k.out = append(k.out, c) }
+
+func (k *Keeper) enter(now time.Time, s State, why string) {
+	k.state, k.since = s, now
+	k.emit(Note{State: s, Endpoint: k.leader, Term: k.term, Why: why})
+	switch s {
+	case Steady:
+		k.calm = now
+		k.alone = false
+		k.ahead = ident.Mark{}
+		k.emit(Announce{Endpoint: k.leader, Usable: true})
+	case Sealing:
+		k.emit(Announce{Endpoint: k.leader, Back: now.Add(promoteTime)})
+	case Searching:
+		k.emit(Announce{Endpoint: k.leader, Back: now.Add(probeInterval)})
+	}
+}
+
+func (k *Keeper) directory(now time.Time, m Directory) {
+	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
+	lasting := 0
+	for _, e := range m.Endpoints {
+		seen[e.ID] = true
+		s := k.servers[e.ID]
+		if s == nil {
+			s = &server{}
+			k.servers[e.ID] = s
+		}
+		if s.Born != e.Born {
+			s.sealed = 0
+		}
+		s.Endpoint, s.gone = e, time.Time{}
+		if !e.Draining {
+			lasting++
+		}
+	}
+	k.size = max(k.size, lasting)
+	for id, s := range k.servers {
+		if !seen[id] && s.gone.IsZero() {
+			s.gone = now
+		}
+	}
+	k.believe(now)
+}
+
+// believe takes the primary from the directory where nothing better is known.
+func (k *Keeper) believe(now time.Time) {
+	var leads []ident.Endpoint
+	for id, s := range k.servers {
+		if s.Leads && s.gone.IsZero() {
+			leads = append(leads, id)
+		}
+	}
+	if len(leads) != 1 || leads[0] == k.leader {
+		return
+	}
+	old := k.servers[k.leader]
+	if k.state == Searching || (k.state == Steady || k.state == Doubting) && (old == nil || !old.Leads) {
+		k.leader = leads[0]
+		k.enter(now, Steady, "the directory names it")
+	}
+}
+
+func (k *Keeper) role(now time.Time, home bool) {
+	if home == k.home {
+		return
+	}
+	k.home, k.became = home, now
+	k.epoch = 0
+	k.claimed = time.Time{}
+	if !home && k.state != Steady {
+		k.enter(now, Searching, "another instance serves the group")
+		k.believe(now)
+	}
+}
+
+func (k *Keeper) led(now time.Time, m Led) {
+	if m.Term < k.term {
+		return
+	}
+	changed := m.Endpoint != k.leader || m.Term > k.term
+	k.leader, k.term = m.Endpoint, m.Term
+	if k.state == Steady && !changed || k.state == Sealing || k.state == Switching {
+		return
+	}
+	if k.state == Promoting && m.Endpoint != k.target {
+		return
+	}
+	k.enter(now, Steady, "it proved its lead")
+}
+
+func (k *Keeper) trouble(now time.Time, m Trouble) {
+	if m.Endpoint != k.leader || k.state != Steady || now.Sub(k.calm) < calmTime && !m.NotLeading {
+		return
+	}
+	if m.NotLeading {
+		if s := k.servers[m.Endpoint]; s != nil {
+			s.Leads = false
+		}
+		k.enter(now, Searching, "it refused as a replica")
+		k.believe(now)
+		return
+	}
+	k.enter(now, Doubting, "it did not answer")
+	k.emit(AskOthers{Endpoint: k.leader})
+}
+
+func (k *Keeper) report(now time.Time, m Report) {
+	s := k.servers[m.Endpoint]
+	if s == nil {
+		return
+	}
+	if m.Failed {
+		s.failed = now
+		return
+	}
+	s.report, s.heard = m, now
+	if m.Sealed != 0 {
+		s.sealed = m.Sealed
+	}
+	if !m.Leads {
+		if m.Endpoint == k.leader && (k.state == Doubting || k.state == Steady) {
+			k.enter(now, Searching, "it says that it is a replica")
+		}
+		return
+	}
+	if k.state == Searching && m.Term >= k.term || k.state == Promoting && m.Endpoint == k.target {
+		k.leader, k.term = m.Endpoint, m.Term
+		k.enter(now, Steady, "it says that it leads")
+		return
+	}
+	if k.state == Doubting && m.Endpoint == k.leader && !k.stuck(now) {
+		if k.ahead.Zero() {
+			k.enter(now, Steady, "it answers")
+		}
+	}
+}
+
+// stuck reports whether the primary shows a position that no replica receives.
+func (k *Keeper) stuck(now time.Time) bool {
+	leader := k.servers[k.leader]
+	if leader == nil || leader.report.Received.Zero() {
+		return false
+	}
+	if k.ahead.Zero() {
+		if k.replicaHas(leader.report.Received) {
+			return false
+		}
+		k.ahead, k.aheadAt = leader.report.Received, now
+		return false
+	}
+	if k.replicaHas(k.ahead) {
+		k.ahead = ident.Mark{}
+		return false
+	}
+	return now.Sub(k.aheadAt) > stuckTime
+}
+
+func (k *Keeper) replicaHas(m ident.Mark) bool {
+	for id, s := range k.servers {
+		if id != k.leader && s.report.Received.Covers(m) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) reached(now time.Time, m Reached) {
+	if k.state != Doubting || m.Endpoint != k.leader || !m.Reached || !m.Leads {
+		return
+	}
+	k.alone = true
+}
+
+func (k *Keeper) promoted(now time.Time, m Promoted) {
+	if m.Endpoint != k.target || k.state != Promoting && k.state != Switching {
+		return
+	}
+	switch m.Result {
+	case Refused:
+		k.epoch, k.claimed = 0, time.Time{}
+		k.refused = m.Endpoint
+		k.sent = time.Time{}
+		k.enter(now, Sealing, "the promotion was refused")
+	case NoAnswer:
+		k.pending = m.Endpoint
+		k.sent = time.Time{} // the same call is repeated
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -158,16 +158,16 @@
 
 // ReachAsk asks whether the recipient reaches an endpoint.
 type ReachAsk struct {
-	Number   uint64
 	Group    ident.Group
 	Endpoint ident.Endpoint
 }
 
 // ReachTold answers a ReachAsk. Leads is what the endpoint says of itself.
 type ReachTold struct {
-	Number  uint64
-	Reached bool
-	Leads   bool
+	Group    ident.Group
+	Endpoint ident.Endpoint
+	Reached  bool
+	Leads    bool
 }
 
 // GrantAsk asks the instance that keeps an account's quota for operations.
--- /dev/null
+++ b/internal/relay/keeper.go
@@ -0,0 +1,287 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// controlTimeout limits one question to an endpoint, connecting included.
+	controlTimeout = 300 * time.Millisecond
+	// claimTimeout and promoteTimeout limit one call to the platform.
+	claimTimeout   = 2 * time.Second
+	promoteTimeout = time.Second
+	// controlAccount is what endpoints are told of connections that serve no
+	// client account.
+	controlAccount ident.Account = "-"
+	// controlIdle closes control connections that were not used for this long.
+	controlIdle = 2 * time.Second
+)
+
+// overseer is what a keeper needs of its instance.
+type overseer interface {
+	askOthers(g ident.Group, e ident.Endpoint)
+	setUnfit(g ident.Group, unfit bool)
+}
+
+// keeper runs a group's lead.Keeper: it asks endpoints and the platform, and
+// tells the group's home who leads.
+type keeper struct {
+	group    ident.Group
+	home     *Home
+	dialer   Dialer
+	control  Control
+	reporter Reporter
+	overseer overseer
+	tasks    *tasks.Group
+
+	mu        sync.Mutex
+	isHome    bool
+	lead      *lead.Keeper
+	endpoints map[ident.Endpoint]sched.Endpoint
+	conns     map[ident.Endpoint]*controlConn
+}
+
+// controlConn is a connection for control statements, used by one at a time.
+type controlConn struct {
+	mu   sync.Mutex
+	conn Conn
+	used time.Time
+}
+
+func newKeeper(ctx context.Context, g ident.Group, n *Node) *keeper {
+	k := &keeper{
+		group: g, dialer: n.config.Dialer, control: n.config.Control, reporter: n.config.Reporter, overseer: n,
+		tasks: tasks.New(ctx), lead: lead.New(),
+		endpoints: make(map[ident.Endpoint]sched.Endpoint), conns: make(map[ident.Endpoint]*controlConn),
+	}
+	k.home = NewHome(ctx, g, n.config.Dialer, k.observe)
+	k.tasks.Go(k.tick)
+	return k
+}
+
+// Close ends the keeper and its home and waits for both.
+func (k *keeper) Close() error {
+	err := k.tasks.Close()
+	k.mu.Lock()
+	for _, c := range k.conns {
+		c.drop()
+	}
+	k.mu.Unlock()
+	return errors.CombineErrors(err, k.home.Close())
+}
+
+// setEndpoints replaces the directory of the group.
+func (k *keeper) setEndpoints(all []sched.Endpoint) {
+	d := lead.Directory{}
+	k.mu.Lock()
+	for _, e := range all {
+		k.endpoints[e.ID] = e
+		d.Endpoints = append(d.Endpoints, lead.Endpoint{ID: e.ID, Draining: e.Draining, Leads: e.Leads, Born: e.Born})
+	}
+	k.mu.Unlock()
+	k.home.Tell(sched.Directory{Endpoints: all})
+	k.tell(d)
+}
+
+// setHome tells whether the group's connections are held here. Connections
+// that another instance now opens are given up.
+func (k *keeper) setHome(home bool) {
+	k.mu.Lock()
+	changed := home != k.isHome
+	k.isHome = home
+	k.mu.Unlock()
+	if !changed {
+		return
+	}
+	trace.Event("GroupHome", "Group", k.group, "Home", home)
+	k.tell(lead.Role{Home: home})
+	if !home {
+		k.home.Tell(sched.Shrink{})
+	}
+}
+
+// tell passes a message to the model and carries its commands out.
+func (k *keeper) tell(m lead.Message) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.lead.Update(clock.Now(), m) {
+		k.carry(c)
+	}
+}
+
+// carry carries out one command. The caller holds the mutex.
+func (k *keeper) carry(c lead.Command) {
+	switch c := c.(type) {
+	case lead.Probe:
+		k.ask(c.Endpoint, Request{Order: Status}, 0)
+	case lead.Seal:
+		k.ask(c.Endpoint, Request{Order: Seal, Term: c.Term}, c.Term)
+	case lead.Unseal:
+		k.ask(c.Endpoint, Request{Order: Unseal}, 0)
+	case lead.AskOthers:
+		k.overseer.askOthers(k.group, c.Endpoint)
+	case lead.Claim:
+		k.tasks.Go(k.claim)
+	case lead.Promote:
+		k.tasks.Go(func(ctx context.Context) error { return k.promote(ctx, c) })
+	case lead.Announce:
+		k.home.Tell(sched.Leader{Endpoint: c.Endpoint, Usable: c.Usable, Back: c.Back})
+	case lead.Unfit:
+		k.overseer.setUnfit(k.group, c.Unfit)
+	case lead.Note:
+		trace.Event("PrimaryState", "Group", k.group, "State", c.State.String(), "Endpoint", c.Endpoint, "Term", c.Term, "Why", c.Why)
+	}
+}
+
+// observe takes what the home's answers proved.
+func (k *keeper) observe(m sched.Message) {
+	switch m := m.(type) {
+	case sched.Heard:
+		if m.Led {
+			k.tell(lead.Led{Endpoint: m.Endpoint, Term: m.Mark.Term})
+		}
+	case sched.Trouble:
+		if m.Kind == sched.Silent || m.Kind == sched.NotLeading {
+			k.tell(lead.Trouble{Endpoint: m.Endpoint, NotLeading: m.Kind == sched.NotLeading})
+		}
+	}
+}
+
+// ask sends a control statement without waiting for it. The caller holds the
+// mutex.
+func (k *keeper) ask(id ident.Endpoint, r Request, sealed ident.Term) {
+	e, ok := k.endpoints[id]
+	if !ok {
+		return
+	}
+	c := k.conns[id]
+	if c == nil {
+		c = &controlConn{}
+		k.conns[id] = c
+	}
+	asked := clock.Now()
+	k.tasks.Go(func(ctx context.Context) error {
+		report, err := k.question(ctx, e, c, r)
+		m := lead.Report{
+			Endpoint: id, Asked: asked, Failed: err != nil, Leads: report.Leads,
+			Term: report.Term, Received: report.Received, Sealed: sealed,
+		}
+		if err != nil {
+			trace.Trouble("ControlFailed", err, "Group", k.group, "Endpoint", id, "Sealing", sealed)
+		}
+		k.tell(m)
+		return nil
+	})
+}
+
+// question sends one control statement and decodes the report.
+func (k *keeper) question(ctx context.Context, e sched.Endpoint, c *controlConn, r Request) (Report, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if c.conn == nil {
+		conn, err := k.dialer.Dial(ctx, k.group, e, controlAccount)
+		if err != nil {
+			return Report{}, err
+		}
+		c.conn = conn
+	}
+	c.used = clock.Now()
+	a, err := c.conn.Do(r, controlTimeout)
+	if err != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+		return Report{}, err
+	}
+	if !a.OK() || len(a.Rows) == 0 {
+		return Report{}, errors.Newf("control statement: %s %s", a.Reason, a.Detail)
+	}
+	return k.reporter(a.Rows[0])
+}
+
+func (c *controlConn) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (k *keeper) claim(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	epoch, err := k.control.Claim(ctx, k.group)
+	if err != nil {
+		trace.Trouble("ClaimFailed", err, "Group", k.group)
+	} else {
+		trace.Event("Claimed", "Group", k.group, "Epoch", epoch)
+	}
+	k.tell(lead.Claimed{Epoch: epoch})
+	return nil
+}
+
+func (k *keeper) promote(ctx context.Context, c lead.Promote) error {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	result, err := k.control.Promote(ctx, k.group, c.Endpoint, c.Epoch)
+	if err != nil {
+		trace.Trouble("PromoteFailed", err, "Group", k.group, "Endpoint", c.Endpoint, "Epoch", c.Epoch)
+	} else {
+		trace.Event("Promoted", "Group", k.group, "Endpoint", c.Endpoint, "Epoch", c.Epoch)
+	}
+	k.tell(lead.Promoted{Endpoint: c.Endpoint, Result: result})
+	return nil
+}
+
+// reach tells another instance whether this one reaches an endpoint.
+func (k *keeper) reach(ctx context.Context, id ident.Endpoint) (reached, leads bool) {
+	k.mu.Lock()
+	e, ok := k.endpoints[id]
+	k.mu.Unlock()
+	if !ok {
+		return false, false
+	}
+	c := &controlConn{}
+	defer c.drop()
+	r, err := k.question(ctx, e, c, Request{Order: Status})
+	return err == nil, r.Leads
+}
+
+func (k *keeper) tick(ctx context.Context) error {
+	for ctx.Err() == nil {
+		tasks.Pause(ctx, 2*tickInterval)
+		k.tell(lead.Tick{})
+		k.closeIdle(clock.Now())
+	}
+	return nil
+}
+
+func (k *keeper) closeIdle(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, c := range k.conns {
+		if !c.mu.TryLock() {
+			continue
+		}
+		if now.Sub(c.used) > controlIdle {
+			if c.conn != nil {
+				_ = c.conn.Close()
+			}
+			delete(k.conns, id)
+		}
+		c.mu.Unlock()
+	}
+}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -14,6 +14,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
@@ -60,6 +61,8 @@
 	Listener    net.Listener
 	Dialer      Dialer
 	Decode      Decoder
+	Control     Control
+	Reporter    Reporter
 }
 
 // Node is one instance: its sessions, its links, and the groups it serves.
@@ -73,7 +76,8 @@
 
 	mu      sync.Mutex
 	roster  *roster.Roster
-	homes   map[ident.Group]*Home
+	keepers map[ident.Group]*keeper
+	unfit   map[ident.Group]bool
 	entries map[ident.Group][]sched.Endpoint
 	text    []byte // of the configuration in force
 	loaded  bool   // a directory was seen
@@ -85,7 +89,7 @@
 func NewNode(ctx context.Context, c NodeConfig) (*Node, error) {
 	n := &Node{
 		config: c, tasks: tasks.New(ctx), roster: roster.New(c.Self),
-		homes: make(map[ident.Group]*Home), entries: make(map[ident.Group][]sched.Endpoint),
+		keepers: make(map[ident.Group]*keeper), unfit: make(map[ident.Group]bool), entries: make(map[ident.Group][]sched.Endpoint),
 	}
 	n.catalog.Store(emptyCatalog())
 	n.router = NewRouter(n.tasks.Context(), c.Self.Instance, n)
@@ -130,10 +134,10 @@
 	err = errors.CombineErrors(err, n.tasks.Close())
 	err = errors.CombineErrors(err, n.router.Close())
 	n.mu.Lock()
-	homes := slices.Collect(maps.Values(n.homes))
+	keepers := slices.Collect(maps.Values(n.keepers))
 	n.mu.Unlock()
-	for _, h := range homes {
-		err = errors.CombineErrors(err, h.Close())
+	for _, k := range keepers {
+		err = errors.CombineErrors(err, k.Close())
 	}
 	return err
 }
@@ -178,24 +182,15 @@
 // adopt tells every group its limits. The caller holds the mutex.
 func (n *Node) adopt(c *engine.Catalog) {
 	for g, limits := range c.Groups {
-		h := n.homes[g]
-		if h == nil {
-			h = NewHome(n.tasks.Context(), g, n.config.Dialer, func(sched.Message) {})
-			n.homes[g] = h
-			h.Tell(sched.Directory{Endpoints: n.entries[g]})
-			n.lead(g)
-		}
-		h.Tell(sched.Limits{MaxConns: limits.MaxConns})
-		h.SetIdleTx(c.IdleTx)
-	}
-}
-
-// lead takes the primary from the directory. The caller holds the mutex.
-func (n *Node) lead(g ident.Group) {
-	for _, e := range n.entries[g] {
-		if e.Leads {
-			n.homes[g].Tell(sched.Leader{Endpoint: e.ID, Usable: true})
+		k := n.keepers[g]
+		if k == nil {
+			k = newKeeper(n.tasks.Context(), g, n)
+			n.keepers[g] = k
+			k.setEndpoints(n.entries[g])
 		}
+		k.home.Tell(sched.Limits{MaxConns: limits.MaxConns})
+		k.home.SetIdleTx(c.IdleTx)
+		k.tell(lead.Rules{SyncReplicas: limits.SyncReplicas})
 	}
 }
 
@@ -206,11 +201,11 @@
 		entries[l.Group] = append(entries[l.Group], l.Endpoint)
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.entries, n.loaded = entries, true
-	for g, h := range n.homes {
-		h.Tell(sched.Directory{Endpoints: entries[g]})
-		n.lead(g)
+	keepers := maps.Clone(n.keepers)
+	n.mu.Unlock()
+	for g, k := range keepers {
+		k.setEndpoints(entries[g])
 	}
 }
 
@@ -252,14 +247,17 @@
 func (n *Node) Local(g ident.Group) *Home {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.homes[g]
+	if k := n.keepers[g]; k != nil {
+		return k.home
+	}
+	return nil
 }
 
 // connected takes a link to another instance that opened or was lost.
 func (n *Node) connected(p ident.Instance, up bool) {
 	n.mu.Lock()
 	n.roster.Connected(p, up)
-	homes := slices.Collect(maps.Values(n.homes))
+	keepers := slices.Collect(maps.Values(n.keepers))
 	n.mu.Unlock()
 	trace.Event("PeerLink", "Peer", p, "Up", up)
 	if up {
@@ -267,9 +265,10 @@
 		return
 	}
 	n.router.Lost(p)
-	for _, h := range homes {
-		h.EndOf(p)
+	for _, k := range keepers {
+		k.home.EndOf(p)
 	}
+	n.assign()
 }
 
 func (n *Node) handlers() *peer.Router {
@@ -278,6 +277,8 @@
 	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Pulse, _ time.Time) { n.hear(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.DocumentAsk, _ time.Time) { n.giveConfig(from) })
+	peer.Handle(r, func(from ident.Instance, m peer.ReachAsk, _ time.Time) { n.tellReach(from, m) })
+	peer.Handle(r, func(_ ident.Instance, m peer.ReachTold, _ time.Time) { n.hearReach(m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
 	return r
 }
@@ -294,6 +295,7 @@
 	if fresh {
 		n.dialMembers()
 	}
+	n.assign()
 	if m.Version > n.catalog.Load().Version {
 		n.mesh.Offer(from, peer.DocumentAsk{Version: m.Version})
 	}
@@ -313,15 +315,75 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := roster.State{Version: n.catalog.Load().Version, Serving: n.serving, Leaving: n.leaving}
+	s.Unfit = slices.Sorted(maps.Keys(n.unfit))
 	n.roster.SetOwn(s)
-	p := peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving}
+	p := peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
 	for _, m := range n.roster.Members() {
 		p.Members = append(p.Members, peer.Member{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address, Start: m.Start})
 	}
 	return p
 }
 
-func (n *Node) pulse() { n.mesh.Broadcast(n.own()) }
+func (n *Node) pulse() {
+	n.mesh.Broadcast(n.own())
+	n.assign()
+}
+
+// assign tells each keeper whether its group's connections are held here.
+func (n *Node) assign() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for g, k := range n.keepers {
+		home := n.serving && n.roster.Home(g) == n.config.Self.Instance
+		n.tasks.Go(func(context.Context) error {
+			k.setHome(home)
+			return nil
+		})
+	}
+}
+
+// askOthers implements overseer.
+func (n *Node) askOthers(g ident.Group, e ident.Endpoint) {
+	n.mesh.Broadcast(peer.ReachAsk{Group: g, Endpoint: e})
+}
+
+// setUnfit implements overseer.
+func (n *Node) setUnfit(g ident.Group, unfit bool) {
+	n.tasks.Go(func(context.Context) error {
+		n.mu.Lock()
+		delete(n.unfit, g)
+		if unfit {
+			n.unfit[g] = true
+		}
+		n.mu.Unlock()
+		n.pulse()
+		return nil
+	})
+}
+
+// tellReach tries an endpoint for another instance.
+func (n *Node) tellReach(from ident.Instance, m peer.ReachAsk) {
+	n.mu.Lock()
+	k := n.keepers[m.Group]
+	n.mu.Unlock()
+	if k == nil {
+		return
+	}
+	n.tasks.Go(func(ctx context.Context) error {
+		reached, leads := k.reach(ctx, m.Endpoint)
+		n.mesh.Offer(from, peer.ReachTold{Group: m.Group, Endpoint: m.Endpoint, Reached: reached, Leads: leads})
+		return nil
+	})
+}
+
+func (n *Node) hearReach(m peer.ReachTold) {
+	n.mu.Lock()
+	k := n.keepers[m.Group]
+	n.mu.Unlock()
+	if k != nil {
+		k.tell(lead.Reached{Endpoint: m.Endpoint, Reached: m.Reached, Leads: m.Leads})
+	}
+}
 
 func (n *Node) pulses(ctx context.Context) error {
 	var since time.Time
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
@@ -79,3 +80,16 @@
 type Dialer interface {
 	Dial(ctx context.Context, group ident.Group, e sched.Endpoint, account ident.Account) (Conn, error)
 }
+
+// Control is the platform's service that changes primaries.
+type Control interface {
+	// Claim makes this instance the one that may promote in a group, and
+	// returns an epoch above all earlier ones.
+	Claim(ctx context.Context, g ident.Group) (ident.Epoch, error)
+	// Promote names the next primary. The result tells what is known of the
+	// call; an error explains a result other than Accepted.
+	Promote(ctx context.Context, g ident.Group, e ident.Endpoint, epoch ident.Epoch) (lead.PromoteResult, error)
+}
+
+// Reporter decodes what an endpoint says of itself.
+type Reporter func(row string) (Report, error)
