Count operations against quotas; answer what has begun to arrive before ending

Change: internal/quota, one keeper per account by rendezvous hashing with short grants to the others, half an even share for an instance that can't reach the keeper. A stopping session is interrupted only where nothing has begun to arrive.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -171,13 +171,11 @@
 }
 
 // GrantAsk asks the instance that keeps an account's quota for operations.
-// Wanted is how many the sender expects to need, Unspent how many of its
-// earlier grants it returns.
+// Wanted is how many the sender expects to need soon.
 type GrantAsk struct {
 	_       struct{} `cbor:",toarray"`
 	Account ident.Account
 	Wanted  ident.Tokens
-	Unspent ident.Tokens
 }
 
 // Grant answers a GrantAsk. The operations may be spent until Length after the
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -31,7 +31,7 @@
 	queueMessages     int
 	serverTLS         *tls.Config
 	clientTLS         *tls.Config
-	watch             func(peer ident.Instance, up bool)
+	watch             func(peer ident.Instance, up bool, cause error)
 }
 
 func defaultOptions() options {
@@ -42,7 +42,7 @@
 		backoffMin:        backoffMin,
 		backoffMax:        backoffMax,
 		queueMessages:     queueMessages,
-		watch:             func(ident.Instance, bool) {},
+		watch:             func(ident.Instance, bool, error) {},
 	}
 }
 
@@ -74,7 +74,7 @@
 }
 
 // WithWatch makes the mesh call f, which must not block, when a connection to
-// a peer is open and when it is lost.
-func WithWatch(f func(peer ident.Instance, up bool)) Option {
+// a peer is open and when it is lost, then with the cause.
+func WithWatch(f func(peer ident.Instance, up bool, cause error)) Option {
 	return func(o *options) { o.watch = f }
 }
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,68 @@
+// Package quota decides how many operations of a client account may run, over
+// all instances together. One instance keeps the account's Ledger; each holds a
+// Purse with operations that the keeper granted for a short time. It does no
+// I/O. It answers an account that sends many times its rate, demand that is
+// uneven between instances, and instances that are cut off from the keeper.
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// startShare is the part of the burst that a new keeper has. The one before
+	// it may have granted the rest just now.
+	startShare = 0.25
+	// GrantLength is how long granted operations may be spent.
+	GrantLength = 500 * time.Millisecond
+)
+
+// balance is an account's token bucket.
+type balance struct {
+	level float64
+	at    time.Time
+}
+
+// Ledger holds the balances of the accounts that one instance keeps.
+type Ledger struct{ balances map[ident.Account]*balance }
+
+// NewLedger returns a ledger without balances.
+func NewLedger() *Ledger { return &Ledger{balances: make(map[ident.Account]*balance)} }
+
+// Grant takes up to wanted operations from an account's balance. Share is the
+// part of the account's rate that this keeper may give; it is below one while
+// other instances may have a keeper of their own. RetryIn says when an
+// operation is there again, if none was granted.
+func (l *Ledger) Grant(now time.Time, a ident.Account, q engine.Quota, wanted ident.Tokens, share float64) (count ident.Tokens, retryIn time.Duration) {
+	b := l.refilled(now, a, engine.Quota{Rate: q.Rate * share, Burst: q.Burst * share})
+	count = min(wanted, ident.Tokens(math.Floor(b.level)))
+	if count > 0 {
+		b.level -= float64(count)
+		return count, 0
+	}
+	return 0, untilOne(b.level, q.Rate*share)
+}
+
+func (l *Ledger) refilled(now time.Time, a ident.Account, q engine.Quota) *balance {
+	b := l.balances[a]
+	if b == nil {
+		b = &balance{level: startShare * q.Burst, at: now}
+		l.balances[a] = b
+	}
+	passed := now.Sub(b.at).Seconds()
+	b.level = min(math.Max(q.Burst, 1), b.level+passed*q.Rate)
+	b.at = now
+	return b
+}
+
+// untilOne is when a level reaches one operation.
+func untilOne(level, rate float64) time.Duration {
+	if rate <= 0 {
+		return time.Second
+	}
+	return time.Duration((1 - level) / rate * float64(time.Second))
+}
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -20,6 +20,10 @@
 
 var statementSeconds = metrics.GetOrCreateHistogram("marjoram_statement_seconds")
 
+// ErrInterrupted reports that a caller had sent nothing when it was
+// interrupted.
+var ErrInterrupted = errors.New("session interrupted")
+
 // Caller is one caller's connection in the caller's own protocol.
 type Caller interface {
 	// Login reads who the caller is.
@@ -28,6 +32,9 @@
 	Welcome(reason engine.Reason) error
 	// Next reads a statement. ErrMalformed leaves the session open.
 	Next() (engine.Statement, error)
+	// Interrupt makes Next return ErrInterrupted as soon as no statement has
+	// begun to arrive.
+	Interrupt()
 	// Reply answers the statement that was read last.
 	Reply(s engine.Statement, a engine.Answer) error
 	Close() error
@@ -57,8 +64,6 @@
 	state  *engine.Session
 	place  Place
 	id     ident.Session
-	busy   atomic.Bool // a statement is being served
-	inTx   atomic.Bool
 }
 
 // NewFront returns a front that uses the catalog in force at each statement.
@@ -101,13 +106,13 @@
 			}
 			continue
 		}
+		if errors.Is(err, ErrInterrupted) && !f.mustEnd(s) {
+			continue // the transaction may go on
+		}
 		if err != nil {
 			return errors.Wrap(err, "read statement")
 		}
-		s.busy.Store(true)
 		hangup, err := f.statement(ctx, s, statement)
-		s.inTx.Store(s.state.State() != engine.Idle)
-		s.busy.Store(false)
 		if err != nil || hangup || f.mustEnd(s) {
 			return errors.Wrap(err, "serve statement")
 		}
@@ -210,15 +215,23 @@
 	return f.stopping && s.state.State() == engine.Idle
 }
 
-// Stop ends the sessions that are idle, and the others as they become so.
+// Stop ends the sessions that are idle, and the others as they become so. A
+// statement that has begun to arrive is still served.
 func (f *Front) Stop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stopping = true
 	for s := range f.sessions {
-		if !s.busy.Load() && !s.inTx.Load() {
-			_ = s.caller.Close()
-		}
+		s.caller.Interrupt()
+	}
+}
+
+// Abort ends all sessions at once.
+func (f *Front) Abort() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for s := range f.sessions {
+		_ = s.caller.Close()
 	}
 }
 
--- /dev/null
+++ b/internal/relay/gate.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/quota"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// grantTimeout is how long an operation waits for the keeper's answer: several
+// round trips between data centres.
+const grantTimeout = 60 * time.Millisecond
+
+// keepers finds the instances that keep the accounts' quotas.
+type keepers interface {
+	// keeperOf returns the instance that keeps an account's quota, how many
+	// instances exist, and which part of the rate a keeper here may grant.
+	keeperOf(a ident.Account) (keeper ident.Instance, instances int, share float64)
+}
+
+// gate counts operations against quotas. It implements Gate.
+type gate struct {
+	self    ident.Instance
+	keepers keepers
+	link    Link
+	quotaOf func(a ident.Account) (engine.Quota, bool)
+
+	mu      sync.Mutex
+	purse   *quota.Purse
+	ledger  *quota.Ledger
+	waiting map[ident.Account]chan struct{} // closed when an answer comes
+}
+
+func newGate(self ident.Instance, k keepers, quotaOf func(ident.Account) (engine.Quota, bool)) *gate {
+	return &gate{
+		self: self, keepers: k, quotaOf: quotaOf,
+		purse: quota.NewPurse(), ledger: quota.NewLedger(), waiting: make(map[ident.Account]chan struct{}),
+	}
+}
+
+// Spend implements Gate.
+func (g *gate) Spend(a ident.Account, q engine.Quota) (ok bool, retryIn time.Duration) {
+	keeper, instances, share := g.keepers.keeperOf(a)
+	if keeper == g.self {
+		return g.spendOwn(a, q, share)
+	}
+	d, answered := g.spendGranted(keeper, a)
+	if d.Verdict == quota.Wait {
+		await(answered)
+		d, _ = g.spendGranted(keeper, a)
+	}
+	if d.Verdict == quota.Wait {
+		g.mu.Lock()
+		d = g.purse.SpendAlone(clock.Now(), a, q, instances)
+		g.mu.Unlock()
+	}
+	return d.Verdict == quota.Spent, d.RetryIn
+}
+
+// await waits for the keeper's answer, for a bounded time.
+func await(answered <-chan struct{}) {
+	timer := time.NewTimer(grantTimeout)
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-timer.C:
+	}
+}
+
+// spendOwn takes an operation from the ledger that is kept here.
+func (g *gate) spendOwn(a ident.Account, q engine.Quota, share float64) (bool, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count, retryIn := g.ledger.Grant(clock.Now(), a, q, 1, share)
+	return count == 1, retryIn
+}
+
+// spendGranted takes an operation from the purse and asks the keeper for more
+// if need be.
+func (g *gate) spendGranted(keeper ident.Instance, a ident.Account) (quota.Decision, <-chan struct{}) {
+	g.mu.Lock()
+	d := g.purse.Spend(clock.Now(), a)
+	answered := g.waiting[a]
+	if answered == nil {
+		answered = make(chan struct{})
+		g.waiting[a] = answered
+	}
+	g.mu.Unlock()
+	if d.Ask > 0 {
+		g.link.Offer(keeper, peer.GrantAsk{Account: a, Wanted: d.Ask})
+	}
+	return d, answered
+}
+
+// receiveAsk grants operations to another instance.
+func (g *gate) receiveAsk(from ident.Instance, m peer.GrantAsk) {
+	q, ok := g.quotaOf(m.Account)
+	if !ok {
+		return
+	}
+	_, _, share := g.keepers.keeperOf(m.Account)
+	g.mu.Lock()
+	count, retryIn := g.ledger.Grant(clock.Now(), m.Account, q, m.Wanted, share)
+	g.mu.Unlock()
+	g.link.Offer(from, peer.Grant{Account: m.Account, Count: count, Length: quota.GrantLength, RetryIn: retryIn})
+}
+
+// receiveGrant takes a keeper's answer.
+func (g *gate) receiveGrant(m peer.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.purse.Receive(clock.Now(), m.Account, m.Count, m.Length, m.RetryIn)
+	if answered := g.waiting[m.Account]; answered != nil {
+		close(answered)
+		delete(g.waiting, m.Account)
+	}
+}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -72,6 +72,7 @@
 	catalog atomic.Pointer[engine.Catalog]
 	front   *Front
 	router  *Router
+	gate    *gate
 	mesh    *peer.Mesh
 
 	mu      sync.Mutex
@@ -93,7 +94,8 @@
 	}
 	n.catalog.Store(emptyCatalog())
 	n.router = NewRouter(n.tasks.Context(), c.Self.Instance, n)
-	n.front = NewFront(n.router, openGate{}, &n.catalog)
+	n.gate = newGate(c.Self.Instance, n, n.quotaOf)
+	n.front = NewFront(n.router, n.gate, &n.catalog)
 	hello := peer.Hello{Instance: c.Self.Instance, Environment: c.Environment, Start: uint64(c.Self.Start)}
 	log := event.NewLog(c.Self.Instance, logCapacity)
 	mesh, err := peer.NewMesh(hello, c.Listener, c.Secret, n.handlers(), log,
@@ -104,6 +106,7 @@
 	}
 	n.mesh = mesh
 	n.router.SetLink(mesh)
+	n.gate.link = mesh
 	return n, nil
 }
 
@@ -113,12 +116,6 @@
 	return c
 }
 
-// openGate admits everything.
-type openGate struct{}
-
-// Spend implements Gate.
-func (openGate) Spend(ident.Account, engine.Quota) (bool, time.Duration) { return true, 0 }
-
 // Start begins to talk to other instances.
 func (n *Node) Start() {
 	n.mesh.Start()
@@ -142,6 +139,17 @@
 	return err
 }
 
+// Open returns how many transactions hold a connection here.
+func (n *Node) Open() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := 0
+	for _, k := range n.keepers {
+		open += k.home.Open()
+	}
+	return open
+}
+
 // Ready reports whether the instance takes callers.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
@@ -253,13 +261,27 @@
 	return nil
 }
 
+// keeperOf implements keepers.
+func (n *Node) keeperOf(a ident.Account) (ident.Instance, int, float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.Keeper(a), len(n.roster.Members()), n.roster.Share()
+}
+
+// quotaOf returns an account's quota in the catalog in force.
+func (n *Node) quotaOf(a ident.Account) (engine.Quota, bool) {
+	known, ok := n.catalog.Load().Accounts[a]
+	return known.Quota, ok
+}
+
 // connected takes a link to another instance that opened or was lost.
-func (n *Node) connected(p ident.Instance, up bool) {
+func (n *Node) connected(p ident.Instance, up bool, cause error) {
+	silent := errors.Is(cause, context.DeadlineExceeded)
 	n.mu.Lock()
-	n.roster.Connected(p, up)
+	n.roster.Connected(p, up, silent)
 	keepers := slices.Collect(maps.Values(n.keepers))
 	n.mu.Unlock()
-	trace.Event("PeerLink", "Peer", p, "Up", up)
+	trace.Event("PeerLink", "Peer", p, "Up", up, "Silent", silent)
 	if up {
 		n.mesh.Offer(p, n.own())
 		return
@@ -279,6 +301,8 @@
 	peer.Handle(r, func(from ident.Instance, m peer.DocumentAsk, _ time.Time) { n.giveConfig(from) })
 	peer.Handle(r, func(from ident.Instance, m peer.ReachAsk, _ time.Time) { n.tellReach(from, m) })
 	peer.Handle(r, func(_ ident.Instance, m peer.ReachTold, _ time.Time) { n.hearReach(m) })
+	peer.Handle(r, func(from ident.Instance, m peer.GrantAsk, _ time.Time) { n.gate.receiveAsk(from, m) })
+	peer.Handle(r, func(_ ident.Instance, m peer.Grant, _ time.Time) { n.gate.receiveGrant(m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
 	return r
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,7 +38,7 @@
 	members map[ident.Instance]Member
 	up      map[ident.Instance]bool
 	states  map[ident.Instance]State
-	dark    map[ident.Instance]bool
+	ended   map[ident.Instance]bool // out of touch because the process ended
 }
 
 // New returns a roster that knows only self.
@@ -48,7 +48,7 @@
 		members: map[ident.Instance]Member{self.Instance: self},
 		up:      make(map[ident.Instance]bool),
 		states:  make(map[ident.Instance]State),
-		dark:    make(map[ident.Instance]bool),
+		ended:   make(map[ident.Instance]bool),
 	}
 }
 
@@ -70,7 +70,7 @@
 	delete(r.members, n)
 	delete(r.states, n)
 	delete(r.up, n)
-	delete(r.dark, n)
+	delete(r.ended, n)
 }
 
 // Members returns all members in order, self included.
@@ -83,16 +83,17 @@
 }
 
 // Connected takes a link to n that opened, or that was lost. A link that was
-// lost in silence leaves it open whether the other still runs.
-func (r *Roster) Connected(n ident.Instance, up bool) {
+// lost in silence leaves it open whether the other still runs; one that was
+// closed tells that its process ended.
+func (r *Roster) Connected(n ident.Instance, up, silent bool) {
+	delete(r.ended, n)
 	if up {
 		r.up[n] = true
-		delete(r.dark, n)
 		return
 	}
 	delete(r.up, n)
 	delete(r.states, n)
-	r.dark[n] = true
+	r.ended[n] = !silent
 }
 
 // Hear takes what n says of itself.
@@ -108,9 +109,30 @@
 // SetOwn replaces what this instance says of itself.
 func (r *Roster) SetOwn(s State) { r.own = s }
 
-// Reachable returns how many instances are in touch, self included, and how
-// many exist.
-func (r *Roster) Reachable() (reached, all int) { return len(r.up) + 1, len(r.members) }
+// aloneShare is the part of their even share that instances use which may be
+// cut off from most others, where accounts may have a second keeper.
+const aloneShare = 0.5
+
+// Share returns which part of an account's rate a keeper here may grant: all of
+// it while most instances are in touch or known to have ended.
+func (r *Roster) Share() float64 {
+	reached, known := 1, 1
+	for n := range r.members {
+		if n == r.self {
+			continue
+		}
+		if r.up[n] {
+			reached++
+		}
+		if r.up[n] || r.ended[n] {
+			known++
+		}
+	}
+	if 2*known >= len(r.members) {
+		return 1
+	}
+	return aloneShare * float64(reached) / float64(len(r.members))
+}
 
 // Newest returns an instance whose configuration is newer than version.
 func (r *Roster) Newest(version ident.Version) (ident.Instance, ident.Version) {
