Let an instance that does not serve a group open few connections; handle SIGHUP

SIGHUP ended the process (code 129).

Ruled out: late news of draining (the log shows the switch begun 5 ms after it).

--- a/cmd/marjoramrudder/platform.go
+++ b/cmd/marjoramrudder/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -27,7 +29,12 @@
 			}
 			sink := trace.Install(os.Stdout, string(settings.Instance))
 			defer func() { _ = sink.Close() }()
-			return platform.Serve(ctx, settings)
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
+			return platform.Serve(ctx, settings, reload, func() (*platform.Settings, error) {
+				return platform.LoadSettings(c.String("config"))
+			})
 		},
 	}
 }
--- a/internal/relay/keeper.go
+++ b/internal/relay/keeper.go
@@ -106,9 +106,7 @@
 	}
 	trace.Event("GroupHome", "Group", k.group, "Home", home)
 	k.tell(lead.Role{Home: home})
-	if !home {
-		k.home.Tell(sched.Shrink{})
-	}
+	k.home.Tell(sched.Role{Home: home})
 }
 
 // tell passes a message to the model and carries its commands out.
@@ -194,6 +192,7 @@
 	if c.conn == nil {
 		conn, err := k.dialer.Dial(ctx, k.group, e, controlAccount)
 		if err != nil {
+			k.makeRoom(e.ID, err)
 			return Report{}, err
 		}
 		c.conn = conn
@@ -211,6 +210,15 @@
 	return k.reporter(a.Rows[0])
 }
 
+// makeRoom closes an idle connection of an account at an endpoint that takes
+// no more.
+func (k *keeper) makeRoom(id ident.Endpoint, err error) {
+	var e *DialError
+	if errors.As(err, &e) && e.Result == sched.CapReached {
+		k.home.Tell(sched.Yield{Endpoint: id})
+	}
+}
+
 func (c *controlConn) drop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -37,9 +37,11 @@
 	linkBackoffMost  = 500 * time.Millisecond
 	// linkQueue is how many messages may wait for one peer.
 	linkQueue = 4096
-	// servingDelay is the time from the first configuration and directory to
-	// the instance's offer to serve groups, in which its links come up.
-	servingDelay = 700 * time.Millisecond
+	// pulseCheck is how often it looks whether it can begin to serve.
+	pulseCheck = 50 * time.Millisecond
+	// servingDelay is how long an instance waits for its links after its start
+	// before it offers to serve groups.
+	servingDelay = 800 * time.Millisecond
 	// logCapacity is how many records the time line keeps.
 	logCapacity = 512
 )
@@ -61,8 +63,10 @@
 	Listener    net.Listener
 	Dialer      Dialer
 	Decode      Decoder
-	Control     Control
-	Reporter    Reporter
+	// DrainTime is how long a draining endpoint may be used.
+	DrainTime time.Duration
+	Control   Control
+	Reporter  Reporter
 }
 
 // Node is one instance: its sessions, its links, and the groups it serves.
@@ -196,7 +200,7 @@
 			n.keepers[g] = k
 			k.setEndpoints(n.entries[g])
 		}
-		k.home.Tell(sched.Limits{MaxConns: limits.MaxConns})
+		k.home.Tell(sched.Limits{MaxConns: limits.MaxConns, DrainTime: n.config.DrainTime})
 		k.home.SetIdleTx(c.IdleTx)
 		k.tell(lead.Rules{SyncReplicas: limits.SyncReplicas})
 	}
@@ -410,19 +414,30 @@
 }
 
 func (n *Node) pulses(ctx context.Context) error {
-	var since time.Time
+	began := clock.Now()
+	var told time.Time
 	for ctx.Err() == nil {
 		now := clock.Now()
-		if !n.Ready() {
-			since = now
+		if n.beginServing(now, began) || now.Sub(told) >= pulseInterval {
+			n.pulse()
+			told = now
 		}
-		n.mu.Lock()
-		if !n.serving && now.Sub(since) > servingDelay {
-			n.serving = true
-		}
-		n.mu.Unlock()
-		n.pulse()
-		tasks.Pause(ctx, pulseInterval)
+		tasks.Pause(ctx, pulseCheck)
 	}
 	return nil
 }
+
+// beginServing offers to serve groups once most other instances are in touch,
+// or did not come in time. It reports whether that is new.
+func (n *Node) beginServing(now, began time.Time) bool {
+	if !n.Ready() {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.serving || !n.roster.Gathered() && now.Sub(began) < servingDelay {
+		return false
+	}
+	n.serving = true
+	return true
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -113,6 +113,11 @@
 // cut off from most others, where accounts may have a second keeper.
 const aloneShare = 0.5
 
+// Gathered reports whether most instances are in touch.
+func (r *Roster) Gathered() bool {
+	return len(r.members) > 1 && 2*(len(r.up)+1) > len(r.members)
+}
+
 // Share returns which part of an account's rate a keeper here may grant: all of
 // it while most instances are in touch or known to have ended.
 func (r *Roster) Share() float64 {
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -36,9 +36,15 @@
 	capped  time.Time // the share is lowered until
 	share   int       // connections allowed while capped
 	speed   time.Duration
+	drains  time.Time // since when the endpoint is known to drain
 	removed bool
 }
 
+// closing reports whether a draining endpoint may not be used any more.
+func (e *endpoint) closing(now time.Time, limit time.Duration) bool {
+	return limit > 0 && !e.drains.IsZero() && now.Sub(e.drains) > limit
+}
+
 func (e *endpoint) room(now time.Time) bool {
 	return e.active < max(1, e.Slots)+slotSlack && !now.Before(e.full)
 }
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -13,6 +13,11 @@
 	// opens; the rest is for the instance that takes over before the endpoint
 	// has noticed the loss of the first.
 	capShare = 0.625
+	// guestShare is the part that an instance opens which does not serve the
+	// group, while it does not reach the one that does.
+	guestShare = 0.125
+	// guestIdle is how long such an instance keeps idle connections.
+	guestIdle = 300 * time.Millisecond
 	// idleLimit closes connections that nobody used for this long.
 	idleLimit = 20 * time.Second
 	// firstService is the assumed time of a call before any was measured.
@@ -29,6 +34,7 @@
 	busy      map[ident.Account]int // connections that work or rest
 	floors    floors
 	leader    Leader
+	home      bool
 	service   time.Duration // mean time of a call that took a slot
 	next      ConnID
 	order     uint64
@@ -77,15 +83,17 @@
 			e.trouble(m.Kind, now)
 		}
 	case Directory:
-		g.directory(m)
+		g.directory(now, m)
 	case Limits:
 		g.limits = m
 	case Leader:
 		g.leader = m
-	case Shrink:
-		g.dropIdle(now, 0)
+	case Role:
+		g.home = m.Home
+	case Yield:
+		g.yield(now, m.Endpoint)
 	case Tick:
-		g.dropIdle(now, idleLimit)
+		g.dropIdle(now, g.idleLimit())
 	}
 }
 
@@ -114,6 +122,7 @@
 	case CapReached:
 		c.endpoint.capped = now.Add(capPause)
 		c.endpoint.share = max(1, c.endpoint.open-1)
+		c.endpoint.noDial = now.Add(dialPause)
 	case Unreachable:
 		c.endpoint.noDial = now.Add(dialPause)
 		c.endpoint.avoid = now.Add(dialPause)
@@ -178,6 +187,26 @@
 	}
 }
 
+func (g *Group) idleLimit() time.Duration {
+	if g.home {
+		return idleLimit
+	}
+	return guestIdle
+}
+
+// yield gives up an idle connection and opens none for a moment, so that
+// another can be opened.
+func (g *Group) yield(now time.Time, id ident.Endpoint) {
+	e := g.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.noDial = now.Add(dialPause)
+	if v := g.victim(e); v != nil {
+		g.drop(v)
+	}
+}
+
 func (g *Group) heard(h Heard) {
 	e := g.endpoints[h.Endpoint]
 	if e == nil {
@@ -192,7 +221,7 @@
 	}
 }
 
-func (g *Group) directory(m Directory) {
+func (g *Group) directory(now time.Time, m Directory) {
 	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
 	for _, d := range m.Endpoints {
 		seen[d.ID] = true
@@ -203,8 +232,11 @@
 			g.endpoints[d.ID] = e
 		}
 		e.Endpoint = d
-		if d.Draining {
-			g.dropIdleAt(e)
+		switch {
+		case !d.Draining:
+			e.drains = time.Time{}
+		case e.drains.IsZero():
+			e.drains = now
 		}
 	}
 	for id, e := range g.endpoints {
@@ -237,7 +269,11 @@
 	if g.limits.MaxConns == 0 {
 		return 1
 	}
-	return max(1, int(capShare*float64(g.limits.MaxConns)))
+	part := guestShare
+	if g.home {
+		part = capShare
+	}
+	return max(1, int(part*float64(g.limits.MaxConns)))
 }
 
 // deny refuses a call that waits or has just come.
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -111,7 +111,11 @@
 type Directory struct{ Endpoints []Endpoint }
 
 // Limits replaces the limits of the group.
-type Limits struct{ MaxConns int }
+type Limits struct {
+	MaxConns int
+	// DrainTime is how long a draining endpoint may be used, zero for no limit.
+	DrainTime time.Duration
+}
 
 // Leader names the primary. Usable is false while it can't serve; Back is then
 // when the next one is expected, zero if that is not known.
@@ -121,8 +125,12 @@
 	Back     time.Time
 }
 
-// Shrink closes idle connections, as when another instance serves the group.
-type Shrink struct{}
+// Role tells whether this instance is the one that serves the group. Another
+// opens few connections and closes them soon.
+type Role struct{ Home bool }
+
+// Yield closes an idle connection to an endpoint that has no room for others.
+type Yield struct{ Endpoint ident.Endpoint }
 
 // Tick lets time pass.
 type Tick struct{}
@@ -139,7 +147,8 @@
 func (Directory) message() {}
 func (Limits) message()    {}
 func (Leader) message()    {}
-func (Shrink) message()    {}
+func (Role) message()      {}
+func (Yield) message()     {}
 func (Tick) message()      {}
 
 // Command is an output of Group.Update.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -86,7 +86,7 @@
 		return nil
 	}
 	e := g.endpoints[g.leader.Endpoint]
-	if e == nil || !e.room(now) {
+	if e == nil || !e.room(now) || e.closing(now, g.limits.DrainTime) {
 		return nil
 	}
 	if g.idleOf(e, w.call.Account) == nil && !g.mayOpen(now, e) {
