--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -71,6 +71,13 @@
 	return 0, untilOne(b.level, q.Rate*share)
 }
 
+// Refund takes back one operation that did not run.
+func (l *Ledger) Refund(a ident.Account) {
+	if b := l.balances[a]; b != nil {
+		b.level++ // the next refill cuts it to the burst
+	}
+}
+
 func (l *Ledger) refilled(now time.Time, a ident.Account, q engine.Quota) *balance {
 	b := l.balances[a]
 	if b == nil {
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -14,6 +14,8 @@
 	askAhead = 300 * time.Millisecond
 	// askAgain is how long an answer is waited for before another question.
 	askAgain = 100 * time.Millisecond
+	// refundLength is how long an operation that did not run may be spent again.
+	refundLength = 200 * time.Millisecond
 	// denyMost bounds how long a refusal is repeated without asking.
 	denyMost = 250 * time.Millisecond
 	// demandTime is the time over which demand is averaged.
@@ -93,6 +95,17 @@
 	return Decision{Verdict: Spent}
 }
 
+// Refund takes back one operation that did not run. It may be spent again for
+// as long as the grants in hand, or for a moment if there are none.
+func (p *Purse) Refund(now time.Time, a ident.Account) {
+	k := p.pocket(now, a)
+	if now.After(k.expires) {
+		k.count = 0
+		k.expires = now.Add(refundLength)
+	}
+	k.count++
+}
+
 // Receive takes a grant, or a refusal with a count of zero. Asked is when the
 // question was sent.
 func (p *Purse) Receive(now time.Time, a ident.Account, count ident.Tokens, length, retryIn time.Duration) {
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,10 +12,19 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
+const (
+	// catalogTime is how long a new caller waits for the first configuration,
+	// less than callers wait for a welcome.
+	catalogTime = 1500 * time.Millisecond
+	// catalogPoll is how often it looks.
+	catalogPoll = 10 * time.Millisecond
+)
+
 // ErrMalformed reports input that is no statement. The session goes on.
 var ErrMalformed = errors.New("malformed statement")
 
@@ -44,6 +54,8 @@
 type Gate interface {
 	// Spend takes one operation, or says when to come back.
 	Spend(a ident.Account, q engine.Quota) (ok bool, retryIn time.Duration)
+	// Refund gives an operation back that was spent and did not run.
+	Refund(a ident.Account)
 }
 
 // Front serves callers' sessions.
@@ -79,6 +91,9 @@
 		return errors.Wrap(err, "log in")
 	}
 	id := ident.Session(f.next.Add(1))
+	if !f.awaitCatalog(ctx) {
+		return errors.Wrap(c.Welcome(engine.Overloaded), "refuse login")
+	}
 	_, _, reason := f.catalog.Load().Admit(route, key)
 	if reason != engine.NoReason {
 		trace.Event("LoginRefused", "Session", id, "Route", route, "Reason", reason.String(), "Version", f.catalog.Load().Version)
@@ -95,6 +110,18 @@
 	return f.loop(ctx, s)
 }
 
+// awaitCatalog waits for the first configuration: without one, nobody can be
+// told that a route or a key does not exist.
+func (f *Front) awaitCatalog(ctx context.Context) bool {
+	until := clock.Now().Add(catalogTime)
+	for f.catalog.Load().Version == 0 {
+		if clock.Now().After(until) || !tasks.Pause(ctx, catalogPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Front) loop(ctx context.Context, s *session) error {
 	for {
 		statement, err := s.caller.Next()
@@ -142,6 +169,9 @@
 		return step.Hangup, s.caller.Reply(statement, *step.Answer)
 	}
 	a := f.call(ctx, s, step.Call)
+	if a.Outcome == engine.NotRun && (step.Starts || step.Call.Phase == engine.First) {
+		f.gate.Refund(step.Call.Account)
+	}
 	f.report(s, statement, a, began)
 	return false, s.caller.Reply(statement, a)
 }
@@ -167,7 +197,8 @@
 	if ok {
 		return engine.Answer{}, true
 	}
-	return engine.Refuse(engine.OverQuota, retryIn, "the account has used its rate"), false
+	detail := fmt.Sprintf("the account has used its rate of %g/s, burst %g", known.Quota.Rate, known.Quota.Burst)
+	return engine.Refuse(engine.OverQuota, retryIn, detail), false
 }
 
 // report logs what became of a statement and counts it.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -61,6 +61,18 @@
 	return d.Verdict == quota.Spent, d.RetryIn
 }
 
+// Refund implements Gate.
+func (g *gate) Refund(a ident.Account) {
+	keeper, _, _ := g.keepers.keeperOf(a)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if keeper == g.self {
+		g.ledger.Refund(a)
+		return
+	}
+	g.purse.Refund(clock.Now(), a)
+}
+
 // await waits for the keeper's answer, for a bounded time.
 func await(answered <-chan struct{}) {
 	timer := time.NewTimer(grantTimeout)
