Send a lagging replica the reads of positions that it is known to hold

Change: the pause holds only for positions beyond the one the replica showed last; a refusal's position is learnt too.

--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -174,6 +174,7 @@
 	}
 	h.finish(g.conn, a.State != engine.Idle)
 	if a.Outcome == engine.NotRun {
+		h.heard(g.Endpoint, began, took, a, false)
 		t := troubleOf(g.Endpoint, a.Reason)
 		h.Tell(t)
 		h.observe(t)
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -10,8 +10,9 @@
 	// slotSlack is how many calls an endpoint gets beyond its slots, so that a
 	// slot does not stand idle for the length of a round trip.
 	slotSlack = 1
-	// behindPause keeps reads away from a replica that lacked a position.
-	behindPause = 150 * time.Millisecond
+	// behindPause keeps reads away from a replica that lacked a position, but
+	// for those that need no more than it is known to hold.
+	behindPause = 100 * time.Millisecond
 	// fullPause keeps calls away from an endpoint that had no slot.
 	fullPause = 20 * time.Millisecond
 	// silentPause keeps reads away from an endpoint that did not answer.
@@ -31,6 +32,7 @@
 	active  int // dials and calls that take a slot
 	mark    ident.Mark
 	avoid   time.Time // no reads before
+	behind  time.Time // no reads of positions beyond mark before
 	full    time.Time // no calls before
 	noDial  time.Time // no dials before
 	capped  time.Time // the share is lowered until
@@ -72,7 +74,7 @@
 func (e *endpoint) trouble(kind TroubleKind, now time.Time) {
 	switch kind {
 	case Behind:
-		e.avoid = now.Add(behindPause)
+		e.behind = now.Add(behindPause)
 	case Full:
 		e.full = now.Add(fullPause)
 	case Silent:
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -99,6 +99,8 @@
 	switch {
 	case e.Draining, !e.room(now), now.Before(e.avoid), slices.Contains(w.avoid, e.ID):
 		return false
+	case now.Before(e.behind) && !e.mark.Covers(t.after):
+		return false
 	case e.ID == g.leader.Endpoint && !g.leader.Usable:
 		return false
 	}
