Doubt a primary until a commit or its replicas show it whole; doubt it earlier

A silent primary was doubted only after a read's whole 400 ms.

Change: while in doubt only a commit, or a replica that holds what the primary shows, ends it; an instance that can't seal enough replicas for 1.2 s leaves the group to others; a statement without an answer for 150 ms starts the doubt.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -141,6 +142,7 @@
 		}
 	}
 	if heard < k.quorum() || k.epoch == 0 {
+		k.yield(now, heard)
 		return
 	}
 	target := k.furthest(term)
@@ -152,6 +154,17 @@
 	k.promote(now)
 }
 
+// yield leaves the group to another instance when too few replicas answer
+// here.
+func (k *Keeper) yield(now time.Time, heard int) {
+	if now.Sub(k.since) < sealLimit || !k.unfit.IsZero() {
+		return
+	}
+	k.unfit = now
+	k.emit(Unfit{Unfit: true})
+	k.emit(Note{State: k.state, Endpoint: k.leader, Term: k.term, Why: fmt.Sprintf("%d of %d replicas answer, epoch %d", heard, k.quorum(), k.epoch)})
+}
+
 // sealTerm is above every term that was seen.
 func (k *Keeper) sealTerm() ident.Term {
 	term := k.term
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -15,6 +15,9 @@
 	// stuckTime is how long all replicas may stay behind a position that the
 	// primary has shown before it is taken to be cut off from them.
 	stuckTime = 400 * time.Millisecond
+	// sealLimit is how long an instance tries to seal enough replicas before it
+	// leaves that to another one.
+	sealLimit = 1200 * time.Millisecond
 	// promoteTime is what a promotion usually takes, with the way there.
 	promoteTime = 700 * time.Millisecond
 	// promoteLimit is how long a promotion may take before it is begun anew.
@@ -225,6 +228,9 @@
 	if k.state == Steady && !changed || k.state == Sealing || k.state == Switching {
 		return
 	}
+	if k.state == Doubting && !changed && !m.Wrote {
+		return // it leads, but may be cut off from its replicas
+	}
 	if k.state == Promoting && m.Endpoint != k.target {
 		return
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -42,6 +42,8 @@
 type Led struct {
 	Endpoint ident.Endpoint
 	Term     ident.Term
+	// Wrote is set when the proof is a commit that replicas hold as well.
+	Wrote bool
 }
 
 // Trouble reports that an endpoint did not answer, or refused as a replica
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -26,6 +26,9 @@
 	cleanTimeout = 500 * time.Millisecond
 	// readTimeout limits the first try of a read that can be repeated.
 	readTimeout = 400 * time.Millisecond
+	// overdueTime is how long a statement may take before the primary is asked
+	// whether it lives: longer than nearly all statements.
+	overdueTime = 150 * time.Millisecond
 	// busyPause is the pause before a statement of an open transaction is
 	// offered again to an endpoint without a free slot.
 	busyPause = 10 * time.Millisecond
@@ -149,6 +152,14 @@
 	return last, 0
 }
 
+// exchange is what an answer says besides its content.
+type exchange struct {
+	began time.Time
+	took  time.Duration
+	led   bool // the endpoint proved its lead
+	wrote bool // the answer acknowledges a commit
+}
+
 // attempt runs a call on a granted connection. Again is set when nothing of it
 // is kept and another endpoint may run it.
 func (h *Home) attempt(call *engine.Call, g grant, owner ident.Instance, until time.Time) (a engine.Answer, tx engine.TxID, again bool) {
@@ -157,7 +168,7 @@
 	if call.Repeatable() {
 		timeout = min(timeout, readTimeout)
 	}
-	a, err := h.exchange(call, g, timeout)
+	a, err := h.send(call, g, timeout)
 	took := clock.Now().Sub(began)
 	if err != nil {
 		h.breakConn(g.conn, sched.Trouble{Endpoint: g.Endpoint, Kind: sched.Silent})
@@ -169,18 +180,19 @@
 		return lost, 0, call.Repeatable() || errors.Is(err, errSetup)
 	}
 	if a.OK() && call.Phase == engine.First && call.Statement.Op != engine.Commit {
-		h.heard(g.Endpoint, began, took, a, g.Strict)
+		h.heard(g.Endpoint, exchange{began: began, took: took, led: g.Strict}, a)
 		return a, h.hold(g.conn, owner), false
 	}
 	h.finish(g.conn, a.State != engine.Idle)
 	if a.Outcome == engine.NotRun {
-		h.heard(g.Endpoint, began, took, a, false)
+		h.heard(g.Endpoint, exchange{began: began, took: took}, a)
 		t := troubleOf(g.Endpoint, a.Reason)
 		h.Tell(t)
 		h.observe(t)
 		return a, 0, true
 	}
-	h.heard(g.Endpoint, began, took, a, g.Strict || call.Statement.Writes())
+	wrote := call.Phase == engine.Single && call.Statement.Writes()
+	h.heard(g.Endpoint, exchange{began: began, took: took, led: g.Strict || wrote, wrote: wrote}, a)
 	return a, 0, a.Reason == engine.Failed && call.Phase == engine.Single && call.Repeatable()
 }
 
@@ -194,9 +206,9 @@
 	return sched.Trouble{Endpoint: e, Kind: sched.Full}
 }
 
-// exchange sends what the call needs, one request after the other, so that no
+// send sends what the call needs, one request after the other, so that no
 // statement follows one that was refused.
-func (h *Home) exchange(call *engine.Call, g grant, timeout time.Duration) (engine.Answer, error) {
+func (h *Home) send(call *engine.Call, g grant, timeout time.Duration) (engine.Answer, error) {
 	if err := g.conn.adopt(call.Values, timeout); err != nil {
 		return engine.Answer{}, err
 	}
@@ -268,13 +280,17 @@
 			time.Sleep(busyPause)
 			continue
 		}
-		h.heard(c.endpoint, began, clock.Now().Sub(began), a, call.Leader && call.Statement.Op != engine.Commit)
+		x := exchange{began: began, took: clock.Now().Sub(began), led: call.Leader && call.Statement.Op != engine.Commit}
+		h.heard(c.endpoint, x, a)
 		return a, nil
 	}
 }
 
-func (h *Home) heard(e ident.Endpoint, began time.Time, took time.Duration, a engine.Answer, led bool) {
-	m := sched.Heard{Endpoint: e, Began: began, Took: took, Mark: a.Mark, Led: led && a.OK(), Ran: a.Outcome == engine.Answered}
+func (h *Home) heard(e ident.Endpoint, x exchange, a engine.Answer) {
+	m := sched.Heard{
+		Endpoint: e, Began: x.began, Took: x.took, Mark: a.Mark,
+		Led: x.led && a.OK(), Wrote: x.wrote && a.OK(), Ran: a.Outcome == engine.Answered,
+	}
 	h.Tell(m)
 	h.observe(m)
 }
--- a/internal/relay/keeper.go
+++ b/internal/relay/keeper.go
@@ -147,10 +147,10 @@
 	switch m := m.(type) {
 	case sched.Heard:
 		if m.Led {
-			k.tell(lead.Led{Endpoint: m.Endpoint, Term: m.Mark.Term})
+			k.tell(lead.Led{Endpoint: m.Endpoint, Term: m.Mark.Term, Wrote: m.Wrote})
 		}
 	case sched.Trouble:
-		if m.Kind == sched.Silent || m.Kind == sched.NotLeading {
+		if m.Kind == sched.Silent || m.Kind == sched.Slow || m.Kind == sched.NotLeading {
 			k.tell(lead.Trouble{Endpoint: m.Endpoint, NotLeading: m.Kind == sched.NotLeading})
 		}
 	}
--- a/internal/relay/lend.go
+++ b/internal/relay/lend.go
@@ -242,11 +242,24 @@
 	return out
 }
 
+// doubt reports a primary that leaves a statement without an answer, while the
+// statement goes on.
+func (h *Home) doubt(now time.Time) {
+	h.mu.Lock()
+	e, overdue := h.sched.Overdue(now, overdueTime)
+	h.mu.Unlock()
+	if overdue {
+		h.observe(sched.Trouble{Endpoint: e, Kind: sched.Slow})
+	}
+}
+
 func (h *Home) tick(ctx context.Context) error {
 	for ctx.Err() == nil {
 		tasks.Pause(ctx, tickInterval)
+		now := clock.Now()
 		h.Tell(sched.Tick{})
-		h.endIdle(clock.Now())
+		h.doubt(now)
+		h.endIdle(now)
 	}
 	return nil
 }
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -102,6 +102,17 @@
 	return g.floors.floor(now, maxLag)
 }
 
+// Overdue reports whether a statement at the primary has had no answer for
+// longer than limit.
+func (g *Group) Overdue(now time.Time, limit time.Duration) (ident.Endpoint, bool) {
+	for _, c := range g.conns {
+		if c.state == working && c.endpoint.ID == g.leader.Endpoint && now.Sub(c.since) > limit {
+			return c.endpoint.ID, true
+		}
+	}
+	return "", false
+}
+
 // Waiting returns how many calls wait.
 func (g *Group) Waiting() int { return len(g.waiting) }
 
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -85,6 +85,8 @@
 	Mark  ident.Mark
 	// Led is set when the endpoint proved to be the primary while it answered.
 	Led bool
+	// Wrote is set when it acknowledged a commit.
+	Wrote bool
 	// Ran is set when the answer took a slot, so that Took tells of its speed.
 	Ran bool
 }
@@ -103,6 +105,8 @@
 	Behind TroubleKind = iota + 1
 	Full
 	Silent
+	// Slow is a statement that has had no answer for a while.
+	Slow
 	// NotLeading is a refusal that only a primary would not give.
 	NotLeading
 )
