Refuse writes at once while the primary could acknowledge none

Change: a primary that no replica receives from is replaced only if enough replicas answer and it was not promoted in the last 5 s; else reads go on and writes are refused with a time to come back, commits of open transactions are rolled back.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -109,7 +109,7 @@
 	l := k.servers[k.leader]
 	answered := l != nil && l.heard.After(k.since)
 	if answered && k.stuck(now) {
-		k.enter(now, Sealing, "no replica receives from it")
+		k.replaceStuck(now)
 		return
 	}
 	if answered || now.Sub(k.since) < deathTime {
@@ -124,6 +124,26 @@
 	k.enter(now, Sealing, "nobody reaches it")
 }
 
+// replaceStuck replaces a primary that no replica receives from, if enough
+// replicas answer; until then no write is sent to it.
+func (k *Keeper) replaceStuck(now time.Time) {
+	replicas := 0
+	for id, s := range k.servers {
+		if id != k.leader && s.heard.After(k.since) {
+			replicas++
+		}
+	}
+	if replicas >= k.quorum() && now.Sub(k.promotedAt) > holdTime {
+		k.enter(now, Sealing, "no replica receives from it")
+		return
+	}
+	if !k.noWrites {
+		k.noWrites = true
+		k.emit(Note{State: k.state, Endpoint: k.leader, Term: k.term, Why: "no replica receives from it, writes are refused"})
+		k.emit(Announce{Endpoint: k.leader, Usable: true, NoWrites: true, Back: now.Add(stuckTime)})
+	}
+}
+
 // seal stops the replicas and names the most advanced one.
 func (k *Keeper) seal(now time.Time) {
 	term := k.sealTerm()
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -18,6 +18,9 @@
 	// sealLimit is how long an instance tries to seal enough replicas before it
 	// leaves that to another one.
 	sealLimit = 1200 * time.Millisecond
+	// holdTime is how long a primary keeps its place after its promotion though
+	// no replica receives from it: another one would hardly fare better.
+	holdTime = 5 * time.Second
 	// promoteTime is what a promotion usually takes, with the way there.
 	promoteTime = 700 * time.Millisecond
 	// promoteLimit is how long a promotion may take before it is begun anew.
@@ -94,15 +97,17 @@
 	sent    time.Time // of the latest Promote
 	// pending is the target of a Promote that may yet be carried out. Another
 	// target needs a new epoch first.
-	pending ident.Endpoint
-	allAt   time.Time // when all replicas but the successor were sealed
-	refused ident.Endpoint
-	alone   bool // another instance reaches the primary
-	unfit   time.Time
-	calm    time.Time
-	ahead   ident.Mark // a position of the primary that no replica had
-	aheadAt time.Time
-	out     []Command
+	pending    ident.Endpoint
+	promotedAt time.Time // when the primary was last replaced from here
+	noWrites   bool      // as announced
+	allAt      time.Time // when all replicas but the successor were sealed
+	refused    ident.Endpoint
+	alone      bool // another instance reaches the primary
+	unfit      time.Time
+	calm       time.Time
+	ahead      ident.Mark // a position of the primary that no replica had
+	aheadAt    time.Time
+	out        []Command
 }
 
 // New returns a keeper that knows nothing.
@@ -151,7 +156,7 @@
 	switch s {
 	case Steady:
 		k.calm = now
-		k.alone = false
+		k.alone, k.noWrites = false, false
 		k.ahead = ident.Mark{}
 		k.emit(Announce{Endpoint: k.leader, Usable: true})
 	case Sealing:
@@ -273,6 +278,9 @@
 		return
 	}
 	if k.state == Searching && m.Term >= k.term || k.state == Promoting && m.Endpoint == k.target {
+		if k.state == Promoting {
+			k.promotedAt = now
+		}
 		k.leader, k.term = m.Endpoint, m.Term
 		k.enter(now, Steady, "it says that it leads")
 		return
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -141,6 +141,9 @@
 type Announce struct {
 	Endpoint ident.Endpoint
 	Usable   bool
+	// NoWrites is set while no replica receives from the primary, so that no
+	// commit could be acknowledged.
+	NoWrites bool
 	Back     time.Time
 }
 
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -46,6 +46,7 @@
 	conn  *endpointConn
 	owner ident.Instance
 	busy  bool
+	wrote bool // a statement of it changed data
 	ended bool // close it as soon as the running statement is over
 	used  time.Time
 }
@@ -181,7 +182,7 @@
 	}
 	if a.OK() && call.Phase == engine.First && call.Statement.Op != engine.Commit {
 		h.heard(g.Endpoint, exchange{began: began, took: took, led: g.Strict}, a)
-		return a, h.hold(g.conn, owner), false
+		return a, h.hold(g.conn, owner, call.Statement.Writes()), false
 	}
 	h.finish(g.conn, a.State != engine.Idle)
 	if a.Outcome == engine.NotRun {
@@ -245,6 +246,11 @@
 	if t == nil {
 		return engine.Refuse(engine.Aborted, 0, "the transaction has ended"), 0
 	}
+	if t.wrote && call.Statement.Op == engine.Commit && h.noWrites() {
+		h.dropTx(call.Tx)
+		h.finish(t.conn, true)
+		return engine.Refuse(engine.Aborted, busyPause, "the primary has no replica to commit with"), 0
+	}
 	until := clock.Now().Add(call.Budget)
 	a, err := h.nextOnce(call, t.conn, until)
 	if err != nil {
@@ -261,6 +267,7 @@
 		h.finish(t.conn, !a.OK())
 		return a, 0
 	}
+	t.wrote = t.wrote || call.Statement.Writes()
 	h.rest(call.Tx, t)
 	return a, call.Tx
 }
--- a/internal/relay/keeper.go
+++ b/internal/relay/keeper.go
@@ -134,7 +134,7 @@
 	case lead.Promote:
 		k.tasks.Go(func(ctx context.Context) error { return k.promote(ctx, c) })
 	case lead.Announce:
-		k.home.Tell(sched.Leader{Endpoint: c.Endpoint, Usable: c.Usable, Back: c.Back})
+		k.home.Tell(sched.Leader{Endpoint: c.Endpoint, Usable: c.Usable, NoWrites: c.NoWrites, Back: c.Back})
 	case lead.Unfit:
 		k.overseer.setUnfit(k.group, c.Unfit)
 	case lead.Note:
--- a/internal/relay/lend.go
+++ b/internal/relay/lend.go
@@ -147,15 +147,21 @@
 }
 
 // hold keeps a connection for the transaction that is open on it.
-func (h *Home) hold(c *endpointConn, owner ident.Instance) engine.TxID {
+func (h *Home) hold(c *endpointConn, owner ident.Instance, wrote bool) engine.TxID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.nextTx++
-	h.txs[h.nextTx] = &held{conn: c, owner: owner, used: clock.Now()}
+	h.txs[h.nextTx] = &held{conn: c, owner: owner, wrote: wrote, used: clock.Now()}
 	h.update(clock.Now(), sched.Rested{Conn: c.id})
 	return h.nextTx
 }
 
+func (h *Home) noWrites() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sched.NoWrites()
+}
+
 // resume takes a transaction's connection for its next statement.
 func (h *Home) resume(id engine.TxID) *held {
 	h.mu.Lock()
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -102,6 +102,9 @@
 	return g.floors.floor(now, maxLag)
 }
 
+// NoWrites reports whether a commit could not be acknowledged now.
+func (g *Group) NoWrites() bool { return g.leader.NoWrites }
+
 // Overdue reports whether a statement at the primary has had no answer for
 // longer than limit.
 func (g *Group) Overdue(now time.Time, limit time.Duration) (ident.Endpoint, bool) {
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -126,6 +126,8 @@
 type Leader struct {
 	Endpoint ident.Endpoint
 	Usable   bool
+	// NoWrites is set while it could acknowledge no commit.
+	NoWrites bool
 	Back     time.Time
 }
 
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -42,6 +42,10 @@
 		g.deny(now, w, engine.NoLeader, max(retryLeast, g.leader.Back.Sub(now)), "the group has no primary yet")
 		return
 	}
+	if m.Call.MayCommit() && g.leader.NoWrites {
+		g.deny(now, w, engine.NoLeader, max(retryLeast, g.leader.Back.Sub(now)), "the primary has no replica to commit with")
+		return
+	}
 	wait := g.expected(m.Call)
 	if wait > hold || len(g.waiting) >= queueLimit {
 		g.deny(now, w, engine.Overloaded, max(retryLeast, wait-hold), "the queue is too long")
