Play whole deployments and the scheduler's loads in tests on virtual time

Found by them and mended: assignments of a group's home overtook each other; control questions to a hanging server queued behind one another; a primary that nobody uses was not found dead; a small account began without an operation.

--- a/cmd/marjoramrudder/platform.go
+++ b/cmd/marjoramrudder/platform.go
@@ -12,15 +12,12 @@
 	"github.com/marjoramrudder/marjoramrudder/platform"
 )
 
-// platformVariable names the platform's settings file.
-const platformVariable = "MARJORAMRUDDER_CONFIG"
-
 func platformCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run an instance on the platform",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platformVariable), Required: true, TakesFile: true},
+			&cli.StringFlag{Name: "config", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, TakesFile: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			settings, err := platform.LoadSettings(c.String("config"))
--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -100,6 +100,9 @@
 	case s.Draining && k.successor() != nil && k.epoch != 0:
 		k.target, k.sent, k.allAt = "", time.Time{}, time.Time{}
 		k.enter(now, Switching, "it is leaving")
+	case now.Sub(k.proved) > quietTime && now.Sub(s.asked) >= probeInterval:
+		s.asked = now
+		k.emit(Probe{Endpoint: k.leader})
 	}
 }
 
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -18,6 +18,9 @@
 	// sealLimit is how long an instance tries to seal enough replicas before it
 	// leaves that to another one.
 	sealLimit = 1200 * time.Millisecond
+	// quietTime is how long a primary may show no sign of life, as when no
+	// caller has work for it, before it is asked.
+	quietTime = time.Second
 	// holdTime is how long a primary keeps its place after its promotion though
 	// no replica receives from it: another one would hardly fare better.
 	holdTime = 5 * time.Second
@@ -98,6 +101,7 @@
 	// pending is the target of a Promote that may yet be carried out. Another
 	// target needs a new epoch first.
 	pending    ident.Endpoint
+	proved     time.Time // when the primary last showed its lead
 	promotedAt time.Time // when the primary was last replaced from here
 	noWrites   bool      // as announced
 	allAt      time.Time // when all replicas but the successor were sealed
@@ -229,6 +233,7 @@
 		return
 	}
 	changed := m.Endpoint != k.leader || m.Term > k.term
+	k.proved = now
 	k.leader, k.term = m.Endpoint, m.Term
 	if k.state == Steady && !changed || k.state == Sealing || k.state == Switching {
 		return
@@ -265,6 +270,7 @@
 	}
 	if m.Failed {
 		s.failed = now
+		k.trouble(now, Trouble{Endpoint: m.Endpoint})
 		return
 	}
 	s.report, s.heard = m, now
@@ -277,6 +283,9 @@
 		}
 		return
 	}
+	if m.Endpoint == k.leader {
+		k.proved = now
+	}
 	if k.state == Searching && m.Term >= k.term || k.state == Promoting && m.Endpoint == k.target {
 		if k.state == Promoting {
 			k.promotedAt = now
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -106,6 +105,6 @@
 	klog.ErrorS(err, "Peer refused", "peer", peer)
 }
 
-func newClient(config *tls.Config) *http.Client {
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+func newClient(o *options) *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: o.clientTLS, DialContext: o.connect}}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -79,7 +79,7 @@
 		o(&m.options)
 	}
 	m.links.Store(&links{})
-	m.client = newClient(m.options.clientTLS)
+	m.client = newClient(&m.options)
 	m.server = newServer(m)
 	return m, nil
 }
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -31,6 +33,7 @@
 	queueMessages     int
 	serverTLS         *tls.Config
 	clientTLS         *tls.Config
+	connect           func(ctx context.Context, network, address string) (net.Conn, error)
 	watch             func(peer ident.Instance, up bool, cause error)
 }
 
@@ -78,3 +81,8 @@
 func WithWatch(f func(peer ident.Instance, up bool, cause error)) Option {
 	return func(o *options) { o.watch = f }
 }
+
+// WithConnect makes the mesh open connections with f.
+func WithConnect(f func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.connect = f }
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -17,6 +17,8 @@
 	// startShare is the part of the burst that a new keeper has. The one before
 	// it may have granted the rest just now.
 	startShare = 0.25
+	// startLeast is what it has in any case, so that a small account can begin.
+	startLeast = 2
 	// GrantLength is how long granted operations may be spent.
 	GrantLength = 500 * time.Millisecond
 )
@@ -81,7 +83,7 @@
 func (l *Ledger) refilled(now time.Time, a ident.Account, q engine.Quota) *balance {
 	b := l.balances[a]
 	if b == nil {
-		b = &balance{level: startShare * q.Burst, at: now}
+		b = &balance{level: max(startShare*q.Burst, min(q.Burst, startLeast)), at: now}
 		l.balances[a] = b
 	}
 	passed := now.Sub(b.at).Seconds()
--- a/internal/relay/keeper.go
+++ b/internal/relay/keeper.go
@@ -52,9 +52,10 @@
 	conns     map[ident.Endpoint]*controlConn
 }
 
-// controlConn is a connection for control statements, used by one at a time.
+// controlConn is a connection for control statements. Whoever sets busy, under
+// the keeper's mutex, has it alone until busy is taken back.
 type controlConn struct {
-	mu   sync.Mutex
+	busy bool
 	conn Conn
 	used time.Time
 }
@@ -168,9 +169,16 @@
 		c = &controlConn{}
 		k.conns[id] = c
 	}
+	if c.busy {
+		return // the question before it is not answered yet; the model asks again
+	}
 	asked := clock.Now()
+	c.busy, c.used = true, asked
 	k.tasks.Go(func(ctx context.Context) error {
 		report, err := k.question(ctx, e, c, r)
+		k.mu.Lock()
+		c.busy = false
+		k.mu.Unlock()
 		m := lead.Report{
 			Endpoint: id, Asked: asked, Failed: err != nil, Leads: report.Leads,
 			Term: report.Term, Received: report.Received, Sealed: sealed,
@@ -185,8 +193,6 @@
 
 // question sends one control statement and decodes the report.
 func (k *keeper) question(ctx context.Context, e sched.Endpoint, c *controlConn, r Request) (Report, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	if c.conn == nil {
@@ -197,7 +203,6 @@
 		}
 		c.conn = conn
 	}
-	c.used = clock.Now()
 	a, err := c.conn.Do(r, controlTimeout)
 	if err != nil {
 		_ = c.conn.Close()
@@ -220,8 +225,6 @@
 }
 
 func (c *controlConn) drop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.conn != nil {
 		_ = c.conn.Close()
 		c.conn = nil
@@ -281,15 +284,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, c := range k.conns {
-		if !c.mu.TryLock() {
-			continue
-		}
-		if now.Sub(c.used) > controlIdle {
-			if c.conn != nil {
-				_ = c.conn.Close()
-			}
+		if !c.busy && now.Sub(c.used) > controlIdle {
+			c.drop()
 			delete(k.conns, id)
 		}
-		c.mu.Unlock()
 	}
 }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -65,8 +65,10 @@
 	Environment ident.Environment
 	Secret      string
 	Listener    net.Listener
-	Dialer      Dialer
-	Decode      Decoder
+	// Connect opens connections to other instances; nil is the usual way.
+	Connect func(ctx context.Context, network, address string) (net.Conn, error)
+	Dialer  Dialer
+	Decode  Decoder
 	// DrainTime is how long a draining endpoint may be used.
 	DrainTime time.Duration
 	// Room is what may run beyond an account's quota.
@@ -85,18 +87,19 @@
 	gate    *gate
 	mesh    *peer.Mesh
 
-	mu      sync.Mutex
-	roster  *roster.Roster
-	keepers map[ident.Group]*keeper
-	unfit   map[ident.Group]bool
-	entries map[ident.Group][]sched.Endpoint
-	near    map[ident.Group]ident.DataCentre // where the group's home should be
-	next    map[ident.Group]ident.DataCentre // where its primary is
-	since   map[ident.Group]time.Time        // when next last changed
-	text    []byte                           // of the configuration in force
-	loaded  bool                             // a directory was seen
-	serving bool
-	leaving bool
+	assigning sync.Mutex
+	mu        sync.Mutex
+	roster    *roster.Roster
+	keepers   map[ident.Group]*keeper
+	unfit     map[ident.Group]bool
+	entries   map[ident.Group][]sched.Endpoint
+	near      map[ident.Group]ident.DataCentre // where the group's home should be
+	next      map[ident.Group]ident.DataCentre // where its primary is
+	since     map[ident.Group]time.Time        // when next last changed
+	text      []byte                           // of the configuration in force
+	loaded    bool                             // a directory was seen
+	serving   bool
+	leaving   bool
 }
 
 // NewNode returns a node that has not started.
@@ -115,7 +118,7 @@
 	log := event.NewLog(c.Self.Instance, logCapacity)
 	mesh, err := peer.NewMesh(hello, c.Listener, c.Secret, n.handlers(), log,
 		peer.WithHeartbeat(linkInterval, linkTimeout), peer.WithQueue(linkQueue),
-		peer.WithBackoff(linkBackoffLeast, linkBackoffMost), peer.WithWatch(n.connected))
+		peer.WithBackoff(linkBackoffLeast, linkBackoffMost), peer.WithWatch(n.connected), peer.WithConnect(c.Connect))
 	if err != nil {
 		return nil, errors.Wrap(err, "open links")
 	}
@@ -408,18 +411,25 @@
 	n.assign()
 }
 
-// assign tells each keeper whether its group's connections are held here.
+// assign tells each keeper whether its group's connections are held here. One
+// assignment follows the other, so that none is overtaken by an older one.
 func (n *Node) assign() {
+	n.assigning.Lock()
+	defer n.assigning.Unlock()
+	for k, home := range n.assignments() {
+		k.setHome(home)
+	}
+}
+
+func (n *Node) assignments() map[*keeper]bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.relocate(clock.Now())
+	homes := make(map[*keeper]bool, len(n.keepers))
 	for g, k := range n.keepers {
-		home := n.serving && n.roster.Home(g, n.near[g]) == n.config.Self.Instance
-		n.tasks.Go(func(context.Context) error {
-			k.setHome(home)
-			return nil
-		})
+		homes[k] = n.serving && n.roster.Home(g, n.near[g]) == n.config.Self.Instance
 	}
+	return homes
 }
 
 // askOthers implements overseer.
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
@@ -29,6 +32,7 @@
 type Group struct {
 	limits    Limits
 	endpoints map[ident.Endpoint]*endpoint
+	listed    []*endpoint // endpoints in order of their names
 	conns     map[ConnID]*conn
 	waiting   []*waiter
 	busy      map[ident.Account]int // connections that work or rest
@@ -259,6 +263,7 @@
 			delete(g.endpoints, id)
 		}
 	}
+	g.listed = slices.SortedFunc(maps.Values(g.endpoints), func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // retire closes what is idle at an endpoint that is no longer listed.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -67,7 +67,7 @@
 	}
 	var best *endpoint
 	bestCost := 0.0
-	for _, e := range g.endpoints {
+	for _, e := range g.listed {
 		if !g.fits(now, e, w, t) {
 			continue
 		}
--- /dev/null
+++ b/internal/sched/random_test.go
@@ -0,0 +1,188 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/assert"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// driver plays random loads against a Group and checks what must always hold:
+// a connection serves one call at a time and one account for good, endpoints
+// get no more than their slots and one, the instance opens no more than its
+// share, and every call gets exactly one answer.
+type driver struct {
+	t       *rapid.T
+	group   *Group
+	now     time.Time
+	next    Ticket
+	waiting map[Ticket]*engine.Call
+	granted map[Ticket]Grant
+	inUse   map[ConnID]Ticket
+	dials   map[ConnID]Dial
+	owners  map[ConnID]ident.Account
+	places  map[ConnID]ident.Endpoint
+}
+
+const (
+	testConns = 16
+	testSlots = 2
+)
+
+func TestRandomLoads(t *testing.T) {
+	assert.Fatal()
+	rapid.Check(t, func(t *rapid.T) {
+		d := &driver{
+			t: t, group: New(), now: time.Unix(1000, 0), waiting: map[Ticket]*engine.Call{}, granted: map[Ticket]Grant{},
+			inUse: map[ConnID]Ticket{}, dials: map[ConnID]Dial{}, owners: map[ConnID]ident.Account{}, places: map[ConnID]ident.Endpoint{},
+		}
+		d.update(Limits{MaxConns: testConns})
+		d.update(Role{Home: true})
+		d.update(Directory{Endpoints: []Endpoint{{ID: "a", Slots: testSlots}, {ID: "b", Slots: testSlots}, {ID: "c", Slots: testSlots}}})
+		d.update(Leader{Endpoint: "a", Usable: true})
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			d.step()
+		}
+		d.finish()
+	})
+}
+
+func (d *driver) step() {
+	switch rapid.IntRange(0, 7).Draw(d.t, "step") {
+	case 0, 1, 2:
+		d.ask()
+	case 3, 4:
+		d.end()
+	case 5:
+		d.open(rapid.SampledFrom([]DialResult{Connected, Connected, CapReached, Unreachable}).Draw(d.t, "dial"))
+	case 6:
+		d.now = d.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(d.t, "wait")) * time.Millisecond)
+		d.update(Tick{})
+	case 7:
+		e := rapid.SampledFrom([]ident.Endpoint{"a", "b", "c"}).Draw(d.t, "endpoint")
+		d.update(rapid.SampledFrom([]Message{
+			Trouble{Endpoint: e, Kind: Behind}, Trouble{Endpoint: e, Kind: Silent}, Trouble{Endpoint: e, Kind: Full},
+			Leader{Endpoint: e, Usable: true}, Leader{Endpoint: e}, Yield{Endpoint: e},
+			Heard{Endpoint: e, Began: d.now, Mark: ident.Mark{Term: 1, Position: 5}, Led: true},
+			Directory{Endpoints: []Endpoint{{ID: "a", Slots: testSlots}, {ID: e, Slots: testSlots}}},
+		}).Draw(d.t, "event"))
+	}
+}
+
+func (d *driver) ask() {
+	d.next++
+	call := &engine.Call{
+		Phase: engine.Single, Statement: engine.Statement{Op: engine.Read}, MaxLag: time.Second,
+		Account:  rapid.SampledFrom([]ident.Account{"x", "y", "z"}).Draw(d.t, "account"),
+		Leader:   rapid.Bool().Draw(d.t, "leader"),
+		Priority: rapid.IntRange(0, 2).Draw(d.t, "priority"),
+	}
+	d.waiting[d.next] = call
+	d.update(Ask{Ticket: d.next, Call: call, Until: d.now.Add(500 * time.Millisecond)})
+}
+
+// end ends one granted call.
+func (d *driver) end() {
+	for ticket := Ticket(1); ticket <= d.next; ticket++ {
+		g, ok := d.granted[ticket]
+		if !ok {
+			continue
+		}
+		delete(d.granted, ticket)
+		delete(d.inUse, g.Conn)
+		if rapid.Bool().Draw(d.t, "broken") {
+			d.update(Broken{Conn: g.Conn})
+		} else {
+			d.update(Freed{Conn: g.Conn})
+		}
+		return
+	}
+}
+
+func (d *driver) open(r DialResult) {
+	for id := range d.dials {
+		delete(d.dials, id)
+		d.update(Opened{Conn: id, Result: r})
+		return
+	}
+}
+
+// finish lets time pass until nothing waits.
+func (d *driver) finish() {
+	d.now = d.now.Add(time.Minute)
+	d.update(Tick{})
+	if len(d.waiting) > 0 {
+		d.t.Fatalf("%d calls never got an answer", len(d.waiting))
+	}
+}
+
+func (d *driver) update(m Message) {
+	for _, c := range d.group.Update(d.now, m) {
+		switch c := c.(type) {
+		case Grant:
+			d.grant(c)
+		case Deny:
+			d.answered(c.Ticket)
+		case Dial:
+			d.dials[c.Conn] = c
+			d.owners[c.Conn], d.places[c.Conn] = c.Account, c.Endpoint.ID
+		case Drop:
+			if t, used := d.inUse[c.Conn]; used {
+				d.t.Fatalf("connection %d of call %d is dropped", c.Conn, t)
+			}
+		}
+	}
+	d.check()
+}
+
+func (d *driver) answered(t Ticket) *engine.Call {
+	call, ok := d.waiting[t]
+	if !ok {
+		d.t.Fatalf("call %d is answered twice", t)
+	}
+	delete(d.waiting, t)
+	return call
+}
+
+func (d *driver) grant(g Grant) {
+	call := d.answered(g.Ticket)
+	if t, used := d.inUse[g.Conn]; used {
+		d.t.Fatalf("connection %d serves calls %d and %d", g.Conn, t, g.Ticket)
+	}
+	if d.owners[g.Conn] != call.Account {
+		d.t.Fatalf("connection of %s serves %s", d.owners[g.Conn], call.Account)
+	}
+	if !g.Strict && g.After.Zero() {
+		d.t.Fatalf("call %d runs at %s without a proof of freshness", g.Ticket, g.Endpoint)
+	}
+	d.inUse[g.Conn], d.granted[g.Ticket] = g.Ticket, g
+}
+
+// check counts what is open and what works at each endpoint.
+func (d *driver) check() {
+	for id, e := range d.group.endpoints {
+		open, active := 0, 0
+		for _, c := range d.group.conns {
+			if c.endpoint != e {
+				continue
+			}
+			open++
+			if c.takesSlot() {
+				active++
+			}
+		}
+		if open != e.open || active != e.active {
+			d.t.Fatalf("%s counts %d open and %d active, has %d and %d", id, e.open, e.active, open, active)
+		}
+		if active > testSlots+slotSlack {
+			d.t.Fatalf("%s has %d calls for %d slots", id, active, testSlots)
+		}
+		if open > d.group.share() {
+			d.t.Fatalf("%s has %d connections, the share is %d", id, open, d.group.share())
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/emul/net.go
@@ -0,0 +1,248 @@
+package emul
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// pastDeadline ends all reads and writes at once.
+var pastDeadline = time.Unix(1, 0)
+
+// Network is a network in memory, for tests on virtual time. Addresses are
+// HOST:PORT with any host name.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cut       map[[2]string]bool
+	dark      map[string]bool
+	conns     []*conn
+	pumps     sync.WaitGroup
+}
+
+// Close ends all connections and waits for them.
+func (n *Network) Close() {
+	n.mu.Lock()
+	conns := n.conns
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	n.pumps.Wait()
+}
+
+// NewNetwork returns an empty network.
+func NewNetwork() *Network {
+	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), dark: make(map[string]bool)}
+}
+
+// Listen takes connections to an address.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, errors.Wrap(syscall.EADDRINUSE, address)
+	}
+	l := &listener{network: n, address: address, backlog: make(chan net.Conn), done: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Cut separates two hosts, or joins them again. Bytes are lost meanwhile.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = cut, cut
+}
+
+// PowerOff makes a host send and receive nothing.
+func (n *Network) PowerOff(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark[host] = true
+}
+
+func (n *Network) silent(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[[2]string{a, b}] || n.dark[a] || n.dark[b]
+}
+
+// From returns a function that connects as a program on host does.
+func (n *Network) From(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		to, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, errors.Wrap(err, "address")
+		}
+		if n.silent(host, to) {
+			<-ctx.Done()
+			return nil, errors.Wrap(os.ErrDeadlineExceeded, "connect")
+		}
+		n.mu.Lock()
+		l := n.listeners[address]
+		n.mu.Unlock()
+		if l == nil {
+			return nil, errors.Wrapf(syscall.ECONNREFUSED, "connect %s", address)
+		}
+		return l.connect(ctx, host, to)
+	}
+}
+
+type listener struct {
+	network *Network
+	address string
+	backlog chan net.Conn
+	once    sync.Once
+	done    chan struct{}
+}
+
+func (l *listener) connect(ctx context.Context, from, to string) (net.Conn, error) {
+	a, b := net.Pipe()
+	mine, theirs := newConn(a, l.network, from, to), newConn(b, l.network, to, from)
+	select {
+	case l.backlog <- theirs:
+		return mine, nil
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	_, _ = mine.Close(), theirs.Close()
+	return nil, errors.Wrapf(syscall.ECONNREFUSED, "connect %s", l.address)
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.backlog:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.address)
+		l.network.mu.Unlock()
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+type address string
+
+// Network implements net.Addr.
+func (a address) Network() string { return "memory" }
+
+// String implements net.Addr.
+func (a address) String() string { return string(a) }
+
+const (
+	// sendChunks is how many writes a connection takes before they block.
+	sendChunks = 1024
+	// closeTime is how long a closed connection tries to deliver the rest.
+	closeTime = time.Second
+)
+
+// conn is one end of a connection. Writes are buffered, as a socket's are. It
+// loses what it sends while its hosts are separated.
+type conn struct {
+	net.Conn
+	network  *Network
+	from, to string
+
+	queue  chan []byte
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newConn(raw net.Conn, n *Network, from, to string) *conn {
+	c := &conn{Conn: raw, network: n, from: from, to: to, queue: make(chan []byte, sendChunks), closed: make(chan struct{})}
+	n.mu.Lock()
+	n.conns = append(n.conns, c)
+	n.mu.Unlock()
+	n.pumps.Go(c.pump)
+	return c
+}
+
+// pump delivers what was written until the connection is closed, and then what
+// is left.
+func (c *conn) pump() {
+	defer func() { _ = c.Conn.Close() }()
+	for {
+		select {
+		case b := <-c.queue:
+			c.deliver(b)
+		case <-c.closed:
+			_ = c.SetWriteDeadline(time.Now().Add(closeTime))
+			for len(c.queue) > 0 {
+				c.deliver(<-c.queue)
+			}
+			if c.network.silent(c.from, c.to) {
+				time.Sleep(closeTime) // the other end does not learn of it
+			}
+			return
+		}
+	}
+}
+
+func (c *conn) deliver(b []byte) {
+	if !c.network.silent(c.from, c.to) {
+		_, _ = c.Conn.Write(b)
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	case c.queue <- append([]byte(nil), b...):
+		return len(b), nil
+	}
+}
+
+// SetDeadline implements net.Conn. Writes are buffered and need none.
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		_ = c.SetReadDeadline(pastDeadline)
+	})
+	return nil
+}
+
+// ServeLines serves a server's connections on its address until the listener
+// closes.
+func (s *Server) ServeLines(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.group.serving.Go(func() { s.Serve(c) })
+	}
+}
--- /dev/null
+++ b/internal/stand/emul/rows.go
@@ -0,0 +1,280 @@
+package emul
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Row is one row of the store.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Dropped bool   `json:"tombstone,omitempty"`
+}
+
+// answer is what the store says about rows.
+type answer struct {
+	Rows    []Row  `json:"rows"`
+	More    bool   `json:"has_more"`
+	Version uint64 `json:"ver"`
+}
+
+// rowID names a row.
+type rowID struct{ table, part, key string }
+
+// Store is the platform's store of rows and its promotion call, over HTTP.
+type Store struct {
+	mu       sync.Mutex
+	rows     map[rowID]Row
+	version  uint64
+	oldest   uint64 // history before it is gone
+	changed  chan struct{}
+	status   int // answered in place of everything, zero for none
+	lose     int // transactions that are done and not answered
+	groups   map[ident.Group]*Group
+	epochs   map[ident.Group]uint64
+	calls    int
+	promoted []ident.Endpoint
+}
+
+// NewStore returns an empty store that promotes in the groups.
+func NewStore(groups ...*Group) *Store {
+	s := &Store{
+		rows: make(map[rowID]Row), changed: make(chan struct{}),
+		groups: make(map[ident.Group]*Group), epochs: make(map[ident.Group]uint64),
+	}
+	for _, g := range groups {
+		s.groups[g.config.Name] = g
+	}
+	return s
+}
+
+// Put writes a row as the operator or a server does.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	id := rowID{table: table, key: key}
+	s.rows[id] = Row{Table: table, Key: key, Value: value, Version: s.version}
+	s.wake()
+}
+
+// Drop removes a row.
+func (s *Store) Drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	id := rowID{table: table, key: key}
+	s.rows[id] = Row{Table: table, Key: key, Version: s.version, Dropped: true}
+	s.wake()
+}
+
+// Fail makes every call end with a status, until zero is given.
+func (s *Store) Fail(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+	s.wake()
+}
+
+// LoseAnswers makes the next n transactions take effect without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.version
+	s.wake()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// wake lets those go on that wait for a change. The caller holds the mutex.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	status := s.status
+	s.mu.Unlock()
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	switch strings.TrimPrefix(r.URL.Path, "/marjoramrudder/") {
+	case "rows-get":
+		s.get(w, r)
+	case "rows-feed":
+		s.feed(w, r)
+	case "rows-tx":
+		s.transact(w, r)
+	case "/promotion":
+		s.promote(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, a answer) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		limit = 500
+	}
+	s.mu.Lock()
+	a := answer{Version: s.version, Rows: []Row{}}
+	for id, row := range s.rows {
+		inside := id.table == q.Get("table") && id.part == q.Get("part") && id.key >= q.Get("from") && !row.Dropped
+		if inside && (q.Get("to") == "" || id.key < q.Get("to")) {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(a.Rows, func(x, y Row) int { return strings.Compare(x.Key, y.Key) })
+	if len(a.Rows) > limit {
+		a.Rows, a.More = a.Rows[:limit], true
+	}
+	reply(w, http.StatusOK, a)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		a, gone, status, changed := s.since(q.Get("table"), after), after < s.oldest, s.status, s.changed
+		s.mu.Unlock()
+		switch {
+		case status != 0:
+			w.WriteHeader(status)
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(a.Rows) > 0:
+			reply(w, http.StatusOK, a)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			reply(w, http.StatusOK, a)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the rows of a table that changed after a version. The caller
+// holds the mutex.
+func (s *Store) since(table string, after uint64) answer {
+	a := answer{Version: s.version, Rows: []Row{}}
+	for id, row := range s.rows {
+		if id.table == table && row.Version > after {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	slices.SortFunc(a.Rows, func(x, y Row) int { return int(x.Version) - int(y.Version) })
+	return a
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var t struct{ Expected, Writes, Remove []Row }
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := answer{Rows: []Row{}}
+	conflict := false
+	for _, e := range t.Expected {
+		id := rowID{e.Table, e.Part, e.Key}
+		current := s.rows[id]
+		if current.Dropped || current.Version == 0 {
+			current = Row{Table: e.Table, Part: e.Part, Key: e.Key}
+		}
+		conflict = conflict || current.Version != e.Version
+		a.Rows = append(a.Rows, current)
+	}
+	a.Version = s.version
+	if conflict {
+		reply(w, http.StatusPreconditionFailed, a)
+		return
+	}
+	s.version++
+	for _, n := range t.Writes {
+		n.Version = s.version
+		s.rows[rowID{n.Table, n.Part, n.Key}] = n
+	}
+	for _, d := range t.Remove {
+		s.rows[rowID{d.Table, d.Part, d.Key}] = Row{Table: d.Table, Part: d.Part, Key: d.Key, Version: s.version, Dropped: true}
+	}
+	s.wake()
+	if s.lose > 0 {
+		s.lose--
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, answer{Version: s.version, Rows: []Row{}})
+}
+
+// promote carries out the promotion call, unless its epoch is outdated.
+func (s *Store) promote(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Service ident.Group    `json:"service"`
+		ID      ident.Endpoint `json:"id"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	epoch, _ := strconv.ParseUint(r.Header.Get("X-Marjoramrudder-Fencing-Token"), 10, 64)
+	s.mu.Lock()
+	g := s.groups[order.Service]
+	outdated := epoch < s.epochs[order.Service]
+	if !outdated {
+		s.epochs[order.Service] = epoch
+		s.promoted = append(s.promoted, order.ID)
+	}
+	s.mu.Unlock()
+	if g == nil || outdated || !g.running(order.ID) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	g.promoting.Go(func() { g.Promote(order.ID) })
+}
