--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	// pulseInterval is how often an instance tells the others of itself when
-	// nothing changes.
-	pulseInterval = time.Second
 	// linkInterval and linkTimeout bound the time until a peer that hangs is
 	// given up: their sum, about half of the shortest statement timeout.
 	linkInterval = 200 * time.Millisecond
@@ -38,14 +35,6 @@
 	linkBackoffMost  = 500 * time.Millisecond
 	// linkQueue is how many messages may wait for one peer.
 	linkQueue = 4096
-	// pulseCheck is how often it looks whether it can begin to serve.
-	pulseCheck = 50 * time.Millisecond
-	// servingDelay is how long an instance waits for its links after its start
-	// before it offers to serve groups.
-	servingDelay = 800 * time.Millisecond
-	// relocateTime is how long a primary stays in a data centre before its
-	// group's home moves there: the connections are opened anew.
-	relocateTime = 5 * time.Second
 	// logCapacity is how many records the time line keeps.
 	logCapacity = 512
 )
@@ -93,11 +82,9 @@
 	keepers   map[ident.Group]*keeper
 	unfit     map[ident.Group]bool
 	entries   map[ident.Group][]sched.Endpoint
-	near      map[ident.Group]ident.DataCentre // where the group's home should be
-	next      map[ident.Group]ident.DataCentre // where its primary is
-	since     map[ident.Group]time.Time        // when next last changed
-	text      []byte                           // of the configuration in force
-	loaded    bool                             // a directory was seen
+	places    *roster.Places
+	text      []byte // of the configuration in force
+	loaded    bool   // a directory was seen
 	serving   bool
 	leaving   bool
 }
@@ -105,8 +92,7 @@
 // NewNode returns a node that has not started.
 func NewNode(ctx context.Context, c NodeConfig) (*Node, error) {
 	n := &Node{
-		near: make(map[ident.Group]ident.DataCentre), next: make(map[ident.Group]ident.DataCentre),
-		since:  make(map[ident.Group]time.Time),
+		places: roster.NewPlaces(),
 		config: c, tasks: tasks.New(ctx), roster: roster.New(c.Self),
 		keepers: make(map[ident.Group]*keeper), unfit: make(map[ident.Group]bool), entries: make(map[ident.Group][]sched.Endpoint),
 	}
@@ -228,7 +214,11 @@
 	}
 	n.mu.Lock()
 	n.entries, n.loaded = entries, true
-	n.locate()
+	for g, all := range entries {
+		if dc, ok := primaryOf(all); ok {
+			n.places.See(clock.Now(), g, dc)
+		}
+	}
 	keepers := maps.Clone(n.keepers)
 	n.mu.Unlock()
 	for g, k := range keepers {
@@ -236,33 +226,7 @@
 	}
 }
 
-// locate notes the data centres of the primaries for groups where none is
-// known. One that moves is followed once it has stayed.
-func (n *Node) locate() {
-	for g, all := range n.entries {
-		dc, ok := primaryOf(all)
-		if !ok {
-			continue
-		}
-		if n.near[g] == "" {
-			n.near[g] = dc
-		}
-		if n.next[g] != dc {
-			n.next[g], n.since[g] = dc, clock.Now()
-		}
-	}
-}
-
-// relocate follows primaries that have stayed in another data centre. The
-// caller holds the mutex.
-func (n *Node) relocate(now time.Time) {
-	for g, dc := range n.next {
-		if n.near[g] != dc && now.Sub(n.since[g]) > relocateTime {
-			n.near[g] = dc
-		}
-	}
-}
-
+// primaryOf returns the data centre of the only endpoint that leads and stays.
 func primaryOf(all []sched.Endpoint) (ident.DataCentre, bool) {
 	leads := 0
 	var dc ident.DataCentre
@@ -301,222 +265,3 @@
 	n.mu.Unlock()
 	n.mesh.SetMembers(out)
 }
-
-// HomeOf implements Homes.
-func (n *Node) HomeOf(g ident.Group, avoid ...ident.Instance) ident.Instance {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Home(g, n.near[g], avoid...)
-}
-
-// Local implements Homes.
-func (n *Node) Local(g ident.Group) *Home {
-	if k := n.keeper(g); k != nil {
-		return k.home
-	}
-	return nil
-}
-
-func (n *Node) keeper(g ident.Group) *keeper {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.keepers[g]
-}
-
-// keeperOf implements keepers.
-func (n *Node) keeperOf(a ident.Account) (ident.Instance, int, float64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Keeper(a), len(n.roster.Members()), n.roster.Share()
-}
-
-// quotaOf returns an account's quota in the catalog in force.
-func (n *Node) quotaOf(a ident.Account) (engine.Quota, bool) {
-	known, ok := n.catalog.Load().Accounts[a]
-	return known.Quota, ok
-}
-
-// connected takes a link to another instance that opened or was lost.
-func (n *Node) connected(p ident.Instance, up bool, cause error) {
-	silent := errors.Is(cause, context.DeadlineExceeded)
-	n.mu.Lock()
-	n.roster.Connected(p, up, silent)
-	keepers := slices.Collect(maps.Values(n.keepers))
-	n.mu.Unlock()
-	trace.Event("PeerLink", "Peer", p, "Up", up, "Silent", silent)
-	if up {
-		n.mesh.Offer(p, n.own())
-		return
-	}
-	n.router.Lost(p)
-	for _, k := range keepers {
-		k.home.EndOf(p)
-	}
-	n.assign()
-}
-
-func (n *Node) handlers() *peer.Router {
-	r := peer.NewRouter()
-	peer.Handle(r, func(from ident.Instance, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.Pulse, _ time.Time) { n.hear(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.DocumentAsk, _ time.Time) { n.giveConfig(from) })
-	peer.Handle(r, func(from ident.Instance, m peer.ReachAsk, _ time.Time) { n.tellReach(from, m) })
-	peer.Handle(r, func(_ ident.Instance, m peer.ReachTold, _ time.Time) { n.hearReach(m) })
-	peer.Handle(r, func(from ident.Instance, m peer.GrantAsk, _ time.Time) { n.gate.receiveAsk(from, m) })
-	peer.Handle(r, func(_ ident.Instance, m peer.Grant, _ time.Time) { n.gate.receiveGrant(m) })
-	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
-	return r
-}
-
-// hear takes what another instance says of itself.
-func (n *Node) hear(from ident.Instance, m peer.Pulse) {
-	n.mu.Lock()
-	n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
-	fresh := false
-	for _, o := range m.Members {
-		fresh = n.roster.Learn(roster.Member{Instance: o.Instance, DataCentre: o.DataCentre, Address: o.Address, Start: o.Start}) || fresh
-	}
-	n.mu.Unlock()
-	if fresh {
-		n.dialMembers()
-	}
-	n.assign()
-	for _, a := range m.Acked {
-		if k := n.keeper(a.Group); k != nil {
-			k.tell(lead.Acked{Mark: a.Mark})
-		}
-	}
-	if m.Version > n.catalog.Load().Version {
-		n.mesh.Offer(from, peer.DocumentAsk{Version: m.Version})
-	}
-}
-
-func (n *Node) giveConfig(to ident.Instance) {
-	n.mu.Lock()
-	m := peer.Document{Version: n.catalog.Load().Version, Text: n.text}
-	n.mu.Unlock()
-	if m.Version > 0 {
-		n.mesh.Offer(to, m)
-	}
-}
-
-// own returns what this instance says of itself.
-func (n *Node) own() peer.Pulse {
-	p := n.state()
-	n.mu.Lock()
-	keepers := maps.Clone(n.keepers)
-	n.mu.Unlock()
-	for _, g := range slices.Sorted(maps.Keys(keepers)) {
-		if m := keepers[g].acked(); !m.Zero() {
-			p.Acked = append(p.Acked, peer.GroupMark{Group: g, Mark: m})
-		}
-	}
-	return p
-}
-
-func (n *Node) state() peer.Pulse {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	s := roster.State{Version: n.catalog.Load().Version, Serving: n.serving, Leaving: n.leaving}
-	s.Unfit = slices.Sorted(maps.Keys(n.unfit))
-	n.roster.SetOwn(s)
-	p := peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
-	for _, m := range n.roster.Members() {
-		p.Members = append(p.Members, peer.Member{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address, Start: m.Start})
-	}
-	return p
-}
-
-func (n *Node) pulse() {
-	n.mesh.Broadcast(n.own())
-	n.assign()
-}
-
-// assign tells each keeper whether its group's connections are held here. One
-// assignment follows the other, so that none is overtaken by an older one.
-func (n *Node) assign() {
-	n.assigning.Lock()
-	defer n.assigning.Unlock()
-	for k, home := range n.assignments() {
-		k.setHome(home)
-	}
-}
-
-func (n *Node) assignments() map[*keeper]bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.relocate(clock.Now())
-	homes := make(map[*keeper]bool, len(n.keepers))
-	for g, k := range n.keepers {
-		homes[k] = n.serving && n.roster.Home(g, n.near[g]) == n.config.Self.Instance
-	}
-	return homes
-}
-
-// askOthers implements overseer.
-func (n *Node) askOthers(g ident.Group, e ident.Endpoint) {
-	n.mesh.Broadcast(peer.ReachAsk{Group: g, Endpoint: e})
-}
-
-// setUnfit implements overseer.
-func (n *Node) setUnfit(g ident.Group, unfit bool) {
-	n.tasks.Go(func(context.Context) error {
-		n.mu.Lock()
-		delete(n.unfit, g)
-		if unfit {
-			n.unfit[g] = true
-		}
-		n.mu.Unlock()
-		n.pulse()
-		return nil
-	})
-}
-
-// tellReach tries an endpoint for another instance.
-func (n *Node) tellReach(from ident.Instance, m peer.ReachAsk) {
-	k := n.keeper(m.Group)
-	if k == nil {
-		return
-	}
-	n.tasks.Go(func(ctx context.Context) error {
-		reached, leads := k.reach(ctx, m.Endpoint)
-		n.mesh.Offer(from, peer.ReachTold{Group: m.Group, Endpoint: m.Endpoint, Reached: reached, Leads: leads})
-		return nil
-	})
-}
-
-func (n *Node) hearReach(m peer.ReachTold) {
-	if k := n.keeper(m.Group); k != nil {
-		k.tell(lead.Reached{Endpoint: m.Endpoint, Reached: m.Reached, Leads: m.Leads})
-	}
-}
-
-func (n *Node) pulses(ctx context.Context) error {
-	began := clock.Now()
-	var told time.Time
-	for ctx.Err() == nil {
-		now := clock.Now()
-		if n.beginServing(now, began) || now.Sub(told) >= pulseInterval {
-			n.pulse()
-			told = now
-		}
-		tasks.Pause(ctx, pulseCheck)
-	}
-	return nil
-}
-
-// beginServing offers to serve groups once most other instances are in touch,
-// or did not come in time. It reports whether that is new.
-func (n *Node) beginServing(now, began time.Time) bool {
-	if !n.Ready() {
-		return false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.serving || !n.roster.Gathered() && now.Sub(began) < servingDelay {
-		return false
-	}
-	n.serving = true
-	return true
-}
--- /dev/null
+++ b/internal/relay/peers.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/roster"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// connected takes a link to another instance that opened or was lost.
+func (n *Node) connected(p ident.Instance, up bool, cause error) {
+	silent := errors.Is(cause, context.DeadlineExceeded)
+	n.mu.Lock()
+	n.roster.Connected(p, up, silent)
+	keepers := slices.Collect(maps.Values(n.keepers))
+	n.mu.Unlock()
+	trace.Event("PeerLink", "Peer", p, "Up", up, "Silent", silent)
+	if up {
+		n.mesh.Offer(p, n.own())
+		return
+	}
+	n.router.Lost(p)
+	for _, k := range keepers {
+		k.home.EndOf(p)
+	}
+	n.assign()
+}
+
+func (n *Node) handlers() *peer.Router {
+	r := peer.NewRouter()
+	peer.Handle(r, func(from ident.Instance, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.Pulse, _ time.Time) { n.hear(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.DocumentAsk, _ time.Time) { n.giveConfig(from) })
+	peer.Handle(r, func(from ident.Instance, m peer.ReachAsk, _ time.Time) { n.tellReach(from, m) })
+	peer.Handle(r, func(_ ident.Instance, m peer.ReachTold, _ time.Time) { n.hearReach(m) })
+	peer.Handle(r, func(from ident.Instance, m peer.GrantAsk, _ time.Time) { n.gate.receiveAsk(from, m) })
+	peer.Handle(r, func(_ ident.Instance, m peer.Grant, _ time.Time) { n.gate.receiveGrant(m) })
+	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
+	return r
+}
+
+// hear takes what another instance says of itself.
+func (n *Node) hear(from ident.Instance, m peer.Pulse) {
+	n.mu.Lock()
+	n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
+	fresh := false
+	for _, o := range m.Members {
+		fresh = n.roster.Learn(roster.Member{Instance: o.Instance, DataCentre: o.DataCentre, Address: o.Address, Start: o.Start}) || fresh
+	}
+	n.mu.Unlock()
+	if fresh {
+		n.dialMembers()
+	}
+	n.assign()
+	for _, a := range m.Acked {
+		if k := n.keeper(a.Group); k != nil {
+			k.tell(lead.Acked{Mark: a.Mark})
+		}
+	}
+	if m.Version > n.catalog.Load().Version {
+		n.mesh.Offer(from, peer.DocumentAsk{Version: m.Version})
+	}
+}
+
+func (n *Node) giveConfig(to ident.Instance) {
+	n.mu.Lock()
+	m := peer.Document{Version: n.catalog.Load().Version, Text: n.text}
+	n.mu.Unlock()
+	if m.Version > 0 {
+		n.mesh.Offer(to, m)
+	}
+}
+
+// askOthers implements overseer.
+func (n *Node) askOthers(g ident.Group, e ident.Endpoint) {
+	n.mesh.Broadcast(peer.ReachAsk{Group: g, Endpoint: e})
+}
+
+// tellReach tries an endpoint for another instance.
+func (n *Node) tellReach(from ident.Instance, m peer.ReachAsk) {
+	k := n.keeper(m.Group)
+	if k == nil {
+		return
+	}
+	n.tasks.Go(func(ctx context.Context) error {
+		reached, leads := k.reach(ctx, m.Endpoint)
+		n.mesh.Offer(from, peer.ReachTold{Group: m.Group, Endpoint: m.Endpoint, Reached: reached, Leads: leads})
+		return nil
+	})
+}
+
+func (n *Node) hearReach(m peer.ReachTold) {
+	if k := n.keeper(m.Group); k != nil {
+		k.tell(lead.Reached{Endpoint: m.Endpoint, Reached: m.Reached, Leads: m.Leads})
+	}
+}
--- /dev/null
+++ b/internal/relay/pulse.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/roster"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+)
+
+const (
+	// pulseInterval is how often an instance tells the others of itself when
+	// nothing changes.
+	pulseInterval = time.Second
+	// pulseCheck is how often it looks whether it can begin to serve.
+	pulseCheck = 50 * time.Millisecond
+	// servingDelay is how long an instance waits for its links after its start
+	// before it offers to serve groups.
+	servingDelay = 800 * time.Millisecond
+)
+
+// own returns what this instance says of itself.
+func (n *Node) own() peer.Pulse {
+	p := n.state()
+	n.mu.Lock()
+	keepers := maps.Clone(n.keepers)
+	n.mu.Unlock()
+	for _, g := range slices.Sorted(maps.Keys(keepers)) {
+		if m := keepers[g].acked(); !m.Zero() {
+			p.Acked = append(p.Acked, peer.GroupMark{Group: g, Mark: m})
+		}
+	}
+	return p
+}
+
+func (n *Node) state() peer.Pulse {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := roster.State{Version: n.catalog.Load().Version, Serving: n.serving, Leaving: n.leaving}
+	s.Unfit = slices.Sorted(maps.Keys(n.unfit))
+	n.roster.SetOwn(s)
+	p := peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
+	for _, m := range n.roster.Members() {
+		p.Members = append(p.Members, peer.Member{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address, Start: m.Start})
+	}
+	return p
+}
+
+func (n *Node) pulse() {
+	n.mesh.Broadcast(n.own())
+	n.assign()
+}
+
+func (n *Node) pulses(ctx context.Context) error {
+	began := clock.Now()
+	var told time.Time
+	for ctx.Err() == nil {
+		now := clock.Now()
+		if n.beginServing(now, began) || now.Sub(told) >= pulseInterval {
+			n.pulse()
+			told = now
+		}
+		tasks.Pause(ctx, pulseCheck)
+	}
+	return nil
+}
+
+// beginServing offers to serve groups once most other instances are in touch,
+// or did not come in time. It reports whether that is new.
+func (n *Node) beginServing(now, began time.Time) bool {
+	if !n.Ready() {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.serving || !n.roster.Gathered() && now.Sub(began) < servingDelay {
+		return false
+	}
+	n.serving = true
+	return true
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -67,3 +68,15 @@
 	}
 	g.Expect(r.Share()).To(Equal(1.0), "processes that ended spend nothing")
 }
+
+func TestHomeFollowsAPrimaryThatStays(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPlaces()
+	now := time.Unix(1000, 0)
+	g.Expect(p.Near(now, "g")).To(BeEmpty())
+	p.See(now, "g", "a")
+	g.Expect(p.Near(now, "g")).To(Equal(ident.DataCentre("a")))
+	p.See(now, "g", "b")
+	g.Expect(p.Near(now.Add(settleTime), "g")).To(Equal(ident.DataCentre("a")))
+	g.Expect(p.Near(now.Add(settleTime+1), "g")).To(Equal(ident.DataCentre("b")))
+}
