--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,5 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/peer
 	$(GO) test -run '^$$' -fuzz FuzzReader -fuzztime 30s ./internal/frame
 	$(GO) test -run '^$$' -fuzz FuzzCaller -fuzztime 30s ./internal/front
+	$(GO) test -run '^$$' -fuzz FuzzParseStatement -fuzztime 30s ./platform
+	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime 30s ./platform
