--- a/internal/engine/catalog.go
+++ b/internal/engine/catalog.go
@@ -29,7 +29,6 @@
 	Timeout  time.Duration
 	Target   time.Duration
 	Priority int
-	Attempts int
 	// Open routes need no key.
 	Open bool
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -50,9 +50,6 @@
 // State returns the transaction state that the caller sees.
 func (s *Session) State() TxState { return s.state }
 
-// Tx returns the open transaction that holds a connection, or zero.
-func (s *Session) Tx() TxID { return s.tx }
-
 // Group returns the group of the running operation.
 func (s *Session) Group() ident.Group { return s.rules.Group }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -139,17 +139,6 @@
 	return aloneShare * float64(reached) / float64(len(r.members))
 }
 
-// Newest returns an instance whose configuration is newer than version.
-func (r *Roster) Newest(version ident.Version) (ident.Instance, ident.Version) {
-	best, at := ident.Instance(""), version
-	for n, s := range r.states {
-		if s.Version > at || s.Version == at && best != "" && n < best {
-			best, at = n, s.Version
-		}
-	}
-	return best, at
-}
-
 // Home returns the instance that holds the connections of a group, other than
 // those to avoid: one in the data centre that the group's primary is in, if
 // there is any. It is self when no other will do.
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -101,11 +101,6 @@
 	}
 }
 
-// Floor returns the position that a read with this bound would need.
-func (g *Group) Floor(now time.Time, maxLag time.Duration) (ident.Mark, time.Duration, bool) {
-	return g.floors.floor(now, maxLag)
-}
-
 // NoWrites reports whether a commit could not be acknowledged now.
 func (g *Group) NoWrites() bool { return g.leader.NoWrites }
 
@@ -120,9 +115,6 @@
 	return "", false
 }
 
-// Waiting returns how many calls wait.
-func (g *Group) Waiting() int { return len(g.waiting) }
-
 func (g *Group) emit(c Command) { g.out = append(g.out, c) }
 
 func (g *Group) opened(now time.Time, m Opened) {
