Take no process-wide lock on a request's path

Cause: each statement took the node's, the front's and the router's mutex, each operation the quota gate's.

Change: requests read a published view of the node (instances, homes, keepers); calls to other instances wait in a concurrent map; each account has its own lock in the gate; stopping is an atomic flag. platform, roster and peer tests pass three times with the race detector.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -67,7 +67,7 @@
 	next     atomic.Uint64
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	stopping bool
+	stopping atomic.Bool
 }
 
 // session is one caller with its state.
@@ -241,9 +241,7 @@
 
 // mustEnd reports whether a session ends now that it is idle.
 func (f *Front) mustEnd(s *session) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.stopping && s.state.State() == engine.Idle
+	return f.stopping.Load() && s.state.State() == engine.Idle
 }
 
 // Stop ends the sessions that are idle, and the others as they become so. A
@@ -251,7 +249,7 @@
 func (f *Front) Stop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stopping = true
+	f.stopping.Store(true)
 	for s := range f.sessions {
 		s.caller.Interrupt()
 	}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/puzpuzpuz/xsync/v4"
+
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
@@ -22,24 +24,39 @@
 	keeperOf(a ident.Account) (keeper ident.Instance, instances int, share float64)
 }
 
-// gate counts operations against quotas. It implements Gate.
+// gate counts operations against quotas. It implements Gate. Accounts do not
+// wait for each other.
 type gate struct {
-	self    ident.Instance
-	keepers keepers
-	link    Link
-	quotaOf func(a ident.Account) (engine.Quota, bool)
+	self     ident.Instance
+	keepers  keepers
+	link     Link
+	quotaOf  func(a ident.Account) (engine.Quota, bool)
+	room     quota.Room
+	accounts *xsync.Map[ident.Account, *accountGate]
+}
 
+// accountGate is what the instance holds of one account.
+type accountGate struct {
 	mu      sync.Mutex
 	purse   *quota.Purse
 	ledger  *quota.Ledger
-	waiting map[ident.Account]chan struct{} // closed when an answer comes
+	waiting chan struct{} // closed when an answer comes
 }
 
 func newGate(self ident.Instance, k keepers, r quota.Room, quotaOf func(ident.Account) (engine.Quota, bool)) *gate {
 	return &gate{
-		self: self, keepers: k, quotaOf: quotaOf,
-		purse: quota.NewPurse(), ledger: quota.NewLedger(r), waiting: make(map[ident.Account]chan struct{}),
+		self: self, keepers: k, quotaOf: quotaOf, room: r,
+		accounts: xsync.NewMap[ident.Account, *accountGate](),
+	}
+}
+
+// of returns the account's part.
+func (g *gate) of(a ident.Account) *accountGate {
+	if part, ok := g.accounts.Load(a); ok {
+		return part
 	}
+	part, _ := g.accounts.LoadOrStore(a, &accountGate{purse: quota.NewPurse(), ledger: quota.NewLedger(g.room)})
+	return part
 }
 
 // Spend implements Gate.
@@ -54,9 +71,10 @@
 		d, _ = g.spendGranted(keeper, a)
 	}
 	if d.Verdict == quota.Wait {
-		g.mu.Lock()
-		d = g.purse.SpendAlone(clock.Now(), a, q, instances)
-		g.mu.Unlock()
+		part := g.of(a)
+		part.mu.Lock()
+		d = part.purse.SpendAlone(clock.Now(), a, q, instances)
+		part.mu.Unlock()
 	}
 	return d.Verdict == quota.Spent, d.RetryIn
 }
@@ -64,13 +82,14 @@
 // Refund implements Gate.
 func (g *gate) Refund(a ident.Account) {
 	keeper, _, _ := g.keepers.keeperOf(a)
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	part := g.of(a)
+	part.mu.Lock()
+	defer part.mu.Unlock()
 	if keeper == g.self {
-		g.ledger.Refund(a)
+		part.ledger.Refund(a)
 		return
 	}
-	g.purse.Refund(clock.Now(), a)
+	part.purse.Refund(clock.Now(), a)
 }
 
 // await waits for the keeper's answer, for a bounded time.
@@ -85,23 +104,24 @@
 
 // spendOwn takes an operation from the ledger that is kept here.
 func (g *gate) spendOwn(a ident.Account, q engine.Quota, share float64) (bool, time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count, retryIn := g.ledger.Grant(clock.Now(), a, q, 1, share)
+	part := g.of(a)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	count, retryIn := part.ledger.Grant(clock.Now(), a, q, 1, share)
 	return count == 1, retryIn
 }
 
 // spendGranted takes an operation from the purse and asks the keeper for more
 // if need be.
 func (g *gate) spendGranted(keeper ident.Instance, a ident.Account) (quota.Decision, <-chan struct{}) {
-	g.mu.Lock()
-	d := g.purse.Spend(clock.Now(), a)
-	answered := g.waiting[a]
-	if answered == nil {
-		answered = make(chan struct{})
-		g.waiting[a] = answered
+	part := g.of(a)
+	part.mu.Lock()
+	d := part.purse.Spend(clock.Now(), a)
+	if part.waiting == nil {
+		part.waiting = make(chan struct{})
 	}
-	g.mu.Unlock()
+	answered := part.waiting
+	part.mu.Unlock()
 	if d.Ask > 0 {
 		g.link.Offer(keeper, peer.GrantAsk{Account: a, Wanted: d.Ask})
 	}
@@ -115,19 +135,21 @@
 		return
 	}
 	_, _, share := g.keepers.keeperOf(m.Account)
-	g.mu.Lock()
-	count, retryIn := g.ledger.Grant(clock.Now(), m.Account, q, m.Wanted, share)
-	g.mu.Unlock()
+	part := g.of(m.Account)
+	part.mu.Lock()
+	count, retryIn := part.ledger.Grant(clock.Now(), m.Account, q, m.Wanted, share)
+	part.mu.Unlock()
 	g.link.Offer(from, peer.Grant{Account: m.Account, Count: count, Length: quota.GrantLength, RetryIn: retryIn})
 }
 
 // receiveGrant takes a keeper's answer.
 func (g *gate) receiveGrant(m peer.Grant) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.purse.Receive(clock.Now(), m.Account, m.Count, m.Length, m.RetryIn)
-	if answered := g.waiting[m.Account]; answered != nil {
-		close(answered)
-		delete(g.waiting, m.Account)
+	part := g.of(m.Account)
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	part.purse.Receive(clock.Now(), m.Account, m.Count, m.Length, m.RetryIn)
+	if part.waiting != nil {
+		close(part.waiting)
+		part.waiting = nil
 	}
 }
--- a/internal/relay/homes.go
+++ b/internal/relay/homes.go
@@ -2,17 +2,37 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
+// view is what requests read of a node, without a lock. It never changes once
+// it is published.
+type view struct {
+	roster  *roster.Roster
+	near    map[ident.Group]ident.DataCentre
+	keepers map[ident.Group]*keeper
+}
+
+// publish lets requests see the node's present state. The caller holds the
+// mutex.
+func (n *Node) publish() {
+	v := &view{roster: n.roster.Clone(), near: make(map[ident.Group]ident.DataCentre), keepers: maps.Clone(n.keepers)}
+	now := clock.Now()
+	for g := range n.keepers {
+		v.near[g] = n.places.Near(now, g)
+	}
+	n.view.Store(v)
+}
+
 // HomeOf implements Homes.
 func (n *Node) HomeOf(g ident.Group, avoid ...ident.Instance) ident.Instance {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Home(g, n.places.Near(clock.Now(), g), avoid...)
+	v := n.view.Load()
+	return v.roster.Home(g, v.near[g], avoid...)
 }
 
 // Local implements Homes.
@@ -24,16 +44,13 @@
 }
 
 func (n *Node) keeper(g ident.Group) *keeper {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.keepers[g]
+	return n.view.Load().keepers[g]
 }
 
 // keeperOf implements keepers.
 func (n *Node) keeperOf(a ident.Account) (ident.Instance, int, float64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Keeper(a), len(n.roster.Members()), n.roster.Share()
+	r := n.view.Load().roster
+	return r.Keeper(a), r.Count(), r.Share()
 }
 
 // quotaOf returns an account's quota in the catalog in force.
@@ -55,9 +72,11 @@
 func (n *Node) assignments() map[*keeper]bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.publish()
+	v := n.view.Load()
 	homes := make(map[*keeper]bool, len(n.keepers))
 	for g, k := range n.keepers {
-		homes[k] = n.serving && n.roster.Home(g, n.places.Near(clock.Now(), g)) == n.config.Self.Instance
+		homes[k] = n.serving && v.roster.Home(g, v.near[g]) == n.config.Self.Instance
 	}
 	return homes
 }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -71,6 +71,7 @@
 	config  NodeConfig
 	tasks   *tasks.Group
 	catalog atomic.Pointer[engine.Catalog]
+	view    atomic.Pointer[view]
 	front   *Front
 	router  *Router
 	gate    *gate
@@ -97,6 +98,7 @@
 		keepers: make(map[ident.Group]*keeper), unfit: make(map[ident.Group]bool), entries: make(map[ident.Group][]sched.Endpoint),
 	}
 	n.catalog.Store(emptyCatalog())
+	n.publish()
 	n.router = NewRouter(n.tasks.Context(), c.Self.Instance, n)
 	n.gate = newGate(c.Self.Instance, n, c.Room, n.quotaOf)
 	n.front = NewFront(n.router, n.gate, &n.catalog)
@@ -224,6 +226,7 @@
 	for g, k := range keepers {
 		k.setEndpoints(entries[g])
 	}
+	n.assign()
 }
 
 // primaryOf returns the data centre of the only endpoint that leads and stays.
@@ -253,6 +256,7 @@
 		}
 	}
 	n.mu.Unlock()
+	n.assign()
 	n.dialMembers()
 }
 
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -24,6 +24,7 @@
 	n.mu.Unlock()
 	trace.Event("PeerLink", "Peer", p, "Up", up, "Silent", silent)
 	if up {
+		n.assign()
 		n.mesh.Offer(p, n.own())
 		return
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/puzpuzpuz/xsync/v4"
+
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
@@ -50,7 +51,7 @@
 	to     ident.Instance
 	group  ident.Group
 	answer chan peer.Answer // closed when the instance is lost
-	late   bool             // the caller was answered already
+	late   atomic.Bool      // the caller was answered already
 }
 
 // Router brings calls to where they run.
@@ -61,14 +62,13 @@
 	tasks *tasks.Group
 
 	number  atomic.Uint64
-	mu      sync.Mutex
-	waiting map[uint64]waitingCall
+	waiting *xsync.Map[uint64, *waitingCall]
 }
 
 // NewRouter returns a router for the instance named self. SetLink is called
 // before the first call.
 func NewRouter(ctx context.Context, self ident.Instance, homes Homes) *Router {
-	return &Router{self: self, homes: homes, tasks: tasks.New(ctx), waiting: make(map[uint64]waitingCall)}
+	return &Router{self: self, homes: homes, tasks: tasks.New(ctx), waiting: xsync.NewMap[uint64, *waitingCall]()}
 }
 
 // SetLink gives the way to other instances.
@@ -147,28 +147,19 @@
 
 func (r *Router) expect(number uint64, to ident.Instance, g ident.Group) chan peer.Answer {
 	answer := make(chan peer.Answer, 1)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.waiting[number] = waitingCall{to: to, group: g, answer: answer}
+	r.waiting.Store(number, &waitingCall{to: to, group: g, answer: answer})
 	return answer
 }
 
 // abandon keeps a call that got no answer, so that a transaction in a late one
 // is rolled back.
 func (r *Router) abandon(number uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if w, ok := r.waiting[number]; ok {
-		w.late = true
-		r.waiting[number] = w
+	if w, ok := r.waiting.Load(number); ok {
+		w.late.Store(true)
 	}
 }
 
-func (r *Router) forget(number uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.waiting, number)
-}
+func (r *Router) forget(number uint64) { r.waiting.Delete(number) }
 
 // ReceiveCall runs a call of another instance.
 func (r *Router) ReceiveCall(from ident.Instance, m peer.Call) {
@@ -187,27 +178,25 @@
 // ReceiveAnswer takes the answer to a call that was sent. An answer that
 // nobody waits for is rolled back where it left a transaction.
 func (r *Router) ReceiveAnswer(from ident.Instance, m peer.Answer) {
-	r.mu.Lock()
-	w, ok := r.waiting[m.Number]
-	delete(r.waiting, m.Number)
-	r.mu.Unlock()
-	switch {
-	case !ok || w.to != from:
-	case !w.late:
-		w.answer <- m
-	case m.Tx != 0:
+	w, ok := r.waiting.LoadAndDelete(m.Number)
+	if !ok || w.to != from {
+		return
+	}
+	w.answer <- m // it has room for the only answer
+	if m.Tx != 0 && w.late.Load() {
 		r.End(w.group, Place{Instance: from, Tx: m.Tx})
 	}
 }
 
 // Lost fails the calls that an instance was to answer.
 func (r *Router) Lost(n ident.Instance) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for number, w := range r.waiting {
-		if w.to == n {
+	r.waiting.Range(func(number uint64, w *waitingCall) bool {
+		if w.to != n {
+			return true
+		}
+		if _, mine := r.waiting.LoadAndDelete(number); mine {
 			close(w.answer)
-			delete(r.waiting, number)
 		}
-	}
+		return true
+	})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// Clone returns a copy that does not change with r.
+func (r *Roster) Clone() *Roster {
+	c := *r
+	c.members, c.up, c.states, c.ended = maps.Clone(r.members), maps.Clone(r.up), maps.Clone(r.states), maps.Clone(r.ended)
+	return &c
+}
+
 // Learn adds or replaces a member. It reports whether anything changed.
 func (r *Roster) Learn(m Member) bool {
 	old, known := r.members[m.Instance]
@@ -82,6 +89,9 @@
 	return out
 }
 
+// Count returns how many instances exist, self included.
+func (r *Roster) Count() int { return len(r.members) }
+
 // Connected takes a link to n that opened, or that was lost. A link that was
 // lost in silence leaves it open whether the other still runs; one that was
 // closed tells that its process ended.
