Spend the share for an absent keeper only when the keeper does not answer

A keeper that answered "nothing, come back in less than a millisecond" left the waiting operation without a verdict, and it took the share that is meant for a keeper out of reach, at every instance.

Ruled out: the room that the ledger uses (744 granted at most), grants left from before the window (about 20).

Change: that share is spent only when no answer came. The test floods an account whose keeper answers with nothing; it spent one operation before, none now.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -17,6 +17,9 @@
 // round trips between data centres.
 const grantTimeout = 60 * time.Millisecond
 
+// againIn is when to come back after a keeper's answer that was used up at once.
+const againIn = 20 * time.Millisecond
+
 // keepers finds the instances that keep the accounts' quotas.
 type keepers interface {
 	// keeperOf returns the instance that keeps an account's quota, how many
@@ -66,10 +69,14 @@
 		return g.spendOwn(a, q, share)
 	}
 	d, answered := g.spendGranted(keeper, a)
+	heard := true
 	if d.Verdict == quota.Wait {
-		await(answered)
+		heard = await(answered)
 		d, _ = g.spendGranted(keeper, a)
 	}
+	if d.Verdict == quota.Wait && heard {
+		return false, againIn // the keeper has nothing to grant
+	}
 	if d.Verdict == quota.Wait {
 		part := g.of(a)
 		part.mu.Lock()
@@ -92,13 +99,16 @@
 	part.purse.Refund(clock.Now(), a)
 }
 
-// await waits for the keeper's answer, for a bounded time.
-func await(answered <-chan struct{}) {
+// await waits for the keeper's answer, for a bounded time. It reports whether
+// the answer came.
+func await(answered <-chan struct{}) bool {
 	timer := time.NewTimer(grantTimeout)
 	defer timer.Stop()
 	select {
 	case <-answered:
+		return true
 	case <-timer.C:
+		return false
 	}
 }
 
