Send only news in pulses, ping by need, open one connection a call, hold groups at strong instances

Ruled out: pulses less often (they carry what decides homes); a home on several instances (order and freshness need one queue).

Change: the first pulse on a link holds all, later ones what is new; a peer is pinged soon while it owes an answer and otherwise every n x 16 ms (200 ms at 12 instances and fewer, as before); a call opens one connection at a time and takes another account's only if its own has none there or after two mean calls; homes have at least half of the largest capacity in the data centre; homes are worked out once a change, not once a request.

--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -43,6 +43,13 @@
 	return order
 }
 
+// Prefers reports whether a comes before b in Rank's order. It does not
+// allocate.
+func Prefers(key string, a, b ident.Instance) bool {
+	one, other := score(key, a), score(key, b)
+	return one > other || one == other && a < b
+}
+
 // Place returns the place of self in Rank's order, from 0, or -1 when self is
 // not in the list. It does not allocate.
 func Place(key string, instances []ident.Instance, self ident.Instance) int {
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -42,6 +42,15 @@
 	return names[0]
 }
 
+// asks reports whether a message of this kind is answered by the recipient.
+func asks(k Kind) bool {
+	switch k {
+	case CallKind, GrantAskKind, DocumentAskKind, TokenAskKind, LeaseAskKind:
+		return true
+	}
+	return false
+}
+
 // KindOf returns the kind of a message, zero for one that is not on the wire.
 func KindOf(message Message) Kind {
 	switch message.(type) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,6 +27,14 @@
 	options *options
 	stats   *stats
 	receive func(message Message)
+	// peers returns how many links this instance has.
+	peers func() int
+
+	// heard is when the peer was last heard, asked when it was last sent what it
+	// answers, in nanoseconds since the link began.
+	began time.Time
+	heard atomic.Int64
+	asked atomic.Int64
 
 	queue  chan frame
 	queued atomic.Int64
@@ -36,13 +44,15 @@
 	done   chan struct{}
 }
 
-func newLink(peer Hello, conn *websocket.Conn, o *options, s *stats, receive func(Message)) *link {
+func newLink(peer Hello, conn *websocket.Conn, o *options, s *stats, peers func() int, receive func(Message)) *link {
 	return &link{
 		peer:    peer,
 		conn:    conn,
 		options: o,
 		stats:   s,
 		receive: receive,
+		peers:   peers,
+		began:   time.Now(),
 		queue:   make(chan frame, o.queueMessages),
 		flush:   make(chan struct{}),
 		group:   tasks.New(context.Background()),
@@ -76,6 +86,9 @@
 		l.stats.dropped.Inc()
 		return false
 	}
+	if asks(f.kind) {
+		l.asked.Store(int64(time.Since(l.began)))
+	}
 	select {
 	case l.queue <- f:
 		return true
@@ -102,6 +115,7 @@
 		if err != nil {
 			return errors.Wrap(err, "read")
 		}
+		l.heard.Store(int64(time.Since(l.began)))
 		m, err := Decode(raw)
 		if errors.Is(err, ErrUnknownKind) {
 			l.stats.unknown.Inc()
@@ -155,7 +169,8 @@
 	return nil
 }
 
-// beat pings the peer. A peer that does not answer in time is gone.
+// beat pings the peer when it is due. A peer that does not answer in time is
+// gone.
 func (l *link) beat(ctx context.Context) error {
 	t := time.NewTicker(l.options.heartbeatInterval)
 	defer t.Stop()
@@ -164,6 +179,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
+			if !l.due(time.Since(l.began)) {
+				continue
+			}
 			if err := l.ping(ctx); err != nil {
 				return errors.Wrap(err, "ping")
 			}
@@ -171,8 +189,23 @@
 	}
 }
 
+// due reports whether the peer has to prove that it lives: soon while an answer
+// is owed, and otherwise the more rarely the more peers there are, so that the
+// pings of an instance stay bounded.
+func (l *link) due(now time.Duration) bool {
+	heard, asked := time.Duration(l.heard.Load()), time.Duration(l.asked.Load())
+	if asked >= heard && asked > 0 {
+		return now-heard >= l.options.heartbeatInterval
+	}
+	return now-heard >= max(l.options.heartbeatInterval, time.Duration(l.peers())*pingSpacing)
+}
+
 func (l *link) ping(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.options.heartbeatTimeout)
 	defer cancel()
-	return l.conn.Ping(ctx)
+	if err := l.conn.Ping(ctx); err != nil {
+		return err
+	}
+	l.heard.Store(int64(time.Since(l.began)))
+	return nil
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -250,7 +250,8 @@
 }
 
 func (m *Mesh) newLink(peer Hello, c *websocket.Conn) *link {
-	return newLink(peer, c, &m.options, m.stats, func(message Message) {
+	peers := func() int { return len(*m.links.Load()) }
+	return newLink(peer, c, &m.options, m.stats, peers, func(message Message) {
 		now := time.Now()
 		if s := stampOf(message); s != (event.Stamp{}) {
 			m.log.Observe(s, now)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -143,9 +143,11 @@
 	Leaving bool
 	// Unfit lists the groups whose primary the sender alone can't reach.
 	Unfit []ident.Group
-	// Members are the instances that the sender knows to exist.
+	// Members are instances that the sender knows to exist: all of them in the
+	// first pulse on a link, after that those it has just heard of.
 	Members []Member
-	// Groups is what the sender knows of the primaries.
+	// Groups is what the sender knows of the primaries: of all groups in the
+	// first pulse on a link, after that what the recipient may not know.
 	Groups []GroupNews
 }
 
@@ -167,6 +169,7 @@
 	DataCentre ident.DataCentre
 	Address    string
 	Start      int64
+	Capacity   float64
 }
 
 // ReachAsk asks whether the recipient reaches an endpoint.
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -17,6 +17,10 @@
 	backoffMin        = 50 * time.Millisecond
 	backoffMax        = 2 * time.Second
 	reportInterval    = time.Second
+	// pingSpacing is the mean time between the pings that an instance sends to
+	// all peers together while it waits for none of them: 1 % of a core at some
+	// 0.2 ms for both ends.
+	pingSpacing = 16 * time.Millisecond
 
 	queueMessages = 256
 	queueBytes    = 4 * MaxFrame
--- a/internal/relay/homes.go
+++ b/internal/relay/homes.go
@@ -15,16 +15,21 @@
 type view struct {
 	roster  *roster.Roster
 	near    map[ident.Group]ident.DataCentre
+	homes   map[ident.Group]ident.Instance
 	keepers map[ident.Group]*keeper
 }
 
 // publish lets requests see the node's present state. The caller holds the
 // mutex.
 func (n *Node) publish() {
-	v := &view{roster: n.roster.Clone(), near: make(map[ident.Group]ident.DataCentre), keepers: maps.Clone(n.keepers)}
+	v := &view{
+		roster: n.roster.Clone(), near: make(map[ident.Group]ident.DataCentre),
+		homes: make(map[ident.Group]ident.Instance), keepers: maps.Clone(n.keepers),
+	}
 	now := clock.Now()
 	for g := range n.keepers {
 		v.near[g] = n.places.Near(now, g)
+		v.homes[g] = v.roster.Home(g, v.near[g])
 	}
 	n.view.Store(v)
 }
@@ -32,6 +37,9 @@
 // HomeOf implements Homes.
 func (n *Node) HomeOf(g ident.Group, avoid ...ident.Instance) ident.Instance {
 	v := n.view.Load()
+	if h, ok := v.homes[g]; ok && len(avoid) == 0 {
+		return h
+	}
 	return v.roster.Home(g, v.near[g], avoid...)
 }
 
@@ -76,7 +84,7 @@
 	v := n.view.Load()
 	homes := make(map[*keeper]bool, len(n.keepers))
 	for g, k := range n.keepers {
-		homes[k] = n.serving && v.roster.Home(g, v.near[g]) == n.config.Self.Instance
+		homes[k] = n.serving && v.homes[g] == n.config.Self.Instance
 	}
 	return homes
 }
@@ -84,7 +92,7 @@
 // spread implements overseer.
 func (n *Node) spread() {
 	n.tasks.Go(func(context.Context) error {
-		n.mesh.Broadcast(n.own())
+		n.mesh.Broadcast(n.further())
 		return nil
 	})
 }
--- a/internal/relay/keeper.go
+++ b/internal/relay/keeper.go
@@ -49,6 +49,7 @@
 
 	mu        sync.Mutex
 	isHome    bool
+	shared    lead.News // the latest that the others know
 	lead      *lead.Keeper
 	endpoints map[ident.Endpoint]sched.Endpoint
 	conns     map[ident.Endpoint]*controlConn
@@ -166,6 +167,44 @@
 	return k.lead.News(now)
 }
 
+// untold returns the news of the group, and whether the others need it: the
+// instance that serves the group, or orders a promotion, tells them regularly,
+// any other one what it alone has seen.
+func (k *keeper) untold(now time.Time) (lead.News, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m := k.lead.News(now)
+	if m.Term == 0 || !k.isHome && !m.Ordered && !k.share(m) {
+		return m, false
+	}
+	k.share(m)
+	return m, true
+}
+
+// share notes what the others know, and reports whether that is new. The caller
+// holds the mutex.
+func (k *keeper) share(m lead.News) bool {
+	if m.Term <= k.shared.Term && m.Acked.Position <= k.shared.Acked.Position && m.Ordered == k.shared.Ordered {
+		return false
+	}
+	k.shared.Term = max(k.shared.Term, m.Term)
+	if m.Acked.Position > k.shared.Acked.Position {
+		k.shared.Acked = m.Acked
+	}
+	k.shared.Ordered = m.Ordered
+	return true
+}
+
+// hear takes another instance's news.
+func (k *keeper) hear(m lead.News) {
+	k.mu.Lock()
+	ordered := k.shared.Ordered
+	k.share(m)
+	k.shared.Ordered = ordered
+	k.mu.Unlock()
+	k.tell(m)
+}
+
 // ask sends a control statement without waiting for it. The caller holds the
 // mutex.
 func (k *keeper) ask(id ident.Endpoint, r Request, sealed ident.Term) {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -82,6 +82,7 @@
 	roster    *roster.Roster
 	keepers   map[ident.Group]*keeper
 	unfit     map[ident.Group]bool
+	fresh     []roster.Member // that the others may not know
 	entries   map[ident.Group][]sched.Endpoint
 	places    *roster.Places
 	text      []byte // of the configuration in force
@@ -248,7 +249,7 @@
 	seen := make(map[ident.Instance]bool)
 	for _, m := range all {
 		seen[m.Instance] = true
-		n.roster.Learn(m)
+		n.learn(m)
 	}
 	for _, m := range n.roster.Members() {
 		if !seen[m.Instance] {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -25,7 +25,7 @@
 	trace.Event("PeerLink", "Peer", p, "Up", up, "Silent", silent)
 	if up {
 		n.assign()
-		n.mesh.Offer(p, n.own())
+		n.mesh.Offer(p, n.first())
 		return
 	}
 	n.router.Lost(p)
@@ -52,19 +52,21 @@
 // hear takes what another instance says of itself.
 func (n *Node) hear(from ident.Instance, m peer.Pulse) {
 	n.mu.Lock()
-	n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
+	changed := n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
 	fresh := false
 	for _, o := range m.Members {
-		fresh = n.roster.Learn(roster.Member{Instance: o.Instance, DataCentre: o.DataCentre, Address: o.Address, Start: o.Start}) || fresh
+		fresh = n.learn(roster.Member{Instance: o.Instance, DataCentre: o.DataCentre, Address: o.Address, Start: o.Start, Capacity: o.Capacity}) || fresh
 	}
 	n.mu.Unlock()
 	if fresh {
 		n.dialMembers()
 	}
-	n.assign()
+	if changed || fresh {
+		n.assign()
+	}
 	for _, g := range m.Groups {
 		if k := n.keeper(g.Group); k != nil {
-			k.tell(lead.News{From: from, Acked: g.Acked, Term: g.Term, Ordered: g.Ordered})
+			k.hear(lead.News{From: from, Acked: g.Acked, Term: g.Term, Ordered: g.Ordered})
 		}
 	}
 	if m.Version > n.catalog.Load().Version {
@@ -72,6 +74,16 @@
 	}
 }
 
+// learn takes a member, and notes it for the others if it is new. The caller
+// holds the mutex.
+func (n *Node) learn(m roster.Member) bool {
+	if !n.roster.Learn(m) {
+		return false
+	}
+	n.fresh = append(n.fresh, m)
+	return true
+}
+
 func (n *Node) giveConfig(to ident.Instance) {
 	n.mu.Lock()
 	m := peer.Document{Version: n.catalog.Load().Version, Text: n.text}
--- a/internal/relay/pulse.go
+++ b/internal/relay/pulse.go
@@ -10,6 +10,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -23,35 +24,74 @@
 	servingDelay = 800 * time.Millisecond
 )
 
-// own returns what this instance says of itself.
-func (n *Node) own() peer.Pulse {
+// first returns the pulse that begins a link: all that this instance knows.
+func (n *Node) first() peer.Pulse {
 	p := n.state()
 	n.mu.Lock()
-	keepers := maps.Clone(n.keepers)
+	members := n.roster.Members()
+	n.mu.Unlock()
+	for _, m := range members {
+		p.Members = append(p.Members, peerMember(m))
+	}
+	for g, k := range n.ordered() {
+		if m := k.news(clock.Now()); m.Term != 0 {
+			p.Groups = append(p.Groups, peer.GroupNews{Group: g, Acked: m.Acked, Term: m.Term, Ordered: m.Ordered})
+		}
+	}
+	return p
+}
+
+// further returns a pulse for all links: this instance's state, and what the
+// others may not know. Pulses go from each instance to each other one, so they
+// hold nothing that grows with the number of instances.
+func (n *Node) further() peer.Pulse {
+	p := n.state()
+	n.mu.Lock()
+	fresh := n.fresh
+	n.fresh = nil
 	n.mu.Unlock()
-	for _, g := range slices.Sorted(maps.Keys(keepers)) {
-		if m := keepers[g].news(clock.Now()); m.Term != 0 {
+	for _, m := range fresh {
+		p.Members = append(p.Members, peerMember(m))
+	}
+	for g, k := range n.ordered() {
+		if m, ok := k.untold(clock.Now()); ok {
 			p.Groups = append(p.Groups, peer.GroupNews{Group: g, Acked: m.Acked, Term: m.Term, Ordered: m.Ordered})
 		}
 	}
 	return p
 }
 
+// ordered yields the keepers in order of their groups.
+func (n *Node) ordered() func(yield func(ident.Group, *keeper) bool) {
+	n.mu.Lock()
+	keepers := maps.Clone(n.keepers)
+	n.mu.Unlock()
+	return func(yield func(ident.Group, *keeper) bool) {
+		for _, g := range slices.Sorted(maps.Keys(keepers)) {
+			if !yield(g, keepers[g]) {
+				return
+			}
+		}
+	}
+}
+
+// state returns what this instance says of itself.
 func (n *Node) state() peer.Pulse {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := roster.State{Version: n.catalog.Load().Version, Serving: n.serving, Leaving: n.leaving}
 	s.Unfit = slices.Sorted(maps.Keys(n.unfit))
 	n.roster.SetOwn(s)
-	p := peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
-	for _, m := range n.roster.Members() {
-		p.Members = append(p.Members, peer.Member{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address, Start: m.Start})
-	}
-	return p
+	return peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
+}
+
+func peerMember(m roster.Member) peer.Member {
+	return peer.Member{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.Address, Start: m.Start, Capacity: m.Capacity}
 }
 
+// pulse tells the others of this instance and takes what follows from it.
 func (n *Node) pulse() {
-	n.mesh.Broadcast(n.own())
+	n.mesh.Broadcast(n.further())
 	n.assign()
 }
 
--- /dev/null
+++ b/internal/relay/pulse_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
+	"github.com/marjoramrudder/marjoramrudder/internal/roster"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// quietNode returns a node that talks to nobody.
+func quietNode(t *testing.T) *Node {
+	t.Helper()
+	network := emul.NewNetwork()
+	l, err := network.Listen("one:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := NewNode(context.Background(), NodeConfig{
+		Self: roster.Member{Instance: "one"}, Environment: "test", Secret: "test", Listener: l, Connect: network.From("one"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Close(); network.Close() })
+	return n
+}
+
+func members(count int) []roster.Member {
+	var all []roster.Member
+	for i := range count {
+		all = append(all, roster.Member{Instance: ident.Instance(fmt.Sprintf("other-%d", i)), Start: 1})
+	}
+	return all
+}
+
+// Pulses go from each instance to each other one each second: what they hold
+// must not grow with the number of instances.
+func TestPulsesHoldOnlyWhatIsNew(t *testing.T) {
+	g := NewWithT(t)
+	n := quietNode(t)
+	n.SetMembers(members(80))
+	g.Expect(n.further().Members).To(HaveLen(80))
+	g.Expect(n.further().Members).To(BeEmpty())
+	n.SetMembers(members(81))
+	g.Expect(n.further().Members).To(HaveLen(1))
+	g.Expect(n.first().Members).To(HaveLen(82), "a new link begins with all, the sender included")
+}
+
+// What an instance alone has seen of a group goes to the others once; the one
+// that serves the group repeats it.
+func TestPulsesTellNewsOnce(t *testing.T) {
+	g := NewWithT(t)
+	n := quietNode(t)
+	k := newKeeper(t.Context(), "orders", n)
+	defer func() { _ = k.Close() }()
+	n.mu.Lock()
+	n.keepers["orders"] = k
+	n.mu.Unlock()
+	g.Expect(n.further().Groups).To(BeEmpty())
+
+	k.hear(lead.News{From: "other", Term: 3, Acked: ident.Mark{Term: 3, Position: 7}})
+	g.Expect(n.further().Groups).To(BeEmpty(), "the others have heard it as well")
+
+	k.tell(lead.Led{Endpoint: "a", Term: 3, Wrote: true, Mark: ident.Mark{Term: 3, Position: 8}})
+	g.Expect(n.further().Groups).To(HaveLen(1))
+	g.Expect(n.further().Groups).To(BeEmpty())
+
+	k.setHome(true)
+	g.Expect(n.further().Groups).To(HaveLen(1))
+	g.Expect(n.further().Groups).To(HaveLen(1))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 	DataCentre ident.DataCentre
 	Address    string
 	Start      int64
+	// Capacity is the processor that the instance has, in cores.
+	Capacity float64
 }
 
 // State is what an instance says of itself.
@@ -31,6 +33,10 @@
 	Unfit []ident.Group
 }
 
+func (s State) equal(o State) bool {
+	return s.Version == o.Version && s.Serving == o.Serving && s.Leaving == o.Leaving && slices.Equal(s.Unfit, o.Unfit)
+}
+
 // Roster is one instance's view of all. It is not safe for concurrent use.
 type Roster struct {
 	self    ident.Instance
@@ -106,11 +112,14 @@
 	r.ended[n] = !silent
 }
 
-// Hear takes what n says of itself.
-func (r *Roster) Hear(n ident.Instance, s State) {
-	if r.up[n] {
-		r.states[n] = s
+// Hear takes what n says of itself. It reports whether that is new.
+func (r *Roster) Hear(n ident.Instance, s State) bool {
+	old, known := r.states[n]
+	if !r.up[n] || known && old.equal(s) {
+		return false
 	}
+	r.states[n] = s
+	return true
 }
 
 // Own returns what this instance says of itself.
@@ -149,22 +158,51 @@
 	return aloneShare * float64(reached) / float64(len(r.members))
 }
 
+// strongShare is the part of the largest capacity that an instance needs to
+// hold a group's connections, where the instances differ: all the group's work
+// passes through it.
+const strongShare = 0.5
+
 // Home returns the instance that holds the connections of a group, other than
-// those to avoid: one in the data centre that the group's primary is in, if
-// there is any. It is self when no other will do.
+// those to avoid: a strong one in the data centre that the group's primary is
+// in, if there is any. It is self when no other will do.
 func (r *Roster) Home(g ident.Group, near ident.DataCentre, avoid ...ident.Instance) ident.Instance {
 	fit := func(n ident.Instance, s State) bool {
 		return s.Serving && !s.Leaving && !slices.Contains(s.Unfit, g) && !slices.Contains(avoid, n)
 	}
 	key := "group/" + string(g)
 	inside := func(n ident.Instance, s State) bool { return r.members[n].DataCentre == near && fit(n, s) }
-	if n, ok := r.first(key, inside); ok {
+	if n, ok := r.first(key, r.strong(inside)); ok {
 		return n
 	}
-	n, _ := r.first(key, fit)
+	n, _ := r.first(key, r.strong(fit))
 	return n
 }
 
+// strong narrows fit to the instances of large capacity.
+func (r *Roster) strong(fit func(ident.Instance, State) bool) func(ident.Instance, State) bool {
+	most := 0.0
+	r.each(func(n ident.Instance, s State) {
+		if fit(n, s) {
+			most = max(most, r.members[n].Capacity)
+		}
+	})
+	return func(n ident.Instance, s State) bool {
+		return r.members[n].Capacity >= strongShare*most && fit(n, s)
+	}
+}
+
+// each visits the instances that are in touch and have told of themselves, and
+// self.
+func (r *Roster) each(visit func(ident.Instance, State)) {
+	visit(r.self, r.own)
+	for n := range r.up {
+		if s, known := r.states[n]; known {
+			visit(n, s)
+		}
+	}
+}
+
 // Keeper returns the instance that keeps an account's quota.
 func (r *Roster) Keeper(a ident.Account) ident.Instance {
 	n, _ := r.first("account/"+string(a), func(_ ident.Instance, s State) bool { return s.Serving && !s.Leaving })
@@ -174,17 +212,11 @@
 // first returns the instance that ranks first for key among those that fit. It
 // is self, and ok false, when none does.
 func (r *Roster) first(key string, fit func(ident.Instance, State) bool) (n ident.Instance, ok bool) {
-	var all []ident.Instance
-	if fit(r.self, r.own) {
-		all = append(all, r.self)
-	}
-	for n := range r.up {
-		if s, known := r.states[n]; known && fit(n, s) {
-			all = append(all, n)
+	n = r.self
+	r.each(func(o ident.Instance, s State) {
+		if fit(o, s) && (!ok || fleet.Prefers(key, o, n)) {
+			n, ok = o, true
 		}
-	}
-	if len(all) == 0 {
-		return r.self, false
-	}
-	return fleet.Rank(key, all)[0], true
+	})
+	return n, ok
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,3 +81,32 @@
 	g.Expect(p.Near(now.Add(settleTime), "g")).To(Equal(ident.DataCentre("a")))
 	g.Expect(p.Near(now.Add(settleTime+1), "g")).To(Equal(ident.DataCentre("b")))
 }
+
+// All work of a group passes through its home, so a weak instance holds none
+// while a strong one is in the same data centre.
+func TestHomesAreStrong(t *testing.T) {
+	g := NewWithT(t)
+	r := New(Member{Instance: "m1", DataCentre: "m", Capacity: 0.2})
+	r.SetOwn(State{Serving: true})
+	learn := func(n ident.Instance, dc ident.DataCentre, capacity float64) {
+		r.Learn(Member{Instance: n, DataCentre: dc, Start: 1, Capacity: capacity})
+		r.Connected(n, true, false)
+		r.Hear(n, State{Serving: true})
+	}
+	for i := range 10 {
+		learn(ident.Instance(fmt.Sprintf("m-weak-%d", i)), "m", 0.2)
+	}
+	learn("m-strong-1", "m", 0.8)
+	learn("m-strong-2", "m", 0.7)
+	learn("b-strong", "b", 0.8)
+	homes := make(map[ident.Instance]int)
+	for i := range 40 {
+		homes[r.Home(ident.Group(fmt.Sprint(i)), "m")]++
+	}
+	g.Expect(homes).To(HaveLen(2))
+	g.Expect(homes).To(And(HaveKey(ident.Instance("m-strong-1")), HaveKey(ident.Instance("m-strong-2"))))
+
+	r.Connected("m-strong-1", false, false)
+	r.Connected("m-strong-2", false, false)
+	g.Expect(string(r.Home("1", "m"))).To(HavePrefix("m"), "a weak one near the primary goes before a strong one far from it")
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -16,6 +16,15 @@
 	costSlow   = 0.5 // each multiple of the group's mean time
 )
 
+const (
+	// dialPatience is how long a call waits for the connection that is opened
+	// for it before it tries another endpoint: several times a usual dial.
+	dialPatience = 60 * time.Millisecond
+	// swapServices is how many mean calls a call waits for a connection of its
+	// own account before it takes one from another account.
+	swapServices = 2
+)
+
 // target is what a call needs of an endpoint.
 type target struct {
 	after    ident.Mark
@@ -39,7 +48,7 @@
 		})
 		return true
 	}
-	g.prepare(now, e, w.call.Account)
+	g.prepare(now, e, w)
 	return false
 }
 
@@ -89,7 +98,7 @@
 	if e == nil || !e.room(now) || e.closing(now, g.limits.DrainTime) {
 		return nil
 	}
-	if g.idleOf(e, w.call.Account) == nil && !g.mayOpen(now, e) {
+	if g.idleOf(e, w.call.Account) == nil && !g.mayOpen(now, e, w) {
 		return nil
 	}
 	return e
@@ -104,7 +113,7 @@
 	case e.ID == g.leader.Endpoint && !g.leader.Usable:
 		return false
 	}
-	return g.idleOf(e, w.call.Account) != nil || g.mayOpen(now, e)
+	return g.idleOf(e, w.call.Account) != nil || g.mayOpen(now, e, w)
 }
 
 func (g *Group) cost(e *endpoint, account ident.Account) float64 {
@@ -124,20 +133,43 @@
 	return cost
 }
 
-// mayOpen reports whether a connection can be opened, closing an idle one of
-// another account if need be.
-func (g *Group) mayOpen(now time.Time, e *endpoint) bool {
+// mayOpen reports whether a connection can be opened for w, closing an idle one
+// of another account if need be.
+func (g *Group) mayOpen(now time.Time, e *endpoint, w *waiter) bool {
 	if now.Before(e.noDial) {
 		return false
 	}
-	return e.open < e.limit(now, g.share()) || g.victim(e) != nil
+	if c := g.conns[w.dial]; c != nil && c.state == dialling && now.Sub(c.since) < dialPatience {
+		return c.endpoint == e
+	}
+	if e.open < e.limit(now, g.share()) {
+		return true
+	}
+	return g.swapDue(now, e, w) && g.victim(e) != nil
+}
+
+// swapDue reports whether w has waited long enough to take a connection from
+// another account. While its own account has one at the endpoint, that one
+// comes free in about the time that a new one takes, and costs no slot.
+func (g *Group) swapDue(now time.Time, e *endpoint, w *waiter) bool {
+	if now.Sub(w.since) >= swapServices*g.service {
+		return true
+	}
+	for _, c := range g.conns {
+		if c.endpoint == e && c.account == w.call.Account && c.state != resting {
+			return false
+		}
+	}
+	return true
 }
 
-// prepare opens a connection for account, unless one that is being opened will
-// do.
-func (g *Group) prepare(now time.Time, e *endpoint, account ident.Account) {
+// prepare opens a connection for w's account, unless one that is being opened
+// will do.
+func (g *Group) prepare(now time.Time, e *endpoint, w *waiter) {
+	account := w.call.Account
 	for _, c := range g.conns {
 		if c.endpoint == e && c.account == account && c.state == dialling {
+			w.dial = c.id
 			return
 		}
 	}
@@ -151,6 +183,7 @@
 	g.next++
 	c := &conn{id: g.next, endpoint: e, account: account, state: dialling, since: now}
 	g.conns[c.id] = c
+	w.dial = c.id
 	e.open++
 	g.count(c, 1)
 	g.emit(Dial{Conn: c.id, Endpoint: e.Endpoint, Account: account})
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -27,6 +27,7 @@
 	since  time.Time
 	until  time.Time
 	order  uint64
+	dial   ConnID // the connection that was last opened for it
 }
 
 // ask queues a call, or refuses it at once when it can't be served in time.
--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -19,6 +19,8 @@
 	group  *Group
 	now    time.Time
 	grants map[Ticket]Grant
+	// slow leaves dials open until they are ended by the command opened.
+	slow bool
 }
 
 // TestScripts replays the loads of testdata: each file is one load with what
@@ -69,6 +71,14 @@
 			m.Back = s.now.Add(back)
 		}
 		fmt.Fprint(&out, s.update(m))
+	case "slowdials":
+		s.slow = true
+	case "opened":
+		id := s.dialling()
+		if id == 0 {
+			t.Fatal("nothing is being dialled")
+		}
+		fmt.Fprint(&out, s.update(Opened{Conn: id, Result: Connected}))
 	case "full":
 		fmt.Fprint(&out, s.update(Opened{Conn: s.dialling(), Result: CapReached}))
 	default:
@@ -153,7 +163,9 @@
 			fmt.Fprintf(&out, "%d refused: %s, back in %s\n", c.Ticket, c.Reason, c.RetryIn.Round(time.Millisecond))
 		case Dial:
 			fmt.Fprintf(&out, "dial %s for %s\n", c.Endpoint.ID, c.Account)
-			out.WriteString(s.update(Opened{Conn: c.Conn, Result: Connected}))
+			if !s.slow {
+				out.WriteString(s.update(Opened{Conn: c.Conn, Result: Connected}))
+			}
 		case Drop:
 			fmt.Fprintf(&out, "drop a connection\n")
 		}
