--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -148,6 +148,10 @@
 		return decodeAs[GrantAsk](kind, body)
 	case GrantKind:
 		return decodeAs[Grant](kind, body)
+	case DirectoryAskKind:
+		return decodeAs[DirectoryAsk](kind, body)
+	case DirectoryKind:
+		return decodeAs[Directory](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
@@ -162,7 +166,7 @@
 
 func maxFrameOf(kind Kind) int {
 	switch kind {
-	case DocumentKind, CallKind, AnswerKind:
+	case DocumentKind, DirectoryKind, CallKind, AnswerKind:
 		return MaxFrame
 	case LeaseAskKind, PulseKind:
 		return maxLeases
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -18,6 +19,8 @@
 		Hello{Instance: "a", Environment: "trial", Protocol: 1, Start: 4, Stamp: stamp},
 		Head{Version: 3, EvidenceAge: time.Second, Known: true, Stamp: stamp},
 		DocumentAsk{Version: 3},
+		DirectoryAsk{Revision: 3},
+		Directory{Revision: 4, Listings: []sched.Listing{{Group: "orders", Endpoint: sched.Endpoint{ID: "a", Slots: 2, Born: 7}}}},
 		Document{Version: 3, Text: []byte("Environment = 'trial'")},
 		LeaseAsk{Nonce: 7, Leases: []LeaseRef{{Account: "shop", Part: 17, Epoch: 2}}},
 		LeaseHold{Nonce: 7, Length: time.Second},
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -7,25 +7,27 @@
 
 // The message types of protocol version 1.
 const (
-	HelloKind       Kind = 1
-	HeadKind        Kind = 2
-	DocumentAskKind Kind = 3
-	DocumentKind    Kind = 4
-	GroupStateKind  Kind = 5
-	TokenAskKind    Kind = 6
-	TokenGiveKind   Kind = 7
-	LeavingKind     Kind = 8
-	LeaseAskKind    Kind = 9
-	LeaseHoldKind   Kind = 10
-	CallKind        Kind = 11
-	AnswerKind      Kind = 12
-	PulseKind       Kind = 13
-	ReachAskKind    Kind = 14
-	ReachToldKind   Kind = 15
-	GrantAskKind    Kind = 16
-	GrantKind       Kind = 17
+	HelloKind        Kind = 1
+	HeadKind         Kind = 2
+	DocumentAskKind  Kind = 3
+	DocumentKind     Kind = 4
+	GroupStateKind   Kind = 5
+	TokenAskKind     Kind = 6
+	TokenGiveKind    Kind = 7
+	LeavingKind      Kind = 8
+	LeaseAskKind     Kind = 9
+	LeaseHoldKind    Kind = 10
+	CallKind         Kind = 11
+	AnswerKind       Kind = 12
+	PulseKind        Kind = 13
+	ReachAskKind     Kind = 14
+	ReachToldKind    Kind = 15
+	GrantAskKind     Kind = 16
+	GrantKind        Kind = 17
+	DirectoryAskKind Kind = 18
+	DirectoryKind    Kind = 19
 
-	kinds = 18
+	kinds = 20
 )
 
 // String returns the name of the message type, for metrics and errors.
@@ -35,6 +37,7 @@
 		"GroupState", "TokenAsk", "TokenGive", "Leaving",
 		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
 		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
+		"DirectoryAsk", "Directory",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -45,7 +48,7 @@
 // asks reports whether a message of this kind is answered by the recipient.
 func asks(k Kind) bool {
 	switch k {
-	case CallKind, GrantAskKind, DocumentAskKind, TokenAskKind, LeaseAskKind:
+	case CallKind, GrantAskKind, DocumentAskKind, DirectoryAskKind, TokenAskKind, LeaseAskKind:
 		return true
 	}
 	return false
@@ -88,6 +91,10 @@
 		return GrantAskKind
 	case Grant:
 		return GrantKind
+	case DirectoryAsk:
+		return DirectoryAskKind
+	case Directory:
+		return DirectoryKind
 	}
 	return 0
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -116,6 +117,16 @@
 	Length time.Duration
 }
 
+// DirectoryAsk asks for the directory, as the recipient has it in a later
+// revision than the sender.
+type DirectoryAsk struct{ Revision ident.Revision }
+
+// Directory carries the whole directory.
+type Directory struct {
+	Revision ident.Revision
+	Listings []sched.Listing
+}
+
 // Call asks the recipient to run a call at an endpoint of its group. Number
 // tells the sender's calls apart.
 type Call struct {
@@ -138,6 +149,8 @@
 type Pulse struct {
 	// Version is the configuration in force at the sender.
 	Version ident.Version
+	// Directory is the revision of the directory that the sender has.
+	Directory ident.Revision
 	// Serving is set once the sender can serve groups, Leaving while it stops.
 	Serving bool
 	Leaving bool
@@ -209,23 +222,25 @@
 // Leaving tells that the sender stops and takes no more asks.
 type Leaving struct{}
 
-func (Hello) message()       {}
-func (Head) message()        {}
-func (DocumentAsk) message() {}
-func (Document) message()    {}
-func (GroupState) message()  {}
-func (TokenAsk) message()    {}
-func (TokenGive) message()   {}
-func (LeaseAsk) message()    {}
-func (LeaseHold) message()   {}
-func (Leaving) message()     {}
-func (Call) message()        {}
-func (Answer) message()      {}
-func (Pulse) message()       {}
-func (ReachAsk) message()    {}
-func (ReachTold) message()   {}
-func (GrantAsk) message()    {}
-func (Grant) message()       {}
+func (Hello) message()        {}
+func (Head) message()         {}
+func (DocumentAsk) message()  {}
+func (DirectoryAsk) message() {}
+func (Directory) message()    {}
+func (Document) message()     {}
+func (GroupState) message()   {}
+func (TokenAsk) message()     {}
+func (TokenGive) message()    {}
+func (LeaseAsk) message()     {}
+func (LeaseHold) message()    {}
+func (Leaving) message()      {}
+func (Call) message()         {}
+func (Answer) message()       {}
+func (Pulse) message()        {}
+func (ReachAsk) message()     {}
+func (ReachTold) message()    {}
+func (GrantAsk) message()     {}
+func (Grant) message()        {}
 
 // Handler takes what arrives. It is called from one goroutine for each peer
 // and must not block.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
@@ -39,12 +38,6 @@
 	logCapacity = 512
 )
 
-// Listing is one entry of the directory.
-type Listing struct {
-	Group    ident.Group
-	Endpoint sched.Endpoint
-}
-
 // Decoder decodes the text of a configuration.
 type Decoder func(text []byte) (*engine.Catalog, error)
 
@@ -83,6 +76,8 @@
 	keepers   map[ident.Group]*keeper
 	unfit     map[ident.Group]bool
 	fresh     []roster.Member // that the others may not know
+	listings  []sched.Listing
+	revision  ident.Revision // of listings
 	entries   map[ident.Group][]sched.Endpoint
 	places    *roster.Places
 	text      []byte // of the configuration in force
@@ -209,40 +204,6 @@
 	}
 }
 
-// SetDirectory replaces the list of endpoints.
-func (n *Node) SetDirectory(all []Listing) {
-	entries := make(map[ident.Group][]sched.Endpoint)
-	for _, l := range all {
-		entries[l.Group] = append(entries[l.Group], l.Endpoint)
-	}
-	n.mu.Lock()
-	n.entries, n.loaded = entries, true
-	for g, all := range entries {
-		if dc, ok := primaryOf(all); ok {
-			n.places.See(clock.Now(), g, dc)
-		}
-	}
-	keepers := maps.Clone(n.keepers)
-	n.mu.Unlock()
-	for g, k := range keepers {
-		k.setEndpoints(entries[g])
-	}
-	n.assign()
-}
-
-// primaryOf returns the data centre of the only endpoint that leads and stays.
-func primaryOf(all []sched.Endpoint) (ident.DataCentre, bool) {
-	leads := 0
-	var dc ident.DataCentre
-	for _, e := range all {
-		if e.Leads && !e.Draining {
-			leads++
-			dc = e.DataCentre
-		}
-	}
-	return dc, leads == 1
-}
-
 // SetMembers replaces the list of instances that exist.
 func (n *Node) SetMembers(all []roster.Member) {
 	n.mu.Lock()
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -45,6 +45,10 @@
 	peer.Handle(r, func(_ ident.Instance, m peer.ReachTold, _ time.Time) { n.hearReach(m) })
 	peer.Handle(r, func(from ident.Instance, m peer.GrantAsk, _ time.Time) { n.gate.receiveAsk(from, m) })
 	peer.Handle(r, func(_ ident.Instance, m peer.Grant, _ time.Time) { n.gate.receiveGrant(m) })
+	peer.Handle(r, func(from ident.Instance, m peer.DirectoryAsk, _ time.Time) { n.giveDirectory(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.Directory, _ time.Time) {
+		n.SetDirectory(m.Revision, m.Listings, string(from))
+	})
 	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
 	return r
 }
@@ -69,6 +73,7 @@
 			k.hear(lead.News{From: from, Acked: g.Acked, Term: g.Term, Ordered: g.Ordered})
 		}
 	}
+	n.hearDirectory(from, m.Directory)
 	if m.Version > n.catalog.Load().Version {
 		n.mesh.Offer(from, peer.DocumentAsk{Version: m.Version})
 	}
--- a/internal/relay/pulse.go
+++ b/internal/relay/pulse.go
@@ -10,6 +10,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -82,7 +83,7 @@
 	s := roster.State{Version: n.catalog.Load().Version, Serving: n.serving, Leaving: n.leaving}
 	s.Unfit = slices.Sorted(maps.Keys(n.unfit))
 	n.roster.SetOwn(s)
-	return peer.Pulse{Version: s.Version, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
+	return peer.Pulse{Version: s.Version, Directory: n.revision, Serving: s.Serving, Leaving: s.Leaving, Unfit: s.Unfit}
 }
 
 func peerMember(m roster.Member) peer.Member {
@@ -121,5 +122,6 @@
 		return false
 	}
 	n.serving = true
+	trace.Event("Serving", "Took", now.Sub(began).String(), "Version", n.catalog.Load().Version, "Directory", n.revision, "Members", n.roster.Count())
 	return true
 }
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -31,6 +31,12 @@
 	Born int64
 }
 
+// Listing is one entry of the directory of all groups.
+type Listing struct {
+	Group    ident.Group
+	Endpoint Endpoint
+}
+
 // Message is an input of Group.Update.
 type Message interface{ message() }
 
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -30,6 +30,9 @@
 // Version numbers the accepted documents of an environment, from 1.
 type Version uint64
 
+// Revision rises with each change of the directory of endpoints.
+type Revision uint64
+
 // Change identifies one attempt to accept a document, so that its author can
 // recognise the write after a lost answer.
 type Change string
