Ask one instance for a newer configuration or directory, not all that tell of it

Change: an instance waits 300 ms for its own feed of the store, then asks one instance, and another one after a second. One that has nothing yet asks at once. Instances that follow the store closely tell of a new directory at once.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -28,6 +28,7 @@
 		n.mu.Unlock()
 		return
 	}
+	n.directoryFetch.got(revision)
 	before := n.revision
 	n.listings, n.revision, n.entries, n.loaded = all, revision, entries, true
 	for g, all := range entries {
@@ -42,6 +43,9 @@
 		k.setEndpoints(entries[g])
 	}
 	n.assign()
+	if n.Watches() {
+		n.pulse() // the others may not hear of it from the store
+	}
 }
 
 // Draining reports whether an endpoint is known to be leaving.
@@ -64,16 +68,6 @@
 	return dc, leads == 1
 }
 
-// hearDirectory asks for the directory if another instance has a newer one.
-func (n *Node) hearDirectory(from ident.Instance, theirs ident.Revision) {
-	n.mu.Lock()
-	own := n.revision
-	n.mu.Unlock()
-	if theirs > own {
-		n.mesh.Offer(from, peer.DirectoryAsk{Revision: own})
-	}
-}
-
 func (n *Node) giveDirectory(to ident.Instance, m peer.DirectoryAsk) {
 	n.mu.Lock()
 	d := peer.Directory{Revision: n.revision, Listings: n.listings}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -76,14 +76,17 @@
 	keepers   map[ident.Group]*keeper
 	unfit     map[ident.Group]bool
 	fresh     []roster.Member // that the others may not know
-	listings  []sched.Listing
-	revision  ident.Revision // of listings
-	entries   map[ident.Group][]sched.Endpoint
-	places    *roster.Places
-	text      []byte // of the configuration in force
-	loaded    bool   // a directory was seen
-	serving   bool
-	leaving   bool
+	// configFetch and directoryFetch decide when to ask others for them.
+	configFetch    fetch[ident.Version]
+	directoryFetch fetch[ident.Revision]
+	listings       []sched.Listing
+	revision       ident.Revision // of listings
+	entries        map[ident.Group][]sched.Endpoint
+	places         *roster.Places
+	text           []byte // of the configuration in force
+	loaded         bool   // a directory was seen
+	serving        bool
+	leaving        bool
 }
 
 // NewNode returns a node that has not started.
@@ -182,6 +185,7 @@
 		return
 	}
 	n.catalog.Store(c)
+	n.configFetch.got(c.Version)
 	n.text = text
 	n.adopt(c)
 	n.mu.Unlock()
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
@@ -56,6 +57,8 @@
 // hear takes what another instance says of itself.
 func (n *Node) hear(from ident.Instance, m peer.Pulse) {
 	n.mu.Lock()
+	n.configFetch.hear(clock.Now(), from, m.Version)
+	n.directoryFetch.hear(clock.Now(), from, m.Directory)
 	changed := n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
 	fresh := false
 	for _, o := range m.Members {
@@ -73,10 +76,7 @@
 			k.hear(lead.News{From: from, Acked: g.Acked, Term: g.Term, Ordered: g.Ordered})
 		}
 	}
-	n.hearDirectory(from, m.Directory)
-	if m.Version > n.catalog.Load().Version {
-		n.mesh.Offer(from, peer.DocumentAsk{Version: m.Version})
-	}
+	n.fetch(clock.Now())
 }
 
 // learn takes a member, and notes it for the others if it is new. The caller
@@ -89,6 +89,22 @@
 	return true
 }
 
+// fetch asks other instances for a newer configuration or directory, if it is
+// time to.
+func (n *Node) fetch(now time.Time) {
+	n.mu.Lock()
+	version, revision := n.configFetch.newest, n.revision
+	config, askConfig := n.configFetch.due(now)
+	directory, askDirectory := n.directoryFetch.due(now)
+	n.mu.Unlock()
+	if askConfig {
+		n.mesh.Offer(config, peer.DocumentAsk{Version: version})
+	}
+	if askDirectory {
+		n.mesh.Offer(directory, peer.DirectoryAsk{Revision: revision})
+	}
+}
+
 func (n *Node) giveConfig(to ident.Instance) {
 	n.mu.Lock()
 	m := peer.Document{Version: n.catalog.Load().Version, Text: n.text}
--- a/internal/relay/pulse.go
+++ b/internal/relay/pulse.go
@@ -18,7 +18,8 @@
 	// pulseInterval is how often an instance tells the others of itself when
 	// nothing changes.
 	pulseInterval = time.Second
-	// pulseCheck is how often it looks whether it can begin to serve.
+	// pulseCheck is how often it looks whether it can begin to serve, or has to
+	// ask for what another instance has.
 	pulseCheck = 50 * time.Millisecond
 	// servingDelay is how long an instance waits for its links after its start
 	// before it offers to serve groups.
@@ -101,6 +102,7 @@
 	var told time.Time
 	for ctx.Err() == nil {
 		now := clock.Now()
+		n.fetch(now)
 		if n.beginServing(now, began) || now.Sub(told) >= pulseInterval {
 			n.pulse()
 			told = now
