--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DURATION ?= 60s
 PROFILE ?= demo
 
-.PHONY: build demo test check lint format soak experiment bench generate fuzz
+.PHONY: build demo test check lint format soak lines experiment bench generate fuzz
 
 build: ## Build both binaries into bin/.
 	$(GO) build -o bin/ ./cmd/...
@@ -30,6 +30,9 @@
 soak: build ## Random faults: make soak SEED=7 DURATION=10m
 	./scripts/soak.sh $(SEED) $(DURATION) $(PROFILE)
 
+lines: build ## Instances on the stand-in of the users' platform: make lines DURATION=20s
+	./scripts/lines.sh $(DURATION)
+
 experiment: build ## Measure the policies against the naive versions.
 	./bin/stand experiment --seed $(SEED)
 
--- /dev/null
+++ b/cmd/stand/lines.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/lines"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+)
+
+const (
+	// readyPause is the pause between two looks whether instances are ready.
+	readyPause = 200 * time.Millisecond
+	// readyTime is how long instances may take to be started and ready.
+	readyTime = time.Minute
+)
+
+func linesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "lines",
+		Usage: "stand in for the users' platform, drive instances on it and check what they promise",
+		Description: "Writes a settings file n1.json, n2.json ... for each instance, waits until the instances are ready " +
+			"(marjoramrudder platform --config FILE), runs the load and reports.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "dir", Required: true, Usage: "directory for the settings files"},
+			&cli.IntFlag{Name: "instances", Value: 3, Usage: "instances that are started"},
+			&cli.IntFlag{Name: "groups", Value: 2, Usage: "database groups"},
+			&cli.IntFlag{Name: "servers", Value: 3, Usage: "servers of each group"},
+			&cli.IntFlag{Name: "slots", Value: 2, Usage: "statements that run at once at a server"},
+			&cli.IntFlag{Name: "connections", Value: 16, Usage: "connections that a server accepts"},
+			&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond, Usage: "time of a statement"},
+			&cli.DurationFlag{Name: "lag", Value: 20 * time.Millisecond, Usage: "time until a replica shows a commit"},
+			&cli.DurationFlag{Name: "promote-time", Value: 600 * time.Millisecond, Usage: "time of a promotion"},
+			&cli.IntFlag{Name: "accounts", Value: 4, Usage: "client accounts"},
+			&cli.FloatFlag{Name: "rate", Value: 100, Usage: "operations a second of each account"},
+			&cli.IntFlag{Name: "sessions", Value: 8, Usage: "callers of each account"},
+			&cli.DurationFlag{Name: "pause", Value: 100 * time.Millisecond, Usage: "mean pause of a caller"},
+			&cli.FloatFlag{Name: "writes", Value: 0.2, Usage: "part of the statements that write"},
+			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "of the load"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the load"},
+			&cli.StringSliceFlag{Name: "fault", Usage: "AT:KIND[:SERVER], as in 5s:crash:g1-a or 3s:storedown; AT counts from the start"},
+			&cli.IntFlag{Name: "port", Value: 17401, Usage: "first port of the instances"},
+		},
+		Action: runLines,
+	}
+}
+
+func runLines(ctx context.Context, c *cli.Command) error {
+	var faults []lines.Fault
+	for _, text := range c.StringSlice("fault") {
+		f, err := lines.ParseFault(text)
+		if err != nil {
+			return err
+		}
+		faults = append(faults, f)
+	}
+	w, err := lines.Open(ctx, lines.WorldConfig{
+		Groups: c.Int("groups"), Instances: c.Int("instances"), Accounts: c.Int("accounts"), Rate: c.Float("rate"),
+		Dir: c.String("dir"), BasePort: c.Int("port"), Faults: faults,
+		Group: emul.GroupConfig{
+			Servers: c.Int("servers"), Slots: c.Int("slots"), MaxConns: c.Int("connections"), Sync: 1,
+			Work: c.Duration("work"), Lag: c.Duration("lag"), PromoteTime: c.Duration("promote-time"),
+		},
+	})
+	if err != nil {
+		return errors.Wrap(err, "open the platform")
+	}
+	report, err := drive(ctx, c, w)
+	if err != nil {
+		return errors.CombineErrors(err, w.Close())
+	}
+	fmt.Print(report)
+	fmt.Printf("commits that a later primary lacked: %d\n", w.Lost())
+	if report.Broken()+w.Lost() > 0 {
+		err = errBroken
+	}
+	return errors.CombineErrors(err, w.Close())
+}
+
+// drive waits for the instances and runs the load.
+func drive(ctx context.Context, c *cli.Command, w *lines.World) (*lines.Report, error) {
+	var fronts []string
+	for i := range c.Int("instances") {
+		fmt.Printf("waiting for: marjoramrudder platform --config %s/n%d.json\n", c.String("dir"), i+1)
+		if err := awaitReady(ctx, w.ReadyURL(i)); err != nil {
+			return nil, err
+		}
+		fronts = append(fronts, w.Front(i))
+	}
+	routes := w.Routes()
+	return lines.Load(ctx, lines.LoadConfig{
+		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: routes, Keys: w.Keys(),
+		Sessions: c.Int("sessions"), Pause: c.Duration("pause"), Writes: c.Float("writes"), Timeout: 2 * time.Second,
+		Length: c.Duration("duration"), Seed: c.Uint64("seed"),
+	})
+}
+
+func awaitReady(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return errors.Wrap(err, "build request")
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if !tasks.Pause(ctx, readyPause) {
+			return errors.Newf("no instance is ready at %s", url)
+		}
+	}
+}
--- a/cmd/stand/main.go
+++ b/cmd/stand/main.go
@@ -34,6 +34,7 @@
 			experimentCommand(),
 			slopeCommand(),
 			soakCommand(),
+			linesCommand(),
 		},
 	}
 }
--- a/internal/stand/emul/group.go
+++ b/internal/stand/emul/group.go
@@ -61,6 +61,9 @@
 	return g
 }
 
+// Name returns the group's name.
+func (g *Group) Name() ident.Group { return g.config.Name }
+
 // Server returns a server by its place, from 0.
 func (g *Group) Server(i int) *Server { return g.servers[g.order[i]] }
 
