Find other instances through the seeds; an instance that has met none is not alone

Cause: all instances lost power while the store refused their own tables.

Change: an instance without a link connects to the seeds of its settings, whichever name is greater, and hears of the rest from them; new members are told within 100 ms; one that has met nobody holds no group for 4 s and grants 1 % of a rate; a member in touch is not forgotten because the store does not list it.

--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(m.group.Context(), m.options.handshakeTimeout)
 	defer cancel()
 	hello, err := greetDialer(ctx, c, m.hello(), m.secret)
-	if err == nil && hello.Instance >= m.self.Instance {
+	if err == nil && hello.Instance >= m.self.Instance && !hello.Introduces {
 		err = errors.Wrapf(ErrRefused, "%q is not the one to dial", hello.Instance)
 	}
 	if err != nil {
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -42,6 +42,10 @@
 	o := &d.mesh.options
 	pause := o.backoffMin
 	for ctx.Err() == nil {
+		if d.mesh.linked(d.peer) {
+			tasks.Pause(ctx, o.backoffMax)
+			continue
+		}
 		carried, err := d.once(ctx)
 		if carried {
 			pause = o.backoffMin
@@ -55,7 +59,7 @@
 // once connects and carries the link until it ends. The link outlives ctx long
 // enough to send what is queued.
 func (d *dialer) once(ctx context.Context) (carried bool, err error) {
-	c, hello, err := d.connect(ctx)
+	c, hello, err := d.mesh.connect(ctx, d.address, d.peer)
 	if err != nil {
 		return false, err
 	}
@@ -65,24 +69,27 @@
 	return true, d.mesh.carry(l)
 }
 
-func (d *dialer) connect(ctx context.Context) (*websocket.Conn, Hello, error) {
-	m := d.mesh
+// connect opens a connection to the instance at an address, which has to be
+// peer unless that is empty.
+func (m *Mesh) connect(ctx context.Context, address string, peer ident.Instance) (*websocket.Conn, Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.options.handshakeTimeout)
 	defer cancel()
 	scheme := "ws://"
 	if m.options.clientTLS != nil {
 		scheme = "wss://"
 	}
-	c, _, err := websocket.Dial(ctx, scheme+d.address+path, &websocket.DialOptions{HTTPClient: m.client}) //nolint:bodyclose // closed by the library
+	c, _, err := websocket.Dial(ctx, scheme+address+path, &websocket.DialOptions{HTTPClient: m.client}) //nolint:bodyclose // closed by the library
 	if err != nil {
-		return nil, Hello{}, errors.Wrapf(err, "dial %s", d.peer)
+		return nil, Hello{}, errors.Wrapf(err, "dial %s", address)
 	}
 	c.SetReadLimit(maxHandshake)
-	hello, err := greetListener(ctx, c, m.hello(), d.peer, m.secret)
+	own := m.hello()
+	own.Introduces = peer == ""
+	hello, err := greetListener(ctx, c, own, peer, m.secret)
 	if err != nil {
 		_ = c.CloseNow()
-		m.refuse(d.peer, err)
-		return nil, Hello{}, errors.Wrapf(err, "greet %s", d.peer)
+		m.refuse(peer, err)
+		return nil, Hello{}, errors.Wrapf(err, "greet %s", address)
 	}
 	return c, hello, nil
 }
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -77,7 +77,7 @@
 }
 
 // greetListener runs the dialer's side of the handshake and returns what the
-// listener said about itself.
+// listener said about itself. An empty peer is any instance.
 func greetListener(ctx context.Context, c *websocket.Conn, self Hello, peer ident.Instance, secret []byte) (Hello, error) {
 	own := greeting{Hello: self, Nonce: newNonce()}
 	if err := writeFrame(ctx, c, own); err != nil {
@@ -94,7 +94,7 @@
 	if err := checkHello(self, r.Greeting); err != nil {
 		return Hello{}, err
 	}
-	if r.Greeting.Hello.Instance != peer {
+	if peer != "" && r.Greeting.Hello.Instance != peer {
 		return Hello{}, errors.Wrapf(ErrRefused, "reached %q in place of %q", r.Greeting.Hello.Instance, peer)
 	}
 	t.Role = dialerRole
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -23,6 +23,9 @@
 	Protocol    int // highest protocol version the sender speaks
 	Start       uint64
 	Stamp       event.Stamp
+	// Introduces is set when the dialer knows no instance yet, and may therefore
+	// be the one with the greater name.
+	Introduces bool
 }
 
 // Head tells the sender's document version and how old its evidence is that
--- a/internal/relay/homes.go
+++ b/internal/relay/homes.go
@@ -17,14 +17,19 @@
 	near    map[ident.Group]ident.DataCentre
 	homes   map[ident.Group]ident.Instance
 	keepers map[ident.Group]*keeper
+	met     bool
 }
 
+// lonelyShare is the part of an account's rate that an instance grants which has
+// heard of no other one: some hundred may do the same.
+const lonelyShare = 0.01
+
 // publish lets requests see the node's present state. The caller holds the
 // mutex.
 func (n *Node) publish() {
 	v := &view{
 		roster: n.roster.Clone(), near: make(map[ident.Group]ident.DataCentre),
-		homes: make(map[ident.Group]ident.Instance), keepers: maps.Clone(n.keepers),
+		homes: make(map[ident.Group]ident.Instance), keepers: maps.Clone(n.keepers), met: n.met,
 	}
 	now := clock.Now()
 	for g := range n.keepers {
@@ -43,6 +48,17 @@
 	return v.roster.Home(g, v.near[g], avoid...)
 }
 
+// IsHome reports whether this instance holds the group's connections.
+func (n *Node) IsHome(g ident.Group) bool {
+	k := n.keeper(g)
+	if k == nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.isHome
+}
+
 // Local implements Homes.
 func (n *Node) Local(g ident.Group) *Home {
 	if k := n.keeper(g); k != nil {
@@ -57,8 +73,12 @@
 
 // keeperOf implements keepers.
 func (n *Node) keeperOf(a ident.Account) (ident.Instance, int, float64) {
-	r := n.view.Load().roster
-	return r.Keeper(a), r.Count(), r.Share()
+	v := n.view.Load()
+	share := v.roster.Share()
+	if !v.met {
+		share = lonelyShare
+	}
+	return v.roster.Keeper(a), v.roster.Count(), share
 }
 
 // quotaOf returns an account's quota in the catalog in force.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -43,7 +43,10 @@
 
 // NodeConfig is what a Node needs to know.
 type NodeConfig struct {
-	Self        roster.Member
+	Self roster.Member
+	// Seeds are addresses of instances that may exist, for an instance that
+	// knows no other.
+	Seeds       []string
 	Environment ident.Environment
 	Secret      string
 	Listener    net.Listener
@@ -76,6 +79,7 @@
 	keepers   map[ident.Group]*keeper
 	unfit     map[ident.Group]bool
 	fresh     []roster.Member // that the others may not know
+	met       bool            // the others that exist were heard of
 	// configFetch and directoryFetch decide when to ask others for them.
 	configFetch    fetch[ident.Version]
 	directoryFetch fetch[ident.Revision]
@@ -124,6 +128,7 @@
 // Start begins to talk to other instances.
 func (n *Node) Start() {
 	n.mesh.Start()
+	n.mesh.Introduce(n.config.Seeds)
 	n.tasks.Go(n.pulses)
 }
 
@@ -211,13 +216,14 @@
 // SetMembers replaces the list of instances that exist.
 func (n *Node) SetMembers(all []roster.Member) {
 	n.mu.Lock()
+	n.met = true
 	seen := make(map[ident.Instance]bool)
 	for _, m := range all {
 		seen[m.Instance] = true
 		n.learn(m)
 	}
 	for _, m := range n.roster.Members() {
-		if !seen[m.Instance] {
+		if !seen[m.Instance] && !n.roster.Up(m.Instance) {
 			n.roster.Forget(m.Instance)
 		}
 	}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -57,6 +57,7 @@
 // hear takes what another instance says of itself.
 func (n *Node) hear(from ident.Instance, m peer.Pulse) {
 	n.mu.Lock()
+	n.met = true
 	n.configFetch.hear(clock.Now(), from, m.Version)
 	n.directoryFetch.hear(clock.Now(), from, m.Directory)
 	changed := n.roster.Hear(from, roster.State{Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, Unfit: m.Unfit})
--- a/internal/relay/pulse.go
+++ b/internal/relay/pulse.go
@@ -24,6 +24,11 @@
 	// servingDelay is how long an instance waits for its links after its start
 	// before it offers to serve groups.
 	servingDelay = 800 * time.Millisecond
+	// lonelyDelay is the same for one that has heard of no other instance, neither
+	// from the store nor from a seed: most likely there are others.
+	lonelyDelay = 4 * time.Second
+	// freshInterval is how often it tells the others of new instances.
+	freshInterval = 100 * time.Millisecond
 )
 
 // first returns the pulse that begins a link: all that this instance knows.
@@ -103,7 +108,8 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		n.fetch(now)
-		if n.beginServing(now, began) || now.Sub(told) >= pulseInterval {
+		since := now.Sub(told)
+		if n.beginServing(now, began) || since >= pulseInterval || since >= freshInterval && n.hasFresh() {
 			n.pulse()
 			told = now
 		}
@@ -112,6 +118,12 @@
 	return nil
 }
 
+func (n *Node) hasFresh() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.fresh) > 0
+}
+
 // beginServing offers to serve groups once most other instances are in touch,
 // or did not come in time. It reports whether that is new.
 func (n *Node) beginServing(now, began time.Time) bool {
@@ -120,7 +132,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.serving || !n.roster.Gathered() && now.Sub(began) < servingDelay {
+	delay := servingDelay
+	if !n.met {
+		delay = lonelyDelay
+	}
+	if n.serving || !n.roster.Gathered() && now.Sub(began) < delay {
 		return false
 	}
 	n.serving = true
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -112,6 +112,9 @@
 	r.ended[n] = !silent
 }
 
+// Up reports whether n is in touch.
+func (r *Roster) Up(n ident.Instance) bool { return r.up[n] }
+
 // Hear takes what n says of itself. It reports whether that is new.
 func (r *Roster) Hear(n ident.Instance, s State) bool {
 	old, known := r.states[n]
--- a/internal/stand/emul/rows.go
+++ b/internal/stand/emul/rows.go
@@ -39,8 +39,9 @@
 	version  uint64
 	oldest   uint64 // history before it is gone
 	changed  chan struct{}
-	status   int // answered in place of everything, zero for none
-	lose     int // transactions that are done and not answered
+	status   int    // answered in place of everything, zero for none
+	hidden   string // a table of which every call is refused
+	lose     int    // transactions that are done and not answered
 	groups   map[ident.Group]*Group
 	epochs   map[ident.Group]uint64
 	calls    int
@@ -87,6 +88,14 @@
 	s.wake()
 }
 
+// Hide makes every call about a table end with 503, until an empty name is
+// given.
+func (s *Store) Hide(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hidden = table
+}
+
 // LoseAnswers makes the next n transactions take effect without an answer.
 func (s *Store) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -120,6 +129,9 @@
 	s.mu.Lock()
 	s.calls++
 	status := s.status
+	if s.hidden != "" && r.URL.Query().Get("table") == s.hidden {
+		status = http.StatusServiceUnavailable
+	}
 	s.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
@@ -222,6 +234,10 @@
 	defer s.mu.Unlock()
 	a := answer{Rows: []Row{}}
 	conflict := false
+	if slices.ContainsFunc(t.Writes, func(r Row) bool { return r.Table == s.hidden }) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	for _, e := range t.Expected {
 		id := rowID{e.Table, e.Part, e.Key}
 		current := s.rows[id]
