--- a/internal/peer/intro.go
+++ b/internal/peer/intro.go
@@ -11,6 +11,10 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
+// introduceDelay is how long the list of members may take to arrive: two links
+// to the same instance, one from either side, would cost more time.
+const introduceDelay = 300 * time.Millisecond
+
 // Introduce connects to instances whose names are not known, at any of the
 // addresses, for as long as this instance has no other link: from them it hears
 // of the rest. Unlike the links of SetMembers they are opened whichever name is
@@ -25,6 +29,7 @@
 }
 
 func (m *Mesh) introduce(ctx context.Context, address string) {
+	tasks.Pause(ctx, introduceDelay)
 	pause := m.options.backoffMin
 	for ctx.Err() == nil {
 		if len(*m.links.Load()) == 0 {
