--- a/internal/relay/homes.go
+++ b/internal/relay/homes.go
@@ -104,7 +104,7 @@
 	v := n.view.Load()
 	homes := make(map[*keeper]bool, len(n.keepers))
 	for g, k := range n.keepers {
-		homes[k] = n.serving && v.homes[g] == n.config.Self.Instance
+		homes[k] = n.serving && !n.leaving && v.homes[g] == n.config.Self.Instance
 	}
 	return homes
 }
