--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -194,7 +194,10 @@
 	n.text = text
 	n.adopt(c)
 	n.mu.Unlock()
-	trace.Event("ConfigInForce", "Version", c.Version, "Before", old.Version, "Source", source, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
+	d := c.Since(old)
+	trace.Event("ConfigInForce", "Version", c.Version, "Before", old.Version, "Source", source, "Routes", len(c.Routes), "Accounts", len(c.Accounts),
+		"RoutesAdded", d.RoutesAdded, "RoutesRemoved", d.RoutesRemoved, "RoutesChanged", d.RoutesChanged,
+		"KeysAdded", d.KeysAdded, "KeysWithdrawn", d.KeysWithdrawn, "QuotasChanged", d.QuotasChanged)
 	n.pulse()
 }
 
