--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/marjoramrudder/marjoramrudder/internal/assert"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -54,21 +53,6 @@
 	k.emit(Claim{})
 }
 
-// bar refuses writes to the present primary while a promotion that was ordered
-// may yet drop them.
-func (k *Keeper) bar(now time.Time) {
-	contested := k.rivalled(now) || k.owes(now)
-	if k.state == Steady && k.noWrites && !contested {
-		k.noWrites = false
-		k.emit(Announce{Endpoint: k.leader, Usable: true})
-	}
-	if (k.state == Steady || k.state == Doubting) && !k.noWrites && contested {
-		k.noWrites = true
-		k.emit(Note{State: k.state, Endpoint: k.leader, Term: k.term, Why: "its replacement was ordered, writes are refused"})
-		k.emit(Announce{Endpoint: k.leader, Usable: true, NoWrites: true, Back: now.Add(promoteTime)})
-	}
-}
-
 func (k *Keeper) fitness(now time.Time) {
 	if !k.unfit.IsZero() && now.Sub(k.unfit) > unfitTime {
 		k.unfit = time.Time{}
@@ -294,33 +278,6 @@
 	return 1
 }
 
-// promote names the target and waits until it leads.
-func (k *Keeper) promote(now time.Time) {
-	if now.Sub(k.since) > promoteLimit {
-		k.enter(now, Sealing, "the promotion took too long")
-		return
-	}
-	if k.pending != "" && k.pending != k.target {
-		k.epoch, k.claimed = 0, now
-		k.emit(Claim{})
-	}
-	if k.sent.IsZero() && k.epoch != 0 && !k.sealed(now) {
-		k.enter(now, Sealing, "the seals are too old")
-		return
-	}
-	if k.sent.IsZero() && k.epoch != 0 {
-		assert.That(k.target != "", "lead promotion has a target", "state %s", k.state)
-		k.sent, k.ordered, k.answered = now, now, false
-		k.pending = k.target
-		k.emit(Promote{Endpoint: k.target, Epoch: k.epoch})
-		k.emit(Spread{})
-	}
-	if s := k.servers[k.target]; s != nil && now.Sub(s.asked) >= probeInterval/3 {
-		s.asked = now
-		k.emit(Probe{Endpoint: k.target})
-	}
-}
-
 // successor returns the replica that a leaving primary hands over to.
 func (k *Keeper) successor() *server {
 	var best *server
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -56,46 +56,6 @@
 	goneTime = 20 * time.Second
 )
 
-// State is what a Keeper believes of the primary.
-type State uint8
-
-const (
-	// Searching means that no primary is known.
-	Searching State = iota + 1
-	// Steady means that the primary is known and answers.
-	Steady
-	// Doubting means that the primary has not answered lately.
-	Doubting
-	// Sealing means that the replicas are being sealed.
-	Sealing
-	// Promoting means that a replica was named the next primary.
-	Promoting
-	// Switching means that a leaving primary is being replaced while it serves.
-	Switching
-)
-
-// String returns the state for logs.
-func (s State) String() string {
-	names := [...]string{"None", "Searching", "Steady", "Doubting", "Sealing", "Promoting", "Switching"}
-	if int(s) < len(names) {
-		return names[s]
-	}
-	return "Invalid"
-}
-
-// server is what is known of one endpoint.
-type server struct {
-	Endpoint
-	gone   time.Time // when it left the directory, zero while listed
-	asked  time.Time
-	report Report // the latest that did not fail
-	heard  time.Time
-	failed time.Time // of the latest question without an answer
-	sealed ident.Term
-	// sealedAt is when the latest seal that it confirmed was sent.
-	sealedAt time.Time
-}
-
 // Keeper is the model of one group's primary. Update is its only way to change.
 type Keeper struct {
 	state   State
@@ -276,51 +236,6 @@
 	}
 }
 
-// news takes what another instance knows.
-func (k *Keeper) news(now time.Time, m News) {
-	k.learnAcked(m.Acked)
-	k.learnTerm(m.Term)
-	switch {
-	case m.Ordered && m.Term == k.newest:
-		k.rival, k.rivalEnd = m.From, now.Add(newsTime)
-	case m.From == k.rival:
-		k.rival = ""
-	}
-}
-
-// rivalled reports whether a promotion that another instance ordered may still
-// be carried out. It takes away the seals that one ordered here would rest on,
-// and drops what the present primary acknowledges meanwhile.
-func (k *Keeper) rivalled(now time.Time) bool {
-	return k.rival != "" && now.Before(k.rivalEnd)
-}
-
-// owes reports whether a promotion that was ordered here may still be carried
-// out. The instance then goes on until it has an answer, also when another one
-// serves the group by now: the other knows nothing of the order, and the seals
-// that it rests on may end.
-func (k *Keeper) owes(now time.Time) bool {
-	return !k.answered && k.ordering(now)
-}
-
-// ordering reports whether a promotion that was ordered here may still change
-// the primary.
-func (k *Keeper) ordering(now time.Time) bool {
-	limit := lateTime
-	if k.answered {
-		limit = promoteLimit
-	}
-	return !k.ordered.IsZero() && now.Sub(k.ordered) < limit
-}
-
-// settle notes that no promotion ordered here is open any more.
-func (k *Keeper) settle() {
-	if !k.ordered.IsZero() {
-		k.ordered, k.answered = time.Time{}, false
-		k.emit(Spread{})
-	}
-}
-
 // retire leaves the group to another instance.
 func (k *Keeper) retire(now time.Time) {
 	k.epoch, k.claimed = 0, time.Time{}
@@ -340,11 +255,6 @@
 	k.learnTerm(m.Term)
 }
 
-// News returns what the other instances need to know.
-func (k *Keeper) News(now time.Time) News {
-	return News{Acked: k.acked, Term: k.newest, Ordered: k.ordering(now)}
-}
-
 func (k *Keeper) learnTerm(t ident.Term) {
 	if t <= k.newest {
 		return
@@ -474,29 +384,3 @@
 	}
 	k.alone = true
 }
-
-func (k *Keeper) promoted(now time.Time, m Promoted) {
-	switch m.Result {
-	case Accepted:
-		k.answered = true
-		if !k.unsure {
-			k.pending = ""
-		}
-	case NoAnswer:
-		k.unsure = true
-	case Refused:
-		k.settle()
-	}
-	if m.Endpoint != k.target || k.state != Promoting && k.state != Switching {
-		return
-	}
-	switch m.Result {
-	case Refused:
-		k.epoch, k.claimed = 0, time.Time{}
-		k.refused = m.Endpoint
-		k.sent = time.Time{}
-		k.enter(now, Sealing, "the promotion was refused")
-	case NoAnswer:
-		k.sent = time.Time{} // the same call is repeated
-	}
-}
