Let no older directory overtake a newer one

Cause, found by reading: the store's feed and a peer set the directory at the same time; each decided under the mutex which is newer, and told the groups after it, so that the older one could be told last and stay until the next change.

Change: one directory follows the other.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -19,6 +19,8 @@
 // SetDirectory replaces the list of endpoints if it is newer. Source says where
 // it came from, for the log.
 func (n *Node) SetDirectory(revision ident.Revision, all []sched.Listing, source string) {
+	n.directing.Lock()
+	defer n.directing.Unlock()
 	entries := make(map[ident.Group][]sched.Endpoint)
 	for _, l := range all {
 		entries[l.Group] = append(entries[l.Group], l.Endpoint)
--- a/internal/relay/keeper.go
+++ b/internal/relay/keeper.go
@@ -197,10 +197,10 @@
 
 // hear takes another instance's news.
 func (k *keeper) hear(m lead.News) {
+	known := m
 	k.mu.Lock()
-	ordered := k.shared.Ordered
-	k.share(m)
-	k.shared.Ordered = ordered
+	known.Ordered = k.shared.Ordered // whether this instance ordered, not the other
+	k.share(known)
 	k.mu.Unlock()
 	k.tell(m)
 }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -73,6 +73,9 @@
 	gate    *gate
 	mesh    *peer.Mesh
 
+	// directing and assigning let one directory, or assignment of groups, follow
+	// the other, so that none is overtaken by an older one.
+	directing sync.Mutex
 	assigning sync.Mutex
 	mu        sync.Mutex
 	roster    *roster.Roster
--- a/internal/relay/pulse_test.go
+++ b/internal/relay/pulse_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -75,3 +77,32 @@
 	g.Expect(n.further().Groups).To(HaveLen(1))
 	g.Expect(n.further().Groups).To(HaveLen(1))
 }
+
+// Directories come from the store and from peers at the same time. Whatever the
+// order, the newest one is what the groups work with.
+func TestTheNewestDirectoryStays(t *testing.T) {
+	g := NewWithT(t)
+	n := quietNode(t)
+	k := newKeeper(t.Context(), "orders", n)
+	defer func() { _ = k.Close() }()
+	n.mu.Lock()
+	n.keepers["orders"] = k
+	n.mu.Unlock()
+	directory := func(r int) []sched.Listing {
+		return []sched.Listing{{Group: "orders", Endpoint: sched.Endpoint{ID: "a", Address: fmt.Sprint(r)}}}
+	}
+	const newest = 200
+	group := tasks.New(t.Context())
+	for half := range 2 {
+		group.Go(func(context.Context) error {
+			for r := half; r <= newest; r += 2 - half {
+				n.SetDirectory(ident.Revision(r), directory(r), "test")
+			}
+			return nil
+		})
+	}
+	g.Expect(group.Wait()).To(Succeed())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g.Expect(k.endpoints["a"].Address).To(Equal(fmt.Sprint(newest)))
+}
