--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -467,3 +467,12 @@
 	s.late = true
 	s.run()
 }
+
+// TestSwitchUnderAnothersOrder plays an instance that replaces a leaving primary
+// at leisure, and goes on writing to it, while another one's order is open.
+func TestSwitchUnderAnothersOrder(t *testing.T) {
+	assert.Fatal()
+	s := newSim(t, 1009)
+	s.late = true
+	s.run()
+}
