Ask and seal endpoints in one place each; drop two methods that nothing calls

The check whether an endpoint was asked lately stood six times in the keeper of a primary, that of a seal twice. The comment on the quorum still spoke of the rule before replicas that left counted.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -63,17 +63,29 @@
 // probeAll asks every endpoint that was not asked lately.
 func (k *Keeper) probeAll(now time.Time) {
 	for _, s := range k.all() {
-		k.probe(now, s)
+		k.probe(now, s, probeInterval)
 	}
 }
 
-// probe asks one endpoint, unless it was asked lately.
-func (k *Keeper) probe(now time.Time, s *server) {
-	if now.Sub(s.asked) < probeInterval {
-		return
+// probe asks an endpoint that may be known, unless it was asked lately.
+func (k *Keeper) probe(now time.Time, s *server, every time.Duration) {
+	if s != nil && now.Sub(s.asked) >= every {
+		s.asked = now
+		k.emit(Probe{Endpoint: s.ID})
+	}
+}
+
+// confirmed reports whether a replica has just confirmed a seal at the term, and
+// seals it otherwise, unless it was asked lately.
+func (k *Keeper) confirmed(now time.Time, s *server, term ident.Term) bool {
+	if s.confirms(now, term) {
+		return true
+	}
+	if now.Sub(s.asked) >= probeInterval {
+		s.asked = now
+		k.emit(Seal{Endpoint: s.ID, Term: term})
 	}
-	s.asked = now
-	k.emit(Probe{Endpoint: s.ID})
+	return false
 }
 
 // replaceMissing promotes a replica when no endpoint says that it leads.
@@ -107,9 +119,8 @@
 	case s.Draining && k.successor() != nil && k.epoch != 0:
 		k.target, k.sent, k.allAt = "", time.Time{}, time.Time{}
 		k.enter(now, Switching, "it is leaving")
-	case now.Sub(k.proved) > quietTime && now.Sub(s.asked) >= probeInterval:
-		s.asked = now
-		k.emit(Probe{Endpoint: k.leader})
+	case now.Sub(k.proved) > quietTime:
+		k.probe(now, s, probeInterval)
 	}
 }
 
@@ -161,17 +172,12 @@
 	heard := 0
 	for id, s := range k.all() {
 		if id == k.leader {
-			k.probe(now, s)
+			k.probe(now, s, probeInterval)
 			continue
 		}
-		fresh := s.confirms(now, term)
-		if fresh {
+		if k.confirmed(now, s, term) {
 			heard++
 		}
-		if !fresh && now.Sub(s.asked) >= probeInterval {
-			s.asked = now
-			k.emit(Seal{Endpoint: id, Term: term})
-		}
 	}
 	if k.rivalled(now) {
 		return
@@ -213,7 +219,8 @@
 }
 
 // quorum is how many sealed replicas hold every acknowledged commit between
-// them. Replicas that vanished without draining count.
+// them. Replicas that have left the directory count until others take their
+// place, or for goneTime.
 func (k *Keeper) quorum() int {
 	replicas := 0
 	for id := range k.all() {
@@ -317,15 +324,9 @@
 	if k.allAt.IsZero() {
 		k.allAt = now
 	}
-	if now.Sub(target.asked) >= probeInterval/3 {
-		target.asked = now
-		k.emit(Probe{Endpoint: k.target})
-	}
+	k.probe(now, target, urgentInterval)
 	leader := k.servers[k.leader]
-	if leader != nil && now.Sub(leader.asked) >= probeInterval/3 {
-		leader.asked = now
-		k.emit(Probe{Endpoint: k.leader})
-	}
+	k.probe(now, leader, urgentInterval)
 	if leader == nil || !k.caughtUp(leader, target) || k.epoch == 0 || k.rivalled(now) {
 		return
 	}
@@ -339,13 +340,8 @@
 func (k *Keeper) othersSealed(now time.Time) bool {
 	term, all := k.sealTerm(), true
 	for id, s := range k.all() {
-		if id == k.leader || id == k.target || s.confirms(now, term) {
-			continue
-		}
-		all = false
-		if now.Sub(s.asked) >= probeInterval {
-			s.asked = now
-			k.emit(Seal{Endpoint: id, Term: term})
+		if id != k.leader && id != k.target && !k.confirmed(now, s, term) {
+			all = false
 		}
 	}
 	return all
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -12,6 +12,8 @@
 const (
 	// probeInterval is the time between two questions to the same endpoint.
 	probeInterval = 150 * time.Millisecond
+	// urgentInterval is the same where a change of primary waits for the answer.
+	urgentInterval = probeInterval / 3
 	// deathTime is how long a primary may leave probes unanswered before it is
 	// replaced: one probe's timeout, with the other instances' opinions.
 	deathTime = 350 * time.Millisecond
@@ -103,12 +105,6 @@
 	return &Keeper{state: Searching, servers: make(map[ident.Endpoint]*server), sync: 1}
 }
 
-// State returns what the keeper believes.
-func (k *Keeper) State() State { return k.state }
-
-// Leader returns the primary, or the latest one known.
-func (k *Keeper) Leader() (ident.Endpoint, ident.Term) { return k.leader, k.term }
-
 // Update takes one message at the given time and returns what has to be done.
 func (k *Keeper) Update(now time.Time, m Message) []Command {
 	k.out = nil
--- a/internal/lead/order.go
+++ b/internal/lead/order.go
@@ -31,10 +31,7 @@
 		k.emit(Promote{Endpoint: k.target, Epoch: k.epoch})
 		k.emit(Spread{})
 	}
-	if s := k.servers[k.target]; s != nil && now.Sub(s.asked) >= probeInterval/3 {
-		s.asked = now
-		k.emit(Probe{Endpoint: k.target})
-	}
+	k.probe(now, k.servers[k.target], urgentInterval)
 }
 
 func (k *Keeper) promoted(now time.Time, m Promoted) {
