--- a/internal/lead/order.go
+++ b/internal/lead/order.go
@@ -114,11 +114,11 @@
 // may yet drop them.
 func (k *Keeper) bar(now time.Time) {
 	contested := k.rivalled(now) || k.owes(now)
-	if k.state == Steady && k.noWrites && !contested {
+	if (k.state == Steady || k.state == Switching) && k.noWrites && !contested {
 		k.noWrites = false
 		k.emit(Announce{Endpoint: k.leader, Usable: true})
 	}
-	if (k.state == Steady || k.state == Doubting) && !k.noWrites && contested {
+	if (k.state == Steady || k.state == Doubting || k.state == Switching) && !k.noWrites && contested {
 		k.noWrites = true
 		k.emit(Note{State: k.state, Endpoint: k.leader, Term: k.term, Why: "its replacement was ordered, writes are refused"})
 		k.emit(Announce{Endpoint: k.leader, Usable: true, NoWrites: true, Back: now.Add(promoteTime)})
