Hold one account in a purse and a ledger

Each instance kept a purse and a ledger for each account, and each of those a map of accounts with one entry. The token bucket was refilled in two places. The tests assert the same.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,6 +1,6 @@
 // Package quota decides how many operations of a client account may run, over
-// all instances together. One instance keeps the account's Ledger; each holds a
-// Purse with operations that the keeper granted for a short time. It does no
+// all instances together. One instance keeps the account's Ledger; each has a
+// Purse of it with operations that the keeper granted for a short time. It does no
 // I/O. It answers an account that sends many times its rate, demand that is
 // uneven between instances, and instances that are cut off from the keeper.
 package quota
@@ -29,6 +29,12 @@
 	at    time.Time
 }
 
+// refill adds what the rate has brought since the last time, up to a top.
+func (b *balance) refill(now time.Time, rate, top float64) {
+	b.level = min(top, b.level+now.Sub(b.at).Seconds()*rate)
+	b.at = now
+}
+
 // Room is what may run beyond an account's quota in one window: a part of it,
 // and a few operations.
 type Room struct {
@@ -40,16 +46,14 @@
 // are still unspent when a window begins.
 const roomUsed = 0.4
 
-// Ledger holds the balances of the accounts that one instance keeps.
+// Ledger holds the balance of one account, at the instance that keeps it.
 type Ledger struct {
-	room     Room
-	balances map[ident.Account]*balance
+	room    Room
+	balance balance // its time is zero until the first grant
 }
 
-// NewLedger returns a ledger without balances.
-func NewLedger(r Room) *Ledger {
-	return &Ledger{room: r, balances: make(map[ident.Account]*balance)}
-}
+// NewLedger returns a ledger that has granted nothing yet.
+func NewLedger(r Room) *Ledger { return &Ledger{room: r} }
 
 // widened returns the quota with the room that is used. The part goes to rate
 // and burst alike, the operations to the burst.
@@ -58,38 +62,34 @@
 	return engine.Quota{Rate: q.Rate * part, Burst: q.Burst*part + roomUsed*l.room.Operations}
 }
 
-// Grant takes up to wanted operations from an account's balance. Share is the
+// Grant takes up to wanted operations from the balance. Share is the
 // part of the account's rate that this keeper may give; it is below one while
 // other instances may have a keeper of their own. RetryIn says when an
 // operation is there again, if none was granted.
-func (l *Ledger) Grant(now time.Time, a ident.Account, q engine.Quota, wanted ident.Tokens, share float64) (count ident.Tokens, retryIn time.Duration) {
+func (l *Ledger) Grant(now time.Time, q engine.Quota, wanted ident.Tokens, share float64) (count ident.Tokens, retryIn time.Duration) {
 	q = l.widened(q)
-	b := l.refilled(now, a, engine.Quota{Rate: q.Rate * share, Burst: q.Burst * share})
-	count = min(wanted, ident.Tokens(math.Floor(b.level)))
+	l.refill(now, engine.Quota{Rate: q.Rate * share, Burst: q.Burst * share})
+	count = min(wanted, ident.Tokens(math.Floor(l.balance.level)))
 	if count > 0 {
-		b.level -= float64(count)
+		l.balance.level -= float64(count)
 		return count, 0
 	}
-	return 0, untilOne(b.level, q.Rate*share)
+	return 0, untilOne(l.balance.level, q.Rate*share)
 }
 
 // Refund takes back one operation that did not run.
-func (l *Ledger) Refund(a ident.Account) {
-	if b := l.balances[a]; b != nil {
-		b.level++ // the next refill cuts it to the burst
+func (l *Ledger) Refund() {
+	if !l.balance.at.IsZero() {
+		l.balance.level++ // the next refill cuts it to the burst
 	}
 }
 
-func (l *Ledger) refilled(now time.Time, a ident.Account, q engine.Quota) *balance {
-	b := l.balances[a]
-	if b == nil {
-		b = &balance{level: max(startShare*q.Burst, min(q.Burst, startLeast)), at: now}
-		l.balances[a] = b
+func (l *Ledger) refill(now time.Time, q engine.Quota) {
+	b := &l.balance
+	if b.at.IsZero() {
+		*b = balance{level: max(startShare*q.Burst, min(q.Burst, startLeast)), at: now}
 	}
-	passed := now.Sub(b.at).Seconds()
-	b.level = min(math.Max(q.Burst, 1), b.level+passed*q.Rate)
-	b.at = now
-	return b
+	b.refill(now, q.Rate, math.Max(q.Burst, 1))
 }
 
 // untilOne is when a level reaches one operation.
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -44,112 +44,92 @@
 	RetryIn time.Duration
 }
 
-// pocket is what a purse has of one account.
-type pocket struct {
+// Purse holds what an instance may spend of one account. The zero value is
+// ready.
+type Purse struct {
 	count   ident.Tokens
 	expires time.Time
 	asked   time.Time // zero when no question is open
 	denied  time.Time // refuse until
 	demand  float64   // operations a second
-	seen    time.Time
+	seen    time.Time // when demand was last counted
 	alone   balance
 }
 
-// Purse holds what an instance may spend.
-type Purse struct{ pockets map[ident.Account]*pocket }
-
-// NewPurse returns an empty purse.
-func NewPurse() *Purse { return &Purse{pockets: make(map[ident.Account]*pocket)} }
-
 // Spend takes one operation if there is one, and says what to ask for.
-func (p *Purse) Spend(now time.Time, a ident.Account) Decision {
-	k := p.pocket(now, a)
-	k.countDemand(now)
-	if now.After(k.expires) {
-		k.count = 0
+func (p *Purse) Spend(now time.Time) Decision {
+	p.countDemand(now)
+	if now.After(p.expires) {
+		p.count = 0
 	}
-	if k.count > 0 {
-		k.count--
-		return Decision{Verdict: Spent, Ask: k.ask(now, k.count)}
+	if p.count > 0 {
+		p.count--
+		return Decision{Verdict: Spent, Ask: p.ask(now, p.count)}
 	}
-	if now.Before(k.denied) {
-		return Decision{Verdict: Denied, RetryIn: k.denied.Sub(now)}
+	if now.Before(p.denied) {
+		return Decision{Verdict: Denied, RetryIn: p.denied.Sub(now)}
 	}
-	return Decision{Verdict: Wait, Ask: k.ask(now, 0)}
+	return Decision{Verdict: Wait, Ask: p.ask(now, 0)}
 }
 
 // SpendAlone takes one operation from the instance's even share of the rate,
 // for when the keeper does not answer.
-func (p *Purse) SpendAlone(now time.Time, a ident.Account, q engine.Quota, instances int) Decision {
-	k := p.pocket(now, a)
+func (p *Purse) SpendAlone(now time.Time, q engine.Quota, instances int) Decision {
 	rate := q.Rate * aloneShare / float64(max(1, instances))
-	if k.alone.at.IsZero() {
-		k.alone = balance{level: 1, at: now}
+	if p.alone.at.IsZero() {
+		p.alone = balance{level: 1, at: now}
 	}
-	k.alone.level = min(math.Max(1, rate/2), k.alone.level+now.Sub(k.alone.at).Seconds()*rate)
-	k.alone.at = now
-	if k.alone.level < 1 {
-		return Decision{Verdict: Denied, RetryIn: untilOne(k.alone.level, rate)}
+	p.alone.refill(now, rate, math.Max(1, rate/2))
+	if p.alone.level < 1 {
+		return Decision{Verdict: Denied, RetryIn: untilOne(p.alone.level, rate)}
 	}
-	k.alone.level--
+	p.alone.level--
 	return Decision{Verdict: Spent}
 }
 
 // Refund takes back one operation that did not run. It may be spent again for
 // as long as the grants in hand, or for a moment if there are none.
-func (p *Purse) Refund(now time.Time, a ident.Account) {
-	k := p.pocket(now, a)
-	if now.After(k.expires) {
-		k.count = 0
-		k.expires = now.Add(refundLength)
+func (p *Purse) Refund(now time.Time) {
+	if now.After(p.expires) {
+		p.count = 0
+		p.expires = now.Add(refundLength)
 	}
-	k.count++
+	p.count++
 }
 
-// Receive takes a grant, or a refusal with a count of zero. Asked is when the
-// question was sent.
-func (p *Purse) Receive(now time.Time, a ident.Account, count ident.Tokens, length, retryIn time.Duration) {
-	k := p.pocket(now, a)
-	asked := k.asked
-	k.asked = time.Time{}
+// Receive takes a grant, or a refusal with a count of zero.
+func (p *Purse) Receive(now time.Time, count ident.Tokens, length, retryIn time.Duration) {
+	asked := p.asked
+	p.asked = time.Time{}
 	if count == 0 {
-		k.denied = now.Add(min(retryIn, denyMost))
+		p.denied = now.Add(min(retryIn, denyMost))
 		return
 	}
 	if asked.IsZero() {
 		asked = now.Add(-askAgain) // the question was given up
 	}
-	if now.After(k.expires) {
-		k.count = 0
-	}
-	k.count += count
-	k.expires = asked.Add(length)
-	k.denied = time.Time{}
-}
-
-func (p *Purse) pocket(now time.Time, a ident.Account) *pocket {
-	k := p.pockets[a]
-	if k == nil {
-		k = &pocket{seen: now}
-		p.pockets[a] = k
+	if now.After(p.expires) {
+		p.count = 0
 	}
-	return k
+	p.count += count
+	p.expires = asked.Add(length)
+	p.denied = time.Time{}
 }
 
 // countDemand adds one operation to the mean demand.
-func (k *pocket) countDemand(now time.Time) {
-	decay := math.Exp(-now.Sub(k.seen).Seconds() / demandTime.Seconds())
-	k.demand = k.demand*decay + 1/demandTime.Seconds()
-	k.seen = now
+func (p *Purse) countDemand(now time.Time) {
+	decay := math.Exp(-now.Sub(p.seen).Seconds() / demandTime.Seconds())
+	p.demand = p.demand*decay + 1/demandTime.Seconds()
+	p.seen = now
 }
 
 // ask returns how many operations to ask for when left are in hand.
-func (k *pocket) ask(now time.Time, left ident.Tokens) ident.Tokens {
-	ahead := ident.Tokens(math.Ceil(k.demand * askAhead.Seconds()))
-	open := !k.asked.IsZero() && now.Sub(k.asked) < askAgain
+func (p *Purse) ask(now time.Time, left ident.Tokens) ident.Tokens {
+	ahead := ident.Tokens(math.Ceil(p.demand * askAhead.Seconds()))
+	open := !p.asked.IsZero() && now.Sub(p.asked) < askAgain
 	if open || 2*left >= ahead && left > 0 || left > 0 && ahead <= 1 {
 		return 0
 	}
-	k.asked = now
+	p.asked = now
 	return max(1, ahead-left)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -11,8 +11,6 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-const testAccount ident.Account = "shop"
-
 // spender is an instance that asks a keeper for operations.
 type spender struct {
 	purse *Purse
@@ -30,7 +28,7 @@
 	ledger := NewLedger(room)
 	all := make([]*spender, instances)
 	for i := range all {
-		all[i] = &spender{purse: NewPurse(), cut: float64(i) < cutShare*float64(instances)}
+		all[i] = &spender{purse: &Purse{}, cut: float64(i) < cutShare*float64(instances)}
 	}
 	var ran []time.Time
 	for now := time.Unix(1000, 0); now.Before(time.Unix(1000, 0).Add(span)); now = now.Add(step) {
@@ -55,19 +53,19 @@
 
 func (s *spender) answers(now time.Time, l *Ledger, q engine.Quota) {
 	for len(s.asks) > 0 && !now.Before(s.asks[0]) {
-		count, retryIn := l.Grant(now, testAccount, q, s.want[0], 1)
-		s.purse.Receive(now, testAccount, count, GrantLength, retryIn)
+		count, retryIn := l.Grant(now, q, s.want[0], 1)
+		s.purse.Receive(now, count, GrantLength, retryIn)
 		s.asks, s.want = s.asks[1:], s.want[1:]
 	}
 }
 
 func (s *spender) spend(now time.Time, q engine.Quota, instances int) bool {
-	d := s.purse.Spend(now, testAccount)
+	d := s.purse.Spend(now)
 	if d.Ask > 0 && !s.cut {
 		s.asks, s.want = append(s.asks, now.Add(5*time.Millisecond)), append(s.want, d.Ask)
 	}
 	if d.Verdict == Wait && s.cut {
-		d = s.purse.SpendAlone(now, testAccount, q, instances)
+		d = s.purse.SpendAlone(now, q, instances)
 	}
 	if d.Verdict == Wait {
 		s.held++
@@ -123,11 +121,11 @@
 	whole, part := NewLedger(Room{}), NewLedger(Room{})
 	for range 50 {
 		now = now.Add(100 * time.Millisecond)
-		whole.Grant(now, testAccount, q, 0, 1)
-		part.Grant(now, testAccount, q, 0, 0.2)
+		whole.Grant(now, q, 0, 1)
+		part.Grant(now, q, 0, 0.2)
 	}
-	all, _ := whole.Grant(now, testAccount, q, 1000, 1)
-	few, retryIn := part.Grant(now, testAccount, q, 1000, 0.2)
+	all, _ := whole.Grant(now, q, 1000, 1)
+	few, retryIn := part.Grant(now, q, 1000, 0.2)
 	g.Expect(all).To(Equal(ident.Tokens(100)))
 	g.Expect(few).To(BeNumerically("<=", 20))
 	g.Expect(retryIn).To(BeZero())
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -41,7 +41,7 @@
 // accountGate is what the instance holds of one account.
 type accountGate struct {
 	mu      sync.Mutex
-	purse   *quota.Purse
+	purse   quota.Purse
 	ledger  *quota.Ledger
 	waiting chan struct{} // closed when an answer comes
 }
@@ -58,7 +58,7 @@
 	if part, ok := g.accounts.Load(a); ok {
 		return part
 	}
-	part, _ := g.accounts.LoadOrStore(a, &accountGate{purse: quota.NewPurse(), ledger: quota.NewLedger(g.room)})
+	part, _ := g.accounts.LoadOrStore(a, &accountGate{ledger: quota.NewLedger(g.room)})
 	return part
 }
 
@@ -80,7 +80,7 @@
 	if d.Verdict == quota.Wait {
 		part := g.of(a)
 		part.mu.Lock()
-		d = part.purse.SpendAlone(clock.Now(), a, q, instances)
+		d = part.purse.SpendAlone(clock.Now(), q, instances)
 		part.mu.Unlock()
 	}
 	return d.Verdict == quota.Spent, d.RetryIn
@@ -93,10 +93,10 @@
 	part.mu.Lock()
 	defer part.mu.Unlock()
 	if keeper == g.self {
-		part.ledger.Refund(a)
+		part.ledger.Refund()
 		return
 	}
-	part.purse.Refund(clock.Now(), a)
+	part.purse.Refund(clock.Now())
 }
 
 // await waits for the keeper's answer, for a bounded time. It reports whether
@@ -117,7 +117,7 @@
 	part := g.of(a)
 	part.mu.Lock()
 	defer part.mu.Unlock()
-	count, retryIn := part.ledger.Grant(clock.Now(), a, q, 1, share)
+	count, retryIn := part.ledger.Grant(clock.Now(), q, 1, share)
 	return count == 1, retryIn
 }
 
@@ -126,7 +126,7 @@
 func (g *gate) spendGranted(keeper ident.Instance, a ident.Account) (quota.Decision, <-chan struct{}) {
 	part := g.of(a)
 	part.mu.Lock()
-	d := part.purse.Spend(clock.Now(), a)
+	d := part.purse.Spend(clock.Now())
 	if part.waiting == nil {
 		part.waiting = make(chan struct{})
 	}
@@ -147,7 +147,7 @@
 	_, _, share := g.keepers.keeperOf(m.Account)
 	part := g.of(m.Account)
 	part.mu.Lock()
-	count, retryIn := part.ledger.Grant(clock.Now(), m.Account, q, m.Wanted, share)
+	count, retryIn := part.ledger.Grant(clock.Now(), q, m.Wanted, share)
 	part.mu.Unlock()
 	g.link.Offer(from, peer.Grant{Account: m.Account, Count: count, Length: quota.GrantLength, RetryIn: retryIn})
 }
@@ -157,7 +157,7 @@
 	part := g.of(m.Account)
 	part.mu.Lock()
 	defer part.mu.Unlock()
-	part.purse.Receive(clock.Now(), m.Account, m.Count, m.Length, m.RetryIn)
+	part.purse.Receive(clock.Now(), m.Count, m.Length, m.RetryIn)
 	if part.waiting != nil {
 		close(part.waiting)
 		part.waiting = nil
