Keep an endpoint's connections with the endpoint

Each look for an idle connection, several for each waiting call, went through the connections to all endpoints of the group; and a counter was kept beside them that their number gives. The randomised test compares the endpoint's connections with the group's in place of the counter.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -28,8 +28,8 @@
 // endpoint is the state of one server of the group.
 type endpoint struct {
 	Endpoint
-	open    int // connections, those being dialled included
-	active  int // dials and calls that take a slot
+	conns   map[ConnID]*conn // those being dialled included
+	active  int              // dials and calls that take a slot
 	mark    ident.Mark
 	avoid   time.Time // no reads before
 	behind  time.Time // no reads of positions beyond mark before
@@ -42,6 +42,11 @@
 	removed bool
 }
 
+func newEndpoint() *endpoint { return &endpoint{conns: make(map[ConnID]*conn)} }
+
+// crowded reports whether no connection may be opened beside those that are there.
+func (e *endpoint) crowded(now time.Time, share int) bool { return len(e.conns) >= e.limit(now, share) }
+
 // closing reports whether a draining endpoint may not be used any more.
 func (e *endpoint) closing(now time.Time, limit time.Duration) bool {
 	return limit > 0 && !e.drains.IsZero() && now.Sub(e.drains) > limit
@@ -82,6 +87,34 @@
 	}
 }
 
+// idleOf returns the account's idle connection that was used last.
+func (e *endpoint) idleOf(account ident.Account) *conn {
+	var best *conn
+	for _, c := range e.conns {
+		if c.account != account || c.state != idle {
+			continue
+		}
+		if best == nil || c.since.After(best.since) || c.since.Equal(best.since) && c.id < best.id {
+			best = c
+		}
+	}
+	return best
+}
+
+// victim returns the idle connection that was unused for longest.
+func (e *endpoint) victim() *conn {
+	var best *conn
+	for _, c := range e.conns {
+		if c.state != idle {
+			continue
+		}
+		if best == nil || c.since.Before(best.since) || c.since.Equal(best.since) && c.id < best.id {
+			best = c
+		}
+	}
+	return best
+}
+
 // connState is what a connection does.
 type connState uint8
 
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -131,7 +131,7 @@
 		return
 	case CapReached:
 		c.endpoint.capped = now.Add(capPause)
-		c.endpoint.share = max(1, c.endpoint.open-1)
+		c.endpoint.share = max(1, len(c.endpoint.conns)-1)
 		c.endpoint.noDial = now.Add(dialPause)
 	case Unreachable:
 		c.endpoint.noDial = now.Add(dialPause)
@@ -180,7 +180,7 @@
 
 func (g *Group) remove(c *conn) {
 	g.count(c, -1)
-	c.endpoint.open--
+	delete(c.endpoint.conns, c.id)
 	delete(g.conns, c.id)
 }
 
@@ -212,7 +212,7 @@
 		return
 	}
 	e.noDial = now.Add(dialPause)
-	if v := g.victim(e); v != nil {
+	if v := e.victim(); v != nil {
 		g.drop(v)
 	}
 }
@@ -238,7 +238,7 @@
 		e := g.endpoints[d.ID]
 		if e == nil || e.Address != d.Address || e.Born != d.Born {
 			g.retire(e)
-			e = &endpoint{}
+			e = newEndpoint()
 			g.endpoints[d.ID] = e
 		}
 		e.Endpoint = d
@@ -268,8 +268,8 @@
 }
 
 func (g *Group) dropIdleAt(e *endpoint) {
-	for _, c := range g.conns {
-		if c.endpoint == e && c.state == idle {
+	for _, c := range e.conns {
+		if c.state == idle {
 			g.drop(c)
 		}
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -40,7 +40,7 @@
 	if e == nil {
 		return false
 	}
-	if c := g.idleOf(e, w.call.Account); c != nil {
+	if c := e.idleOf(w.call.Account); c != nil {
 		g.change(now, c, working)
 		g.emit(Grant{
 			Ticket: w.ticket, Conn: c.id, Endpoint: e.ID,
@@ -98,7 +98,7 @@
 	if e == nil || !e.room(now) || e.closing(now, g.limits.DrainTime) {
 		return nil
 	}
-	if g.idleOf(e, w.call.Account) == nil && !g.mayOpen(now, e, w) {
+	if e.idleOf(w.call.Account) == nil && !g.mayOpen(now, e, w) {
 		return nil
 	}
 	return e
@@ -113,7 +113,7 @@
 	case e.ID == g.leader.Endpoint && !g.leader.Usable:
 		return false
 	}
-	return g.idleOf(e, w.call.Account) != nil || g.mayOpen(now, e, w)
+	return e.idleOf(w.call.Account) != nil || g.mayOpen(now, e, w)
 }
 
 func (g *Group) cost(e *endpoint, account ident.Account) float64 {
@@ -121,9 +121,9 @@
 	if e.ID == g.leader.Endpoint {
 		cost += costLeader
 	}
-	if g.idleOf(e, account) == nil {
+	if e.idleOf(account) == nil {
 		cost += costDial
-		if e.open >= g.share() {
+		if len(e.conns) >= g.share() {
 			cost += costSwap - costDial
 		}
 	}
@@ -142,10 +142,10 @@
 	if c := g.conns[w.dial]; c != nil && c.state == dialling && now.Sub(c.since) < dialPatience {
 		return c.endpoint == e
 	}
-	if e.open < e.limit(now, g.share()) {
+	if !e.crowded(now, g.share()) {
 		return true
 	}
-	return g.swapDue(now, e, w) && g.victim(e) != nil
+	return g.swapDue(now, e, w) && e.victim() != nil
 }
 
 // swapDue reports whether w has waited long enough to take a connection from
@@ -155,8 +155,8 @@
 	if now.Sub(w.since) >= swapServices*g.service {
 		return true
 	}
-	for _, c := range g.conns {
-		if c.endpoint == e && c.account == w.call.Account && c.state != resting {
+	for _, c := range e.conns {
+		if c.account == w.call.Account && c.state != resting {
 			return false
 		}
 	}
@@ -167,14 +167,14 @@
 // will do.
 func (g *Group) prepare(now time.Time, e *endpoint, w *waiter) {
 	account := w.call.Account
-	for _, c := range g.conns {
-		if c.endpoint == e && c.account == account && c.state == dialling {
+	for _, c := range e.conns {
+		if c.account == account && c.state == dialling {
 			w.dial = c.id
 			return
 		}
 	}
-	if e.open >= e.limit(now, g.share()) {
-		v := g.victim(e)
+	if e.crowded(now, g.share()) {
+		v := e.victim()
 		if v == nil {
 			return
 		}
@@ -184,35 +184,7 @@
 	c := &conn{id: g.next, endpoint: e, account: account, state: dialling, since: now}
 	g.conns[c.id] = c
 	w.dial = c.id
-	e.open++
+	e.conns[c.id] = c
 	g.count(c, 1)
 	g.emit(Dial{Conn: c.id, Endpoint: e.Endpoint, Account: account})
 }
-
-// idleOf returns the account's idle connection that was used last.
-func (g *Group) idleOf(e *endpoint, account ident.Account) *conn {
-	var best *conn
-	for _, c := range g.conns {
-		if c.endpoint != e || c.account != account || c.state != idle {
-			continue
-		}
-		if best == nil || c.since.After(best.since) || c.since.Equal(best.since) && c.id < best.id {
-			best = c
-		}
-	}
-	return best
-}
-
-// victim returns the idle connection that was unused for longest.
-func (g *Group) victim(e *endpoint) *conn {
-	var best *conn
-	for _, c := range g.conns {
-		if c.endpoint != e || c.state != idle {
-			continue
-		}
-		if best == nil || c.since.Before(best.since) || c.since.Equal(best.since) && c.id < best.id {
-			best = c
-		}
-	}
-	return best
-}
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -175,8 +175,8 @@
 				active++
 			}
 		}
-		if open != e.open || active != e.active {
-			d.t.Fatalf("%s counts %d open and %d active, has %d and %d", id, e.open, e.active, open, active)
+		if open != len(e.conns) || active != e.active {
+			d.t.Fatalf("%s counts %d open and %d active, has %d and %d", id, len(e.conns), e.active, open, active)
 		}
 		if active > testSlots+slotSlack {
 			d.t.Fatalf("%s has %d calls for %d slots", id, active, testSlots)
