One caller of the line protocol and one author of configurations in the stand-ins

The scripts of platform/ and the load tool each had their own client, and each wrote servers' entries and configurations by hand. Both now use those of internal/stand/emul, which is also the only place outside platform/ that holds the platform's names.

--- a/internal/stand/lines/client.go
+++ b/internal/stand/emul/client.go
@@ -1,11 +1,10 @@
-package lines
+package emul
 
 import (
 	"bufio"
 	"context"
 	"net"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -16,23 +15,41 @@
 // Reply is the answer to one line.
 type Reply struct {
 	Rows []string
-	// Code and Detail are those of an error; Code is empty for a success.
+	// Signature is that of a success, "-" for an answer of the proxy's own.
+	Signature string
+	// Code and Detail are those of an error.
 	Code   string
 	Detail string
-	// State is what the session is in: I, T or E.
+	// State is what the session is in: I, T or E. It is empty when the
+	// connection broke before the answer was complete.
 	State string
 }
 
 // OK reports whether the answer is a success.
 func (r Reply) OK() bool { return r.Code == "" }
 
+// Doubtful reports whether the error leaves open what was done.
+func (r Reply) Doubtful() bool {
+	return r.Code == "INDOUBT" || r.Code == "TIMEOUT" || r.Code == "FAILED"
+}
+
+// Promises reports whether the error says that nothing is kept.
+func (r Reply) Promises() bool {
+	switch r.Code {
+	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGHOST", "TOOMANY":
+		return true
+	}
+	return false
+}
+
 // Client is a caller: one session, over one connection.
 type Client struct {
 	conn net.Conn
 	in   *bufio.Reader
 }
 
-// Login opens a session for a route.
+// Login opens a session for a route. There is no client only if the connection
+// failed.
 func Login(ctx context.Context, dial Dial, address, route, key string) (*Client, Reply, error) {
 	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
@@ -54,11 +71,8 @@
 // exchange sends a line and reads until the session is ready again. After an
 // error nothing is known of what the line has done.
 func (c *Client) exchange(ctx context.Context, line string) (Reply, error) {
-	if end, ok := ctx.Deadline(); ok {
-		_ = c.conn.SetDeadline(end)
-	} else {
-		_ = c.conn.SetDeadline(time.Time{})
-	}
+	end, _ := ctx.Deadline() // zero is none, here and there
+	_ = c.conn.SetDeadline(end)
 	if _, err := c.conn.Write([]byte(line + "\r\n")); err != nil {
 		return Reply{}, errors.Wrap(err, "send")
 	}
@@ -73,7 +87,7 @@
 		case "ROW":
 			r.Rows = append(r.Rows, rest)
 		case "DONE":
-			r.Detail = rest
+			r.Signature = rest
 		case "ERROR":
 			r.Code, r.Detail, _ = strings.Cut(rest, " ")
 		case "READY":
--- /dev/null
+++ b/internal/stand/emul/deploy.go
@@ -0,0 +1,117 @@
+package emul
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// Where the platform looks for what a deployment holds.
+const (
+	// ConfigTable and ConfigKey name the row of the configuration.
+	ConfigTable = "op"
+	ConfigKey   = "config"
+	// ServerTable holds a row for each server.
+	ServerTable = "servers"
+	// ReadyPath is where an instance says whether it takes callers.
+	ReadyPath = "/marjoramrudder/readiness"
+)
+
+// The kinds of routes.
+const (
+	Current   = "primary"
+	Bounded   = "bounded_staleness"
+	OwnWrites = "read_your_writes"
+)
+
+// Route is a way into a group, with the limits that suit tests.
+type Route struct {
+	Name  ident.Route
+	Kind  string
+	Group ident.Group
+}
+
+// Account is a client account. Its burst is one second of its rate.
+type Account struct {
+	Name ident.Account
+	Rate float64
+	Keys []string
+}
+
+// Config is a configuration of the operator.
+type Config struct {
+	Version  int
+	Groups   []*Group
+	Routes   []Route
+	Accounts []Account
+}
+
+// idleTx is how long a transaction may stay without a statement, in ms.
+const idleTx = 3000
+
+// Text returns the configuration as the operator writes it.
+func (c Config) Text() []byte {
+	services, routes, accounts := []any{}, []any{}, []any{}
+	for _, g := range c.Groups {
+		services = append(services, map[string]any{"name": g.config.Name, "max_conns": g.config.MaxConns, "sync_replicas": g.config.Sync})
+	}
+	for _, r := range c.Routes {
+		routes = append(routes, map[string]any{
+			"name": r.Name, "host": r.Name, "route_type": r.Kind, "service": r.Group,
+			"timeout_ms": 1000, "target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": 1500,
+		})
+	}
+	for _, a := range c.Accounts {
+		accounts = append(accounts, map[string]any{"name": a.Name, "api_keys": a.Keys, "rate_per_s": a.Rate, "burst": a.Rate})
+	}
+	return encode(map[string]any{
+		"version": c.Version, "services": services, "routes": routes, "tenants": accounts, "limits": map[string]any{"tx_idle_ms": idleTx},
+	})
+}
+
+// Entry returns what the server says of itself in the store.
+func (s *Server) Entry(address string, dc ident.DataCentre) []byte {
+	state, role := "ready", "replica"
+	if s.Draining() {
+		state = "draining"
+	}
+	if s.Leads() {
+		role = "primary"
+	}
+	return encode(map[string]any{
+		"service": s.group.config.Name, "address": address, "zone": dc, "version": "v1", "slots": s.group.config.Slots,
+		"state": state, "cold_left_ms": 0, "db_role": role, "sequence": 1, "born": 1000,
+	})
+}
+
+// Settings is the settings file of an instance.
+type Settings struct {
+	Instance           ident.Instance
+	DataCentre         ident.DataCentre
+	Front, Ready, Peer string
+	Store              string // also the address of the promotion call
+	Grace, Drain       time.Duration
+}
+
+// Text returns the file.
+func (s Settings) Text() []byte {
+	return encode(map[string]any{
+		"node_name": s.Instance, "zone": s.DataCentre,
+		"listen_addrs": map[string]string{"front": s.Front, "ready": s.Ready, "control": s.Peer},
+		"limits":       map[string]any{"cpu_share": 1, "cores": 1},
+		"bounds": map[string]any{
+			"grace_s": s.Grace.Seconds(), "drain_ms": s.Drain.Milliseconds(), "fencing_enforced": true,
+			"quota_overage": 0.1, "quota_slack": 20,
+		},
+		"platform": map[string]string{"address": s.Store}, "cloud_api": map[string]string{"address": s.Store},
+	})
+}
+
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // texts and numbers alone
+	}
+	return text
+}
--- a/internal/stand/lines/load.go
+++ b/internal/stand/lines/load.go
@@ -14,12 +14,13 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 )
 
 // LoadConfig shapes a load.
 type LoadConfig struct {
-	Dial   Dial
+	Dial   emul.Dial
 	Fronts []string // addresses of the instances
 	// Routes are those of the groups whose reads see the session's own writes;
 	// callers take one each.
@@ -67,6 +68,9 @@
 	mostLatency  = 60_000_000
 )
 
+// noSession counts statements that found no instance to open a session.
+const noSession = "NoSession"
+
 // load collects what all callers see.
 type load struct {
 	config LoadConfig
@@ -100,7 +104,7 @@
 	route   string
 	item    string
 	random  *rand.Rand
-	client  *Client
+	client  *emul.Client
 	next    int
 	acked   int          // the latest number that was acknowledged
 	least   int          // the lowest that a read of this session may show
@@ -141,11 +145,11 @@
 
 // query runs a statement in the present session or a new one. The second value
 // is false when nothing is known of it.
-func (c *caller) query(ctx context.Context, text string) (Reply, bool) {
+func (c *caller) query(ctx context.Context, text string) (emul.Reply, bool) {
 	ctx, cancel := context.WithTimeout(ctx, c.load.config.Timeout)
 	defer cancel()
 	if c.client == nil && !c.login(ctx) {
-		return Reply{Code: "NoSession"}, true
+		return emul.Reply{Code: noSession}, true
 	}
 	began := time.Now()
 	r, err := c.client.Query(ctx, strconv.FormatUint(c.load.ids.Add(1), 16), text)
@@ -158,23 +162,23 @@
 
 func (c *caller) login(ctx context.Context) bool {
 	l := c.load.config
-	client, r, err := Login(ctx, l.Dial, l.Fronts[c.random.IntN(len(l.Fronts))], c.route, c.key)
+	client, r, err := emul.Login(ctx, l.Dial, l.Fronts[c.random.IntN(len(l.Fronts))], c.route, c.key)
 	if err != nil || !r.OK() {
 		if client != nil {
 			_ = client.Close()
 		}
-		c.load.count(Reply{Code: "NoSession"}, nil, 0)
+		c.load.count(emul.Reply{Code: noSession}, nil, 0)
 		return false
 	}
 	c.client, c.least = client, 0
 	return true
 }
 
-func (l *load) count(r Reply, err error, took time.Duration) {
+func (l *load) count(r emul.Reply, err error, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case err != nil || r.Code == "INDOUBT" || r.Code == "TIMEOUT" || r.Code == "FAILED":
+	case err != nil || r.Doubtful():
 		l.report.Unknown++
 	case !r.OK():
 		l.report.NotRun[r.Code]++
@@ -190,16 +194,11 @@
 	switch {
 	case known && r.OK():
 		c.acked, c.least = c.next, c.next
-	case known && promises[r.Code]:
+	case known && (r.Promises() || r.Code == noSession):
 		c.refused[c.next] = true
 	}
 }
 
-// promises are the codes that say that nothing is kept.
-var promises = map[string]bool{
-	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "WRONGHOST": true, "TOOMANY": true, "NoSession": true,
-}
-
 func (c *caller) read(ctx context.Context) {
 	r, known := c.query(ctx, "READ "+c.item)
 	if known && r.OK() {
@@ -208,7 +207,7 @@
 }
 
 // check counts a read that shows less than it must, or what must not be.
-func (c *caller) check(r Reply, least int, broken *int) {
+func (c *caller) check(r emul.Reply, least int, broken *int) {
 	shown := 0
 	if len(r.Rows) > 0 {
 		shown, _ = strconv.Atoi(r.Rows[0])
--- a/internal/stand/lines/world.go
+++ b/internal/stand/lines/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,8 +21,8 @@
 	publishInterval = 100 * time.Millisecond
 	// headerTimeout limits a call's header.
 	headerTimeout = 5 * time.Second
-	// zone is the only one of these deployments.
-	zone = "z1"
+	// dataCentre is the only one of these deployments.
+	dataCentre = "z1"
 	// host is where the platform listens.
 	host = "127.0.0.1"
 )
@@ -80,12 +79,8 @@
 	w.Address = l.Addr().String()
 	w.http = &http.Server{Handler: w.store, ReadHeaderTimeout: headerTimeout}
 	w.tasks.Go(func(context.Context) error { return errors.Wrap(w.http.Serve(l), "serve store") })
-	if err := w.configure(); err != nil {
-		return err
-	}
-	if err := w.publish(); err != nil {
-		return err
-	}
+	w.configure()
+	w.publish()
 	w.tasks.Go(w.keepPublished)
 	for _, f := range w.config.Faults {
 		w.tasks.Go(func(ctx context.Context) error { return w.inject(ctx, f) })
@@ -167,71 +162,36 @@
 	return out
 }
 
-func (w *World) configure() error {
-	services, routes, tenants := []any{}, []any{}, []any{}
-	for i := range w.groups {
-		name := fmt.Sprintf("g%d", i+1)
-		services = append(services, map[string]any{"name": name, "max_conns": w.config.Group.MaxConns, "sync_replicas": w.config.Group.Sync})
-		for kind, prefix := range map[string]string{"primary": "now", "bounded_staleness": "soon", "read_your_writes": "own"} {
-			routes = append(routes, map[string]any{
-				"name": fmt.Sprintf("%s%d", prefix, i+1), "host": fmt.Sprintf("%s%d", prefix, i+1), "route_type": kind, "service": name,
-				"timeout_ms": 1000, "target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": 1500,
-			})
+func (w *World) configure() {
+	c := emul.Config{Version: 1, Groups: w.groups}
+	for i, g := range w.groups {
+		for kind, name := range map[string]string{emul.Current: "now", emul.Bounded: "soon", emul.OwnWrites: "own"} {
+			c.Routes = append(c.Routes, emul.Route{Name: ident.Route(fmt.Sprintf("%s%d", name, i+1)), Kind: kind, Group: g.Name()})
 		}
 	}
 	for i, key := range w.Keys() {
-		tenants = append(tenants, map[string]any{
-			"name": fmt.Sprintf("account%d", i+1), "api_keys": []string{key}, "rate_per_s": w.config.Rate, "burst": w.config.Rate,
-		})
+		c.Accounts = append(c.Accounts, emul.Account{Name: ident.Account(fmt.Sprintf("account%d", i+1)), Rate: w.config.Rate, Keys: []string{key}})
 	}
-	text, err := json.Marshal(map[string]any{
-		"version": 1, "services": services, "routes": routes, "tenants": tenants, "limits": map[string]any{"tx_idle_ms": 3000},
-	})
-	if err != nil {
-		return errors.Wrap(err, "encode configuration")
-	}
-	w.store.Put("op", "config", text)
-	return nil
+	w.store.Put(emul.ConfigTable, emul.ConfigKey, c.Text())
 }
 
 // publish writes the servers' entries that have changed.
-func (w *World) publish() error {
+func (w *World) publish() {
 	for _, g := range w.groups {
 		for _, s := range g.Servers() {
-			text, err := w.entry(g, s)
-			if err != nil {
-				return err
-			}
-			if w.known[s.ID()] == text {
+			text := s.Entry(w.where[s.ID()], dataCentre)
+			if w.known[s.ID()] == string(text) {
 				continue
 			}
-			w.known[s.ID()] = text
-			w.store.Put("servers", string(s.ID()), []byte(text))
+			w.known[s.ID()] = string(text)
+			w.store.Put(emul.ServerTable, string(s.ID()), text)
 		}
 	}
-	return nil
-}
-
-func (w *World) entry(g *emul.Group, s *emul.Server) (string, error) {
-	state, role := "ready", "replica"
-	if s.Draining() {
-		state = "draining"
-	}
-	if s.Leads() {
-		role = "primary"
-	}
-	text, err := json.Marshal(map[string]any{
-		"service": g.Name(), "address": w.where[s.ID()], "zone": zone, "version": "v1", "slots": w.config.Group.Slots,
-		"state": state, "cold_left_ms": 0, "db_role": role, "sequence": 1, "born": 1000,
-	})
-	return string(text), errors.Wrap(err, "encode server entry")
 }
 
 func (w *World) keepPublished(ctx context.Context) error {
 	for tasks.Pause(ctx, publishInterval) {
-		if err := w.publish(); err != nil {
-			return err
-		}
+		w.publish()
 	}
 	return nil
 }
@@ -241,32 +201,26 @@
 
 // ReadyURL returns where an instance says whether it is ready.
 func (w *World) ReadyURL(i int) string {
-	return "http://" + w.address(i, 1) + "/marjoramrudder/readiness"
+	return "http://" + w.address(i, 1) + emul.ReadyPath
 }
 
 func (w *World) address(i, service int) string {
 	return fmt.Sprintf("127.0.1.%d:%d", i+1, w.config.BasePort+service)
 }
 
-// Settings returns the text of an instance's settings file.
-func (w *World) Settings(i int) ([]byte, error) {
-	text, err := json.MarshalIndent(map[string]any{
-		"node_name": fmt.Sprintf("n%d", i+1), "zone": zone,
-		"listen_addrs": map[string]string{"front": w.address(i, 0), "ready": w.address(i, 1), "control": w.address(i, 2)},
-		"limits":       map[string]any{"cpu_share": 1, "cores": 1},
-		"bounds":       map[string]any{"grace_s": 6, "drain_ms": 7000, "fencing_enforced": true, "quota_overage": 0.1, "quota_slack": 20},
-		"platform":     map[string]string{"address": w.Address}, "cloud_api": map[string]string{"address": w.Address},
-	}, "", "  ")
-	return text, errors.Wrap(err, "encode settings")
+// settings returns an instance's settings file.
+func (w *World) settings(i int) emul.Settings {
+	return emul.Settings{
+		Instance: ident.Instance(fmt.Sprintf("n%d", i+1)), DataCentre: dataCentre,
+		Front: w.address(i, 0), Ready: w.address(i, 1), Peer: w.address(i, 2), Store: w.Address,
+		Grace: 6 * time.Second, Drain: 7 * time.Second,
+	}
 }
 
 func (w *World) writeSettings() error {
 	for i := range w.config.Instances {
-		text, err := w.Settings(i)
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(filepath.Join(w.config.Dir, fmt.Sprintf("n%d.json", i+1)), text, 0o600); err != nil {
+		path := filepath.Join(w.config.Dir, fmt.Sprintf("n%d.json", i+1))
+		if err := os.WriteFile(path, w.settings(i).Text(), 0o600); err != nil {
 			return errors.Wrap(err, "write settings")
 		}
 	}
