Log each phase of a graceful stop, and each statement that gets no answer

Change: a line for each phase of a stop with what is still open, StatementCut for each statement that was read and gets no answer, with how long it had been open, ClosedUnread for a connection that is closed with unread bytes, ReplyFailed for an answer that can't be written, Grace and StatementsCut in Stopped; a counter for each. What an instance decides does not change.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -72,6 +72,8 @@
 	Interrupt()
 	// Reply sends the answer to the latest statement.
 	Reply(s engine.Statement, a engine.Answer) error
+	// Unread reports whether the caller has sent bytes that were not read.
+	Unread() bool
 	Close() error
 }
 
@@ -93,20 +95,13 @@
 	next     atomic.Uint64
 	mu       sync.Mutex
 	sessions map[*session]struct{}
+	logins   atomic.Int64 // connections whose login is not complete
 	stopping atomic.Bool
 	// finishing is set once no further statement is read, also not inside
 	// transactions.
 	finishing atomic.Bool
 }
 
-// session is one caller's connection with its state.
-type session struct {
-	caller   Caller
-	state    *engine.Session
-	location TxLocation
-	id       ident.Session
-}
-
 // NewFront returns a front. It loads the catalog in force for each statement.
 func NewFront(r *Router, l QuotaLimiter, catalog *atomic.Pointer[engine.Catalog]) *Front {
 	return &Front{router: r, limiter: l, catalog: catalog, sessions: make(map[*session]struct{})}
@@ -114,27 +109,39 @@
 
 // Serve serves one caller until the connection ends.
 func (f *Front) Serve(ctx context.Context, c Caller) error {
-	defer func() { _ = c.Close() }()
+	s, err := f.login(ctx, c)
+	if s == nil {
+		f.closeCaller(c, 0)
+		return err
+	}
+	defer f.closeCaller(c, s.id)
+	defer f.removeSession(s)
+	if err := c.FinishLogin(engine.NoReason); err != nil {
+		return errors.Wrap(err, "accept login")
+	}
+	return f.loop(ctx, s)
+}
+
+// login reads and checks a caller's login. The session is nil if it was refused.
+func (f *Front) login(ctx context.Context, c Caller) (*session, error) {
+	f.logins.Add(1)
+	defer f.logins.Add(-1)
 	route, key, err := c.Login()
 	if err != nil {
-		return errors.Wrap(err, "log in")
+		return nil, errors.Wrap(err, "log in")
 	}
 	id := ident.Session(f.next.Add(1))
 	if !f.awaitCatalog(ctx) {
-		return errors.Wrap(c.FinishLogin(engine.Overloaded), "refuse login")
+		return nil, errors.Wrap(c.FinishLogin(engine.Overloaded), "refuse login")
 	}
 	_, _, reason := f.catalog.Load().Admit(route, key)
 	if reason != engine.NoReason {
 		trace.Event("LoginRefused", "Session", id, "Route", route, "Reason", reason.String(), "Version", f.catalog.Load().Version)
-		return errors.Wrap(c.FinishLogin(reason), "refuse login")
+		return nil, errors.Wrap(c.FinishLogin(reason), "refuse login")
 	}
-	s := &session{caller: c, state: engine.NewSession(id, route, key), id: id}
+	s := newSession(id, c, engine.NewSession(id, route, key))
 	f.addSession(s)
-	defer f.removeSession(s)
-	if err := c.FinishLogin(engine.NoReason); err != nil {
-		return errors.Wrap(err, "accept login")
-	}
-	return f.loop(ctx, s)
+	return s, nil
 }
 
 // awaitCatalog waits for the first configuration. Without one, the proxy can't
@@ -155,7 +162,7 @@
 		if errors.Is(err, ErrMalformed) {
 			a := engine.Refuse(engine.Malformed, 0, err.Error())
 			a.State = s.state.State()
-			if err := s.caller.Reply(statement, a); err != nil {
+			if err := f.reply(s, statement, a); err != nil {
 				return errors.Wrap(err, "reply")
 			}
 			continue
@@ -179,6 +186,7 @@
 	began := clock.Now()
 	group := s.state.Group()
 	step := s.state.Receive(statement, f.catalog.Load())
+	s.begin(began, statement)
 	if step.RollbackTx != 0 {
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: step.RollbackTx})
 	}
@@ -187,21 +195,31 @@
 			refusal.State = engine.Idle
 			s.state.Reset()
 			f.logAnswer(s, statement, refusal, answerTrace{group: group, began: began})
-			return false, s.caller.Reply(statement, refusal)
+			return false, f.reply(s, statement, refusal)
 		}
 	}
 	if step.Answer != nil {
 		if !step.Answer.OK() {
 			f.logAnswer(s, statement, *step.Answer, answerTrace{group: group, began: began})
 		}
-		return step.CloseSession, s.caller.Reply(statement, *step.Answer)
+		return step.CloseSession, f.reply(s, statement, *step.Answer)
 	}
 	a, home := f.call(ctx, s, step.Call)
 	if a.Outcome == engine.NotRun && (step.StartsOperation || step.Call.Phase == engine.First) {
 		f.limiter.Refund(step.Call.Account)
 	}
 	f.logAnswer(s, statement, a, answerTrace{group: group, home: home, began: began})
-	return false, s.caller.Reply(statement, a)
+	return false, f.reply(s, statement, a)
+}
+
+// reply sends the answer to the statement that a session has read.
+func (f *Front) reply(s *session, statement engine.Statement, a engine.Answer) error {
+	err := s.reply(statement, a)
+	if err != nil {
+		repliesFailed.Inc()
+		trace.Failure("ReplyFailed", err, "Request", statement.ID, "Session", s.id, "Outcome", a.Outcome.String())
+	}
+	return err
 }
 
 // call runs a call. It returns the answer and the instance that ran it.
@@ -270,44 +288,3 @@
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: tx})
 	}
 }
-
-// shouldClose reports whether a session has to end because the front is
-// stopping and the session is idle, or because the front is finishing.
-func (f *Front) shouldClose(s *session) bool {
-	return f.finishing.Load() || f.stopping.Load() && s.state.State() == engine.Idle
-}
-
-// Stop ends idle sessions immediately and the others as soon as they are idle.
-// A statement that has begun to arrive is still served.
-func (f *Front) Stop() { f.interrupt(&f.stopping) }
-
-// Finish ends all sessions, open transactions included, as soon as the statement
-// that they have read is answered. A statement that the front could not answer
-// any more must not be read.
-func (f *Front) Finish() { f.interrupt(&f.finishing) }
-
-// interrupt sets a flag and makes the sessions notice it.
-func (f *Front) interrupt(flag *atomic.Bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	flag.Store(true)
-	for s := range f.sessions {
-		s.caller.Interrupt()
-	}
-}
-
-// Abort closes all sessions immediately.
-func (f *Front) Abort() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for s := range f.sessions {
-		_ = s.caller.Close()
-	}
-}
-
-// Sessions returns the number of connected callers.
-func (f *Front) Sessions() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.sessions)
-}
