Write nothing on a closed connection of the stand-in's network

What was seen: the script statement-cut-by-stop passed in some runs on code that closes a connection without an answer; the answer arrived all the same. Cause: Write chose at random between the closed connection and free room in the send buffer. A socket refuses a write after close, so the stand-in hid the fault. Why it works: whether the connection is closed is asked first.

--- a/internal/stand/emul/network.go
+++ b/internal/stand/emul/network.go
@@ -218,6 +218,11 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	select {
+	case <-c.closed: // select would choose at random if there is room, too
+		return 0, net.ErrClosed
+	default:
+	}
 	select {
 	case <-c.closed:
 		return 0, net.ErrClosed
--- a/internal/stand/emul/network_test.go
+++ b/internal/stand/emul/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 
@@ -33,3 +34,16 @@
 		n.Close()
 	})
 }
+
+func TestNoWriteAfterClose(t *testing.T) {
+	g := NewWithT(t)
+	n := NewNetwork()
+	for range 50 {
+		raw, _ := net.Pipe()
+		c := newConn(raw, n, "a", "b")
+		g.Expect(c.Close()).To(Succeed())
+		_, err := c.Write([]byte("late"))
+		g.Expect(err).To(MatchError(net.ErrClosed))
+	}
+	n.Close()
+}
