Answer each statement that a stopping instance has read before its connection ends

The caller could not know whether its booking had landed. Cause: a stopping instance closed all connections 0.7 s before the end of its grace, also those with a statement under way, and until 0.8 s before that it began statements with their whole time-out of 1 or 2 s. Class: work is begun with more time than its owner has left, and the owner ends without settling what it owes. Ruled out as well: idle sessions, which end only when nothing of the caller is unread. In the last 0.8 s operations and statements are refused with an answer instead of a closed connection. At the end each statement that is still open is answered as unknown or, where that is certain, as without effect; whoever takes the statement from its session answers it, so there is one answer. Only then connections close. Why it works: a session's statement is recorded before anything is decided on it and leaves the record only with its answer; connections are closed after that, or, for a caller that does not read, 0.2 s later.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -70,8 +70,12 @@
 // LostAnswer returns the answer for the caller when the endpoint's answer to
 // the call is lost.
 func (c Call) LostAnswer(detail string) Answer {
+	a := Refuse(Aborted, 0, detail)
 	if c.MayCommit() {
-		return Indeterminate(Lost, detail)
+		a = Indeterminate(Lost, detail)
 	}
-	return Refuse(Aborted, 0, detail)
+	if c.Phase != Single && c.Statement.Op != Commit {
+		a.State = FailedTx
+	}
+	return a
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -92,19 +92,20 @@
 	limiter QuotaLimiter
 	catalog *atomic.Pointer[engine.Catalog]
 
-	next     atomic.Uint64
+	next atomic.Uint64
+	stop stopping
+
 	mu       sync.Mutex
+	logins   map[Caller]struct{} // connections whose login is not complete
 	sessions map[*session]struct{}
-	logins   atomic.Int64 // connections whose login is not complete
-	stopping atomic.Bool
-	// finishing is set once no further statement is read, also not inside
-	// transactions.
-	finishing atomic.Bool
 }
 
 // NewFront returns a front. It loads the catalog in force for each statement.
 func NewFront(r *Router, l QuotaLimiter, catalog *atomic.Pointer[engine.Catalog]) *Front {
-	return &Front{router: r, limiter: l, catalog: catalog, sessions: make(map[*session]struct{})}
+	return &Front{
+		router: r, limiter: l, catalog: catalog,
+		logins: make(map[Caller]struct{}), sessions: make(map[*session]struct{}),
+	}
 }
 
 // Serve serves one caller until the connection ends.
@@ -124,17 +125,16 @@
 
 // login reads and checks a caller's login. The session is nil if it was refused.
 func (f *Front) login(ctx context.Context, c Caller) (*session, error) {
-	f.logins.Add(1)
-	defer f.logins.Add(-1)
+	if !f.addLogin(c) {
+		return nil, nil
+	}
+	defer f.removeLogin(c)
 	route, key, err := c.Login()
 	if err != nil {
 		return nil, errors.Wrap(err, "log in")
 	}
 	id := ident.Session(f.next.Add(1))
-	if !f.awaitCatalog(ctx) {
-		return nil, errors.Wrap(c.FinishLogin(engine.Overloaded), "refuse login")
-	}
-	_, _, reason := f.catalog.Load().Admit(route, key)
+	reason := f.admit(ctx, route, key)
 	if reason != engine.NoReason {
 		trace.Event("LoginRefused", "Session", id, "Route", route, "Reason", reason.String(), "Version", f.catalog.Load().Version)
 		return nil, errors.Wrap(c.FinishLogin(reason), "refuse login")
@@ -144,6 +144,18 @@
 	return s, nil
 }
 
+// admit returns why a caller may not log in, or NoReason.
+func (f *Front) admit(ctx context.Context, route ident.Route, key string) engine.Reason {
+	if f.stop.statementsEnd.Load() {
+		return engine.Aborted
+	}
+	if !f.awaitCatalog(ctx) {
+		return engine.Overloaded
+	}
+	_, _, reason := f.catalog.Load().Admit(route, key)
+	return reason
+}
+
 // awaitCatalog waits for the first configuration. Without one, the proxy can't
 // tell whether a route or a key exists.
 func (f *Front) awaitCatalog(ctx context.Context) bool {
@@ -157,13 +169,11 @@
 }
 
 func (f *Front) loop(ctx context.Context, s *session) error {
-	for !f.finishing.Load() {
+	for {
 		statement, err := s.caller.Next()
 		if errors.Is(err, ErrMalformed) {
-			a := engine.Refuse(engine.Malformed, 0, err.Error())
-			a.State = s.state.State()
-			if err := f.reply(s, statement, a); err != nil {
-				return errors.Wrap(err, "reply")
+			if err := f.refuseMalformed(s, statement, err); err != nil {
+				return err
 			}
 			continue
 		}
@@ -178,48 +188,52 @@
 			return errors.Wrap(err, "serve statement")
 		}
 	}
-	return nil
+}
+
+// refuseMalformed answers input that is not a statement.
+func (f *Front) refuseMalformed(s *session, statement engine.Statement, cause error) error {
+	f.begin(clock.Now(), s, statement, nil)
+	a := engine.Refuse(engine.Malformed, 0, cause.Error())
+	a.State = s.state.State()
+	return s.answer(a, "")
+}
+
+// begin records that a statement has been read. The call is nil if the front
+// answers the statement itself.
+func (f *Front) begin(now time.Time, s *session, statement engine.Statement, call *engine.Call) {
+	s.begin(&openStatement{
+		statement: statement, call: call, began: now, version: f.catalog.Load().Version,
+		route: s.state.Route(), group: s.state.Group(), account: s.state.Account(),
+	})
 }
 
 // serveStatement serves one statement and sends the answer.
 func (f *Front) serveStatement(ctx context.Context, s *session, statement engine.Statement) (closeSession bool, err error) {
-	began := clock.Now()
+	now := clock.Now()
 	group := s.state.Group()
 	step := s.state.Receive(statement, f.catalog.Load())
-	s.begin(began, statement)
+	f.begin(now, s, statement, step.Call)
 	if step.RollbackTx != 0 {
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: step.RollbackTx})
 	}
+	if (step.Call != nil || step.StartsOperation) && !f.stop.limit(now, step.Call) {
+		return true, f.refuseStopping(s)
+	}
 	if step.StartsOperation {
 		if refusal, ok := f.spendQuota(s); !ok {
 			refusal.State = engine.Idle
 			s.state.Reset()
-			f.logAnswer(s, statement, refusal, answerTrace{group: group, began: began})
-			return false, f.reply(s, statement, refusal)
+			return false, s.answer(refusal, "")
 		}
 	}
 	if step.Answer != nil {
-		if !step.Answer.OK() {
-			f.logAnswer(s, statement, *step.Answer, answerTrace{group: group, began: began})
-		}
-		return step.CloseSession, f.reply(s, statement, *step.Answer)
+		return step.CloseSession, s.answer(*step.Answer, "")
 	}
 	a, home := f.call(ctx, s, step.Call)
 	if a.Outcome == engine.NotRun && (step.StartsOperation || step.Call.Phase == engine.First) {
 		f.limiter.Refund(step.Call.Account)
 	}
-	f.logAnswer(s, statement, a, answerTrace{group: group, home: home, began: began})
-	return false, f.reply(s, statement, a)
-}
-
-// reply sends the answer to the statement that a session has read.
-func (f *Front) reply(s *session, statement engine.Statement, a engine.Answer) error {
-	err := s.reply(statement, a)
-	if err != nil {
-		repliesFailed.Inc()
-		trace.Failure("ReplyFailed", err, "Request", statement.ID, "Session", s.id, "Outcome", a.Outcome.String())
-	}
-	return err
+	return false, s.answer(a, home)
 }
 
 // call runs a call. It returns the answer and the instance that ran it.
@@ -248,31 +262,45 @@
 	return engine.Refuse(engine.OverQuota, retryIn, detail), false
 }
 
-// answerTrace says where and since when a statement was served.
-type answerTrace struct {
-	group ident.Group
-	home  ident.Instance // empty if no instance was asked
-	began time.Time
-}
-
-// logAnswer counts an answer, and logs it if the statement failed or missed its
-// latency objective.
-func (f *Front) logAnswer(s *session, statement engine.Statement, a engine.Answer, t answerTrace) {
-	took := clock.Now().Sub(t.began)
-	route := s.state.Route()
+// logAnswer counts the answer to a statement, and logs it if the statement failed
+// or missed its latency objective. The home is the instance that ran the call; it
+// is empty if none was asked.
+func logAnswer(id ident.Session, o *openStatement, a engine.Answer, home ident.Instance) {
+	if o.call == nil && a.OK() {
+		return
+	}
+	took := clock.Now().Sub(o.began)
 	countStatement(a)
 	statementSeconds.Update(took.Seconds())
-	if a.OK() && took < route.Target {
+	if a.OK() && took < o.route.Target {
 		return
 	}
 	trace.Event("Statement",
-		"Request", statement.ID, "Session", s.id, "Route", route.Name, "Group", t.group, "Account", s.state.Account(),
-		"Statement", statement.Op.String(),
+		"Request", o.statement.ID, "Session", id, "Route", o.route.Name, "Group", o.group, "Account", o.account,
+		"Statement", o.statement.Op.String(),
 		"Outcome", a.Outcome.String(), "Reason", a.Reason.String(), "Detail", a.Detail, "Endpoint", a.Endpoint,
-		"Home", t.home, "Version", f.catalog.Load().Version, "Took", took.String(),
+		"Home", home, "Version", o.version, "Took", took.String(),
 		"Waited", a.Waited.String(), "FloorAge", a.FloorAge.String(), "Tries", a.Tries, "RetryIn", a.RetryIn.String())
 }
 
+// addLogin registers a connection. It returns false if all connections have been
+// closed.
+func (f *Front) addLogin(c Caller) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop.ended.Load() {
+		return false
+	}
+	f.logins[c] = struct{}{}
+	return true
+}
+
+func (f *Front) removeLogin(c Caller) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.logins, c)
+}
+
 func (f *Front) addSession(s *session) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -4,10 +4,17 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
+// errGivenUp reports that a statement has been answered otherwise, because the
+// front gave it up.
+var errGivenUp = errors.New("the statement was given up")
+
 // session is one caller's connection with its state.
 type session struct {
 	caller   Caller
@@ -15,15 +22,19 @@
 	location TxLocation
 	id       ident.Session
 
-	mu   sync.Mutex
-	open *openStatement // the statement that has been read and not been answered, or nil
+	writing sync.Mutex // held while an answer is written
+	mu      sync.Mutex
+	open    *openStatement // the statement that has been read and not been answered, or nil
 }
 
 // openStatement is a statement that has been read and not been answered.
 type openStatement struct {
 	statement engine.Statement
-	route     ident.Route
+	call      *engine.Call // nil if the front answers the statement itself
+	route     engine.Route
 	group     ident.Group
+	account   ident.Account
+	version   ident.Version // of the configuration that decided
 	began     time.Time
 }
 
@@ -32,25 +43,69 @@
 }
 
 // begin records that a statement has been read.
-func (s *session) begin(now time.Time, statement engine.Statement) {
+func (s *session) begin(o *openStatement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.open = &openStatement{statement: statement, route: s.state.Route().Name, group: s.state.Group(), began: now}
+	s.open = o
 }
 
-// reply sends the answer to the statement that has been read.
-func (s *session) reply(statement engine.Statement, a engine.Answer) error {
-	err := s.caller.Reply(statement, a)
+// unanswered reports whether a statement has been read and not been answered.
+func (s *session) unanswered() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.open = nil
-	return err
+	return s.open != nil
 }
 
-// unanswered returns the statement that has been read and not been answered, or
-// nil.
-func (s *session) unanswered() *openStatement {
+// take returns the open statement for the one who answers it, or nil.
+func (s *session) take() *openStatement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open
+	o := s.open
+	s.open = nil
+	return o
+}
+
+// answer sends the answer to the open statement. It returns errGivenUp if the
+// statement has been given up.
+func (s *session) answer(a engine.Answer, home ident.Instance) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	o := s.take()
+	if o == nil {
+		return errGivenUp
+	}
+	return s.send(o, a, home)
+}
+
+// giveUp answers the open statement, if any, without waiting for its result, and
+// closes the connection then. It reports whether the caller got the answer.
+func (s *session) giveUp() bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	o := s.take()
+	if o == nil {
+		return true
+	}
+	defer func() { _ = s.caller.Close() }()
+	return s.send(o, o.givenUp(), "") == nil
+}
+
+// send logs and writes the answer to a statement.
+func (s *session) send(o *openStatement, a engine.Answer, home ident.Instance) error {
+	logAnswer(s.id, o, a, home)
+	err := s.caller.Reply(o.statement, a)
+	if err != nil {
+		repliesFailed.Inc()
+		trace.Failure("ReplyFailed", err, "Request", o.statement.ID, "Session", s.id, "Outcome", a.Outcome.String())
+	}
+	return errors.Wrap(err, "reply")
+}
+
+// givenUp returns the answer to a statement whose result is not awaited.
+func (o *openStatement) givenUp() engine.Answer {
+	const detail = "the instance is shutting down"
+	if o.call == nil {
+		return engine.Refuse(engine.Aborted, lostRetry, detail)
+	}
+	return o.call.LostAnswer(detail)
 }
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
@@ -22,88 +26,130 @@
 	repliesFailed = metrics.GetOrCreateCounter("marjoram_replies_failed_total")
 )
 
-// FrontLoad counts what a front serves at one moment.
-type FrontLoad struct {
-	// Logins are connections whose login is not complete.
-	Logins   int
-	Sessions int
-	// Statements have been read and not been answered.
-	Statements int
+// stopping is the progress of a front's graceful stop.
+type stopping struct {
+	// end is when the connections end, in Unix nanoseconds, or zero.
+	end atomic.Int64
+	// idleEnd is set once sessions end as they become idle.
+	idleEnd atomic.Bool
+	// statementsEnd is set once statements are refused, also in transactions.
+	statementsEnd atomic.Bool
+	// ended is set once all connections end.
+	ended atomic.Bool
 }
 
-// Load returns what the front serves.
-func (f *Front) Load() FrontLoad {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	load := FrontLoad{Logins: int(f.logins.Load()), Sessions: len(f.sessions)}
-	for s := range f.sessions {
-		if s.unanswered() != nil {
-			load.Statements++
-		}
+// limit limits a call to the time that is left for its answer. It reports false
+// if the call must not begin any more. The call is nil for a statement that
+// begins an operation and that the front answers itself.
+func (t *stopping) limit(now time.Time, call *engine.Call) bool {
+	if t.statementsEnd.Load() {
+		return false
 	}
-	return load
+	end := t.end.Load()
+	if end == 0 || call == nil {
+		return true
+	}
+	left := time.Unix(0, end).Sub(now) - answerMargin
+	call.Timeout = min(call.Timeout, left)
+	return left > 0
 }
 
-// shouldClose reports whether a session has to end because the front is
-// stopping and the session is idle, or because the front is finishing.
-func (f *Front) shouldClose(s *session) bool {
-	return f.finishing.Load() || f.stopping.Load() && s.state.State() == engine.Idle
-}
+// EndBy begins a graceful stop: no statement may take longer than until end, when
+// the connections end.
+func (f *Front) EndBy(end time.Time) { f.stop.end.Store(end.UnixNano()) }
 
-// Stop ends idle sessions immediately and the others as soon as they are idle.
+// EndIdle ends idle sessions immediately and the others as soon as they are idle.
 // A statement that has begun to arrive is still served.
-func (f *Front) Stop() { f.interrupt(&f.stopping) }
-
-// Finish ends all sessions, open transactions included, as soon as the statement
-// that they have read is answered. A statement that the front could not answer
-// any more must not be read.
-func (f *Front) Finish() { f.interrupt(&f.finishing) }
+func (f *Front) EndIdle() { f.interrupt(&f.stop.idleEnd) }
 
-// interrupt sets a flag and makes the sessions notice it.
-func (f *Front) interrupt(flag *atomic.Bool) {
+// interrupt sets a flag and makes the sessions notice it. It returns the sessions.
+func (f *Front) interrupt(flag *atomic.Bool) []*session {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	flag.Store(true)
 	for s := range f.sessions {
 		s.caller.Interrupt()
 	}
+	return slices.Collect(maps.Keys(f.sessions))
+}
+
+// EndStatements refuses all further operations and statements, also inside
+// transactions. The statements that have begun continue.
+func (f *Front) EndStatements() { f.stop.statementsEnd.Store(true) }
+
+// shouldClose reports whether a session that owes no answer has to end.
+func (f *Front) shouldClose(s *session) bool {
+	return f.stop.ended.Load() || f.stop.idleEnd.Load() && s.state.State() == engine.Idle
+}
+
+// refuseStopping refuses the open statement of a session, whose transaction is
+// rolled back.
+func (f *Front) refuseStopping(s *session) error {
+	group := s.state.Group()
+	if tx := s.state.Abandon(); tx != 0 {
+		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: tx})
+	}
+	s.state.Reset()
+	return s.answer(engine.Refuse(engine.Aborted, lostRetry, "the instance is shutting down"), "")
 }
 
-// Abort closes all sessions immediately. It returns the number of statements
-// that had been read and get no answer.
-func (f *Front) Abort() (cut int) {
+// GiveUp ends all sessions. It answers the statements that have been read and have
+// no answer yet: the outcome of those that may commit is unknown, the others have
+// no effect. It returns how many answers could not be written. Abort ends the
+// connections that take too long.
+func (f *Front) GiveUp() (cut int) {
+	var failed atomic.Int64
+	answers := tasks.New(context.Background())
+	for _, s := range f.interrupt(&f.stop.ended) {
+		answers.Go(func(context.Context) error {
+			if !s.giveUp() {
+				failed.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = answers.Close() // no task fails
+	statementsCut.AddInt64(failed.Load())
+	return int(failed.Load())
+}
+
+// Abort closes all sessions immediately.
+func (f *Front) Abort() {
+	f.stop.ended.Store(true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for s := range f.sessions {
-		if o := s.unanswered(); o != nil {
-			cut++
-			logCut(s, o)
-		}
 		_ = s.caller.Close()
 	}
-	return cut
 }
 
-// logCut counts and logs a statement that gets no answer.
-func logCut(s *session, o *openStatement) {
-	statementsCut.Inc()
-	trace.Event("StatementCut",
-		"Request", o.statement.ID, "Session", s.id, "Route", o.route, "Group", o.group,
-		"Statement", o.statement.Op.String(), "Took", clock.Now().Sub(o.began).String())
+// FrontLoad counts what a front serves at one moment.
+type FrontLoad struct {
+	// Logins are connections whose login is not complete.
+	Logins   int
+	Sessions int
+	// Statements have been read and not been answered.
+	Statements int
 }
 
-// Sessions returns the number of connected callers.
-func (f *Front) Sessions() int {
+// Load returns what the front serves.
+func (f *Front) Load() FrontLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.sessions)
+	load := FrontLoad{Logins: len(f.logins), Sessions: len(f.sessions)}
+	for s := range f.sessions {
+		if s.unanswered() {
+			load.Statements++
+		}
+	}
+	return load
 }
 
 // closeCaller closes a caller's connection. While the front is stopping, it
 // records whether the caller had sent something that is not read any more. The
 // session is zero if the caller did not log in.
 func (f *Front) closeCaller(c Caller, id ident.Session) {
-	if f.stopping.Load() && c.Unread() {
+	if f.stop.idleEnd.Load() && c.Unread() {
 		closedUnread.Inc()
 		trace.Event("ClosedUnread", "Session", id)
 	}
