End a stop in time although a connection is silent in its login

Cause: only sessions that had logged in were closed at the end of a stop; a login waits up to 10 s for its first message. Change: connections are known to the front from their first moment on, and end with the sessions.

--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -113,11 +113,14 @@
 	return int(failed.Load())
 }
 
-// Abort closes all sessions immediately.
+// Abort closes all connections immediately, also those in their login.
 func (f *Front) Abort() {
 	f.stop.ended.Store(true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for c := range f.logins {
+		_ = c.Close()
+	}
 	for s := range f.sessions {
 		_ = s.caller.Close()
 	}
