Read on while a stopping session has received more

What callers saw: of two statements that arrived together at a stopping instance the first was answered and the connection ended then; the second had been read along with the first and got no answer. Found by a run with real processes (two statements in one write, 4.0 s after SIGTERM; first answered after 0.30 s, then the end of the stream). Cause: a session that owed no answer was closed without a look at what it had received already. Change: a stopping session ends only when nothing of its caller is unread; what is left is served, or refused with an answer.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -184,7 +184,7 @@
 			return errors.Wrap(err, "read statement")
 		}
 		closeSession, err := f.serveStatement(ctx, s, statement)
-		if err != nil || closeSession || f.shouldClose(s) {
+		if err != nil || closeSession || f.shouldClose(s) && !s.caller.Unread() {
 			return errors.Wrap(err, "serve statement")
 		}
 	}
@@ -217,7 +217,7 @@
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: step.RollbackTx})
 	}
 	if (step.Call != nil || step.StartsOperation) && !f.stop.limit(now, step.Call) {
-		return true, f.refuseStopping(s)
+		return false, f.refuseStopping(s)
 	}
 	if step.StartsOperation {
 		if refusal, ok := f.spendQuota(s); !ok {
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -75,7 +75,10 @@
 
 // EndStatements refuses all further operations and statements, also inside
 // transactions. The statements that have begun continue.
-func (f *Front) EndStatements() { f.stop.statementsEnd.Store(true) }
+func (f *Front) EndStatements() {
+	f.stop.idleEnd.Store(true)
+	f.stop.statementsEnd.Store(true)
+}
 
 // shouldClose reports whether a session that owes no answer has to end.
 func (f *Front) shouldClose(s *session) bool {
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -30,7 +30,7 @@
 
 func newScriptedCaller() *scriptedCaller {
 	return &scriptedCaller{
-		statements: make(chan engine.Statement, 1), interrupted: make(chan struct{}, 1), closed: make(chan struct{}),
+		statements: make(chan engine.Statement, 2), interrupted: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 }
 
@@ -188,3 +188,17 @@
 		s.end()
 	})
 }
+
+func TestStatementReceivedWithAnotherIsCutByStop(t *testing.T) {
+	scene(t, func(s stopScene) {
+		s.connect()
+		synctest.Wait()
+		s.front.stop.idleEnd.Store(true)
+		s.caller.statements <- writeStatement
+		s.caller.statements <- writeStatement
+		time.Sleep(3 * time.Minute)
+		s.Expect(s.caller.replies()).To(HaveLen(2))
+		s.Expect(s.caller.closed).To(BeClosed())
+		s.end()
+	})
+}
