Answer the calls of other instances before a stopping owner closes its links

A stopping instance waited for its own sessions and for open transactions, but not for single statements that it ran for other instances. It closed the links first and the pools last, so that the answers of these statements could not be sent any more, although it went on to wait for the statements. Their callers got "unknown" for writes that were committed within the grace period.

Calls of other instances are now counted from their arrival until their answer is queued. The stop waits for them before it closes the links, which flush their queues, until shortly after the end of the time for sessions at most. Calls that arrive later are refused as not run, and their transaction is rolled back.

TestStatementOfAnotherInstanceIsAnsweredBeforeItsOwnerCloses failed before: a grace period of 1.6 s, a statement of 0.9 s that the other instance forwards 10 ms before the stop. The caller got "INDOUBT I" after 0.81 s instead of "done I"; the owner logged "Stopped Took=890ms", so it had the answer.

--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -202,6 +202,15 @@
 	n.broadcastHeartbeat()
 }
 
+// FinishCalls waits until the calls of other instances are answered, until
+// shortly after end at most. It has to be called before Close, which closes the
+// links that carry the answers.
+func (n *Node) FinishCalls(end time.Time) {
+	if !n.router.inbound.finish(n.tasks.Context(), max(0, end.Sub(clock.Now()))+answerMargin) {
+		trace.Event("CallsUnfinished", "Calls", n.router.inbound.count())
+	}
+}
+
 // SetConfig puts a configuration in force if it is newer. source is logged.
 func (n *Node) SetConfig(text []byte, source string) {
 	c, err := n.config.Decode(text)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -65,6 +65,7 @@
 	sender  Sender
 	tasks   *tasks.Group
 
+	inbound  *inbound
 	lastCall atomic.Uint64
 	waiting  *xsync.Map[uint64, *waitingCall]
 }
@@ -72,7 +73,7 @@
 // NewRouter returns a router for the instance self. SetSender has to be called
 // before the first call.
 func NewRouter(ctx context.Context, self ident.Instance, locator GroupLocator) *Router {
-	return &Router{self: self, locator: locator, tasks: tasks.New(ctx), waiting: xsync.NewMap[uint64, *waitingCall]()}
+	return &Router{self: self, locator: locator, tasks: tasks.New(ctx), inbound: newInbound(), waiting: xsync.NewMap[uint64, *waitingCall]()}
 }
 
 // SetSender sets the sender of messages to other instances.
@@ -188,9 +189,15 @@
 
 func (r *Router) removeWaiting(number uint64) { r.waiting.Delete(number) }
 
-// ReceiveCall runs a call of another instance.
+// ReceiveCall runs a call of another instance. A call that could not be answered
+// any more is refused, and its transaction rolled back.
 func (r *Router) ReceiveCall(from ident.Instance, m peer.Call) {
+	if !r.inbound.admit() {
+		r.refuseCall(from, m)
+		return
+	}
 	r.tasks.Go(func(ctx context.Context) error {
+		defer r.inbound.done()
 		a, tx := r.runHere(ctx, from, &m.Call)
 		if m.Call.Phase == engine.End {
 			return nil
@@ -202,6 +209,19 @@
 	})
 }
 
+// refuseCall answers a call that arrived too late to be run.
+func (r *Router) refuseCall(from ident.Instance, m peer.Call) {
+	if pool := r.locator.Local(m.Call.Group); pool != nil && m.Call.Tx != 0 {
+		pool.rollback(m.Call.Tx)
+	}
+	if m.Call.Phase == engine.End {
+		return
+	}
+	a := engine.Refuse(engine.Aborted, lostRetry, "the owner of the group is stopping")
+	trace.Event("CallRefused", "Request", m.Call.Statement.ID, "Group", m.Call.Group, "From", from, "Reason", a.Reason.String(), "Detail", a.Detail)
+	r.sender.Offer(from, peer.Answer{Number: m.Number, Answer: a})
+}
+
 // ReceiveAnswer delivers the answer to a forwarded call. If the call was
 // abandoned, the transaction of the answer is rolled back.
 func (r *Router) ReceiveAnswer(from ident.Instance, m peer.Answer) {
