Run no call of another instance for longer than a stopping owner has left

A stopping owner ran statements of transactions of other instances until the end of its time for sessions, each with its full time-out. One that arrived near the end was cut with the links: its caller got "unknown" for a commit that the endpoint made.

From the start of the stop, the time of a call is shortened to the end of the stop. When the owner's own sessions read no further statements, it refuses further calls too, as not run, and rolls their transactions back.

--- a/internal/relay/inbound.go
+++ b/internal/relay/inbound.go
@@ -4,12 +4,16 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 )
 
 // inbound admits the calls of other instances and knows how many run. All of
 // them are answered before the instance ends.
 type inbound struct {
 	mu       sync.Mutex
+	end      time.Time // when the calls have to be done, if it is set
+	refusing bool      // admits rollbacks only
 	finished bool
 	running  int
 	idle     chan struct{} // closed when finished is set and no call runs
@@ -17,13 +21,31 @@
 
 func newInbound() *inbound { return &inbound{idle: make(chan struct{})} }
 
-// admit reports whether a call may run.
-func (i *inbound) admit() bool {
+// limit sets when the calls have to be done.
+func (i *inbound) limit(end time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.end = end
+}
+
+// refuse admits no further calls but rollbacks.
+func (i *inbound) refuse() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.finished {
+	i.refusing = true
+}
+
+// admit reports whether a call may run, and shortens its time to what the
+// instance has left.
+func (i *inbound) admit(now time.Time, call *engine.Call) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.finished || i.refusing && call.Phase != engine.End {
 		return false
 	}
+	if !i.end.IsZero() {
+		call.Timeout = min(call.Timeout, i.end.Sub(now))
+	}
 	i.running++
 	return true
 }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -202,6 +202,14 @@
 	n.broadcastHeartbeat()
 }
 
+// LimitCalls shortens the time of further calls of other instances, so that they
+// are done by end.
+func (n *Node) LimitCalls(end time.Time) { n.router.inbound.limit(end) }
+
+// RefuseCalls refuses further calls of other instances, also in open
+// transactions, so that those that run are answered in time.
+func (n *Node) RefuseCalls() { n.router.inbound.refuse() }
+
 // FinishCalls waits until the calls of other instances are answered, until
 // shortly after end at most. It has to be called before Close, which closes the
 // links that carry the answers.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -192,7 +192,7 @@
 // ReceiveCall runs a call of another instance. A call that could not be answered
 // any more is refused, and its transaction rolled back.
 func (r *Router) ReceiveCall(from ident.Instance, m peer.Call) {
-	if !r.inbound.admit() {
+	if !r.inbound.admit(clock.Now(), &m.Call) {
 		r.refuseCall(from, m)
 		return
 	}
