Answer what is under way when the server for PostgreSQL callers closes

Close shut the sockets of all sessions that were logged in. At the end of the drain timeout, a caller whose statement was under way lost its connection without an answer, and one in an open transaction without a word. The session itself still waited for the endpoint, up to the request timeout of 10 s, and a connection in its login was not closed at all: both held up Close.

Close now cancels the sessions' context. Each session then reads nothing more and gives up what is under way: it closes the endpoint connection and ends its waits for a connection, a primary or a confirmation. The usual handling of a lost connection classifies the outcome, so that the caller gets "unknown" or "not run" as it does at any other loss, and then 57P01. The endpoint isn't reported as failed, because it didn't fail. Waits in open transactions and after a change of primary used a context that nothing ended; they use the session's.

--- a/internal/back/conn.go
+++ b/internal/back/conn.go
@@ -170,3 +170,7 @@
 	c.unusable = true
 	return c.socket.Close()
 }
+
+// Abandon closes the socket while an exchange may run on the connection, which
+// then fails with a LostError. Unlike Close it may be called concurrently.
+func (c *Conn) Abandon() { _ = c.socket.Close() }
--- a/internal/front/acquire.go
+++ b/internal/front/acquire.go
@@ -56,6 +56,9 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil, fault.Refuse(fault.OverLimit, retryPrimary, "no connection to endpoint %s became available", name).WithCause(err)
 	}
+	if isStopping(ctx) {
+		return nil, errStopping
+	}
 	return nil, err
 }
 
--- a/internal/front/batch.go
+++ b/internal/front/batch.go
@@ -21,8 +21,8 @@
 // the caller once the rest of the batch has been skipped; a failure ends the
 // session.
 func (s *session) readBatch() (batch *back.Batch, refusal, failure error) {
-	_ = s.socket.SetReadDeadline(time.Now().Add(batchTimeout))
-	defer func() { _ = s.socket.SetReadDeadline(time.Time{}) }()
+	s.limitRead(time.Now().Add(batchTimeout))
+	defer s.limitRead(time.Time{})
 	b := &back.Batch{}
 	size := 0
 	for {
@@ -55,6 +55,9 @@
 	if errors.Is(err, frame.ErrTooLarge) || errors.Is(err, frame.ErrMalformed) {
 		return s.fatal(fault.Refuse(fault.Protocol, 0, "unreadable message").WithCause(err))
 	}
+	if s.isEnding() {
+		return s.fatal(errStopping)
+	}
 	return errors.Mark(err, errGone)
 }
 
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -47,12 +47,6 @@
 	return *s.running, true
 }
 
-func (s *session) setRunning(c *back.Cancel) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running = c
-}
-
 // clearCancelSent reports whether a cancel was sent for the held connection,
 // and resets that.
 func (s *session) clearCancelSent() bool {
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -44,6 +44,9 @@
 // dispatch runs one batch. It returns a refusal for the caller, or a failure
 // that ends the session.
 func (s *session) dispatch(ctx context.Context, b *back.Batch) (refusal, failure error) {
+	if isStopping(ctx) {
+		return errStopping, nil
+	}
 	now := time.Now()
 	route := s.server.routes.Get(s.identity.Route)
 	if route == nil {
@@ -62,7 +65,7 @@
 	}
 	w := &work{batch: b, plan: p, route: route, deadline: now.Add(s.server.options.RequestTimeout)}
 	if s.held != nil {
-		return s.continueTransaction(w)
+		return s.continueTransaction(ctx, w)
 	}
 	if s.status != 'I' {
 		return s.inFailedTx(b)
@@ -139,6 +142,9 @@
 // attempt runs the batch on one endpoint. It reports true when the caller
 // should try again, at another endpoint or after a change of primary.
 func (s *session) attempt(ctx context.Context, w *work) (again bool, refusal, failure error) {
+	if isStopping(ctx) {
+		return false, errStopping, nil
+	}
 	held, refusal := s.acquire(ctx, w)
 	if refusal != nil {
 		return false, refusal, nil
@@ -163,7 +169,7 @@
 		return true, nil, nil
 	}
 	if s.lostTerm(&result) {
-		return s.handleLostTerm(w, held, &result)
+		return s.handleLostTerm(ctx, w, held, &result)
 	}
 	s.count(w, held)
 	refusal, failure = s.finish(ctx, w, &result)
@@ -189,9 +195,8 @@
 
 // run sends the batch to the endpoint and relays the answer.
 func (s *session) run(held *heldConn, w *work, p back.Preconditions) (back.Result, error) {
-	c := held.conn.Cancel()
 	s.parsed, s.committed = 0, false
-	s.setRunning(&c)
+	s.setRunning(held.conn)
 	defer s.setRunning(nil)
 	return held.conn.Run(w.batch, &p, s, w.deadline)
 }
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -58,10 +58,11 @@
 
 // fixture is a server in front of three simulated endpoints.
 type fixture struct {
-	server  *Server
-	monitor *staticMonitor
-	refuse  *atomic.Int32
-	address string
+	server    *Server
+	endpoints []*endpt.Server
+	monitor   *staticMonitor
+	refuse    *atomic.Int32
+	address   string
 }
 
 func newFixture(t testing.TB, change func(*Options)) *fixture {
@@ -91,7 +92,7 @@
 	options := DefaultOptions()
 	options.AllowPlain = true
 	change(&options)
-	s := &fixture{monitor: monitor, refuse: refuse, server: NewServer(l, openAdmitter{refuse: refuse}, table, event.NewLog("i", 10), options), address: l.Addr().String()}
+	s := &fixture{endpoints: servers, monitor: monitor, refuse: refuse, server: NewServer(l, openAdmitter{refuse: refuse}, table, event.NewLog("i", 10), options), address: l.Addr().String()}
 	s.server.Start()
 	t.Cleanup(func() {
 		g.Expect(s.server.Close()).To(Succeed())
--- a/internal/front/login.go
+++ b/internal/front/login.go
@@ -32,7 +32,9 @@
 // login reads the startup message, authenticates the caller and sends the
 // startup reply.
 func (s *session) login() error {
-	_ = s.socket.SetDeadline(time.Now().Add(s.server.options.LoginTimeout))
+	deadline := time.Now().Add(s.server.options.LoginTimeout)
+	s.limitRead(deadline)
+	s.limitWrite(deadline)
 	startup, err := s.startup()
 	if err != nil {
 		return err
@@ -40,7 +42,8 @@
 	if err := s.authenticate(startup); err != nil {
 		return s.fatal(err)
 	}
-	_ = s.socket.SetDeadline(time.Time{})
+	s.limitRead(time.Time{})
+	s.limitWrite(time.Time{})
 	return s.sendStartupReply()
 }
 
--- a/internal/front/outcome.go
+++ b/internal/front/outcome.go
@@ -25,13 +25,13 @@
 // handleLostTerm handles an endpoint that was replaced as the primary while it
 // ran the batch. A single transaction took no effect and can be retried on
 // another endpoint.
-func (s *session) handleLostTerm(w *work, held *heldConn, r *back.Result) (again bool, refusal, failure error) {
+func (s *session) handleLostTerm(ctx context.Context, w *work, held *heldConn, r *back.Result) (again bool, refusal, failure error) {
 	s.release(r.Status == 'I')
 	s.out, s.buffering = s.out[:0], false
 	if w.plan.mayCommit {
 		return false, fault.Indeterminate(r.BatchError, "the endpoint was replaced as the primary between several transactions"), nil
 	}
-	return s.handleNotPrimary(w, held)
+	return s.handleNotPrimary(ctx, w, held)
 }
 
 // needsPrimary reports whether a replica rejected the batch as a write: nothing
@@ -51,7 +51,7 @@
 	if !errors.As(err, &lost) {
 		return false, nil, err // the caller has disconnected
 	}
-	w.route.Group.Monitor.Failed(held.conn.Endpoint, held.term, time.Now())
+	s.reportLost(w, held)
 	loss := stmt.Loss{Sent: lost.Sent, Relayed: s.relayed, NoEffect: !s.mayWrite || !w.plan.executes}
 	if stmt.ClassifyLoss(loss) == stmt.RetryElsewhere {
 		s.out, s.buffering = s.out[:0], false
@@ -62,6 +62,14 @@
 	return false, fault.Indeterminate(err, "the connection to the endpoint was lost before its answer; the request may have taken effect"), nil
 }
 
+// reportLost reports an endpoint whose connection was lost. The session itself
+// closes the connection when it ends, which says nothing about the endpoint.
+func (s *session) reportLost(w *work, held *heldConn) {
+	if !s.isEnding() {
+		w.route.Group.Monitor.Failed(held.conn.Endpoint, held.term, time.Now())
+	}
+}
+
 // handleFailedCheck handles a failed precondition; nothing of the batch ran.
 func (s *session) handleFailedCheck(ctx context.Context, w *work, held *heldConn, r *back.Result) (again bool, refusal, failure error) {
 	s.release(true)
@@ -75,7 +83,7 @@
 		w.need.Avoid = w.need.Avoid.With(held.index)
 		return true, nil, nil
 	case group.CodeNotPrimary, group.CodeSealed:
-		return s.handleNotPrimary(w, held)
+		return s.handleNotPrimary(ctx, w, held)
 	case group.CodeRecorded:
 		refusal, failure = s.answerRecorded(ctx, w, held, r)
 		return false, refusal, failure
@@ -88,14 +96,14 @@
 
 // handleNotPrimary reports an endpoint that is not the primary of the expected
 // term, and waits for a change of primary unless a new term is already known.
-func (s *session) handleNotPrimary(w *work, held *heldConn) (again bool, refusal, failure error) {
+func (s *session) handleNotPrimary(ctx context.Context, w *work, held *heldConn) (again bool, refusal, failure error) {
 	g := w.route.Group
 	changed := g.Monitor.Changed()
 	g.Monitor.Failed(held.conn.Endpoint, held.term, time.Now())
 	if g.Monitor.View().Term != held.term {
 		return true, nil, nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), w.deadline)
+	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	if err := s.waitForPrimary(ctx, w, changed); err != nil {
 		return false, err, nil
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -59,7 +59,7 @@
 	if len(s.out) == 0 {
 		return nil
 	}
-	_ = s.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	s.limitWrite(time.Now().Add(writeTimeout))
 	_, err := s.socket.Write(s.out)
 	if cap(s.out) > 4*flushBytes {
 		s.out = nil
--- a/internal/front/pipeline_test.go
+++ b/internal/front/pipeline_test.go
@@ -31,8 +31,17 @@
 // converse sends messages and reads answers up to the given number of
 // ReadyForQuery messages.
 func (c *rawCaller) converse(ends int, messages ...pgproto3.FrontendMessage) (out []string) {
+	c.send(messages...)
+	return c.receive(ends)
+}
+
+func (c *rawCaller) send(messages ...pgproto3.FrontendMessage) {
 	_, err := c.socket.Write(encode(messages))
 	c.g.Expect(err).NotTo(HaveOccurred())
+}
+
+// receive reads answers up to the given number of ReadyForQuery messages.
+func (c *rawCaller) receive(ends int) (out []string) {
 	for ends > 0 {
 		m, err := c.in.Receive()
 		c.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -111,6 +111,7 @@
 	defer s.sessionCount.Add(-1)
 	se := newSession(s, socket)
 	defer se.close()
+	defer context.AfterFunc(ctx, se.end)()
 	if err := se.serve(ctx); err != nil && !errors.Is(err, errGone) {
 		klog.V(3).InfoS("Caller session failed", "session", se.id, "err", err)
 	}
@@ -155,13 +156,10 @@
 	}
 }
 
-// Close ends every session at once and waits for them.
+// Close ends every session at once and waits for them. A batch that has been
+// read is answered with what is known of its outcome.
 func (s *Server) Close() error {
 	s.draining.Store(true)
 	_ = s.listener.Close()
-	s.sessions.Range(func(_ uint32, se *session) bool {
-		_ = se.socket.Close()
-		return true
-	})
 	return s.tasks.Close()
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -52,6 +52,8 @@
 	mu         sync.Mutex
 	socket     net.Conn
 	idle       bool
+	ending     bool       // the server closes
+	exchange   *back.Conn // runs the batch
 	running    *back.Cancel
 	cancelSent bool // a cancel was sent for the held connection
 }
@@ -98,10 +100,10 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return errors.Mark(err, errGone)
 	}
-	if s.held != nil {
+	if s.held != nil && !s.isEnding() {
 		return s.fatal(fault.Refuse("25P03", 0, "the transaction was idle for too long and has been rolled back"))
 	}
-	return s.fatal(fault.Refuse(fault.Stopping, time.Second, "the instance is stopping"))
+	return s.fatal(errStopping)
 }
 
 // setIdle sets or clears the deadline of a wait for input.
@@ -110,6 +112,7 @@
 	defer s.mu.Unlock()
 	s.idle = idle
 	switch {
+	case s.ending: // the deadline has passed for good
 	case !idle:
 		_ = s.socket.SetReadDeadline(time.Time{})
 	case s.held != nil:
@@ -123,7 +126,7 @@
 func (s *session) wake() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.idle && s.held == nil {
+	if s.idle && s.held == nil && !s.ending {
 		_ = s.socket.SetReadDeadline(time.Now().Add(drainGrace))
 	}
 }
--- a/internal/front/transaction.go
+++ b/internal/front/transaction.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,7 +12,7 @@
 )
 
 // continueTransaction runs a batch on the connection of the open transaction.
-func (s *session) continueTransaction(w *work) (refusal, failure error) {
+func (s *session) continueTransaction(ctx context.Context, w *work) (refusal, failure error) {
 	held := s.held
 	s.mayWrite = held.role == group.PrimaryRole
 	result, err := s.run(held, w, s.txPreconditions(w, held))
@@ -30,7 +29,7 @@
 		}
 		return fault.Refuse(fault.NoPrimary, retryPrimary, "the transaction's endpoint was replaced as the primary; nothing of the transaction took effect").WithCause(result.BatchError), nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), w.deadline)
+	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
 	return s.finish(ctx, w, &result)
 }
@@ -71,7 +70,7 @@
 	if !errors.As(err, &lost) {
 		return nil, err
 	}
-	w.route.Group.Monitor.Failed(held.conn.Endpoint, held.term, time.Now())
+	s.reportLost(w, held)
 	loss := stmt.Loss{Sent: lost.Sent, Relayed: s.relayed, NoEffect: !s.mayWrite || !w.plan.mayCommit, InTransaction: true}
 	if stmt.ClassifyLoss(loss) == stmt.NotRun {
 		s.status = 'E'
