Close a link only after both sides have received its last message

Closing a mesh sent what was queued and closed the connection at once. If the peer was sending at that time, the connection was reset, and the peer's own write failed before it had read everything. The messages that were still on their way were lost, answers to forwarded statements among them.

A side that finishes a link now sends Last after its queue. The other side sends what it has queued and its own Last, and each closes when it has received the other's.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -157,6 +157,8 @@
 		return decodeAs[MemberRequest](kind, body)
 	case MemberListKind:
 		return decodeAs[MemberList](kind, body)
+	case LastKind:
+		return decodeAs[Last](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -28,6 +28,7 @@
 		TokenRequest{Account: "acme", Count: 5, Nonce: 8},
 		TokenLoan{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
 		Leaving{},
+		Last{},
 		LeaseRequest{Nonce: 8, Leases: leaseRefs()},
 		LeasePromise{Nonce: 8, Length: time.Second},
 	}
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -28,8 +28,9 @@
 	DirectoryKind        Kind = 19
 	MemberRequestKind    Kind = 20
 	MemberListKind       Kind = 21
+	LastKind             Kind = 22
 
-	kinds = 22
+	kinds = 23
 )
 
 // String returns the name of the message type, for metrics and errors.
@@ -39,7 +40,7 @@
 		"GroupState", "TokenAsk", "TokenGive", "Leaving",
 		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
 		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
-		"DirectoryAsk", "Directory", "MemberRequest", "MemberList",
+		"DirectoryAsk", "Directory", "MemberRequest", "MemberList", "Last",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -101,6 +102,8 @@
 		return MemberRequestKind
 	case MemberList:
 		return MemberListKind
+	case Last:
+		return LastKind
 	}
 	return 0
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -44,6 +44,7 @@
 	queued    atomic.Int64
 	flush     chan struct{}
 	flushOnce sync.Once
+	sentLast  chan struct{} // closed once Last is sent
 	tasks     *tasks.Group
 	done      chan struct{}
 }
@@ -60,6 +61,7 @@
 		openedAt:  time.Now(),
 		queue:     make(chan frame, o.maxQueuedMessages),
 		flush:     make(chan struct{}),
+		sentLast:  make(chan struct{}),
 		tasks:     tasks.New(context.Background()),
 		done:      make(chan struct{}),
 	}
@@ -113,7 +115,9 @@
 	return l.dialer < old.dialer
 }
 
-// finish closes the connection after sending what is queued.
+// finish closes the connection after sending what is queued, and after receiving
+// what the peer has queued. Closing earlier would reset the connection, and the
+// peer would lose messages that it has not read yet.
 func (l *link) finish() { l.flushOnce.Do(func() { close(l.flush) }) }
 
 // abort closes the connection immediately and waits for the link's goroutines.
@@ -140,10 +144,24 @@
 			return err
 		}
 		l.stats.countReceived(KindOf(m), len(raw))
+		if _, ok := m.(Last); ok {
+			return l.answerLast(ctx)
+		}
 		l.receive(m)
 	}
 }
 
+// answerLast finishes the link after the peer's last message.
+func (l *link) answerLast(ctx context.Context) error {
+	l.finish()
+	select {
+	case <-l.sentLast:
+		return errFinished
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (l *link) write(ctx context.Context) error {
 	for {
 		select {
@@ -167,11 +185,27 @@
 				return err
 			}
 		default:
-			return errFinished
+			return l.writeLast(ctx)
 		}
 	}
 }
 
+// writeLast sends the last message and waits until the reader has received the
+// peer's, for a limited time.
+func (l *link) writeLast(ctx context.Context) error {
+	bytes, err := Encode(Last{})
+	if err != nil {
+		return err
+	}
+	l.queued.Add(int64(len(bytes)))
+	if err := l.writeOne(ctx, frame{kind: LastKind, bytes: bytes}); err != nil {
+		return err
+	}
+	close(l.sentLast)
+	tasks.Pause(ctx, lastTimeout)
+	return errFinished
+}
+
 func (l *link) writeOne(ctx context.Context, f frame) error {
 	l.queued.Add(-int64(len(f.bytes)))
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -249,6 +249,10 @@
 // requests.
 type Leaving struct{}
 
+// Last is the last message that a side sends before it closes a link. The other
+// side sends what it has queued and its own Last.
+type Last struct{}
+
 func (Hello) message()            {}
 func (Head) message()             {}
 func (DocumentRequest) message()  {}
@@ -261,6 +265,7 @@
 func (LeaseRequest) message()     {}
 func (LeasePromise) message()     {}
 func (Leaving) message()          {}
+func (Last) message()             {}
 func (Call) message()             {}
 func (Answer) message()           {}
 func (Heartbeat) message()        {}
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -10,10 +10,13 @@
 )
 
 const (
-	pingInterval          = 250 * time.Millisecond
-	pingTimeout           = 700 * time.Millisecond
-	handshakeTimeout      = 2 * time.Second
-	writeTimeout          = time.Second
+	pingInterval     = 250 * time.Millisecond
+	pingTimeout      = 700 * time.Millisecond
+	handshakeTimeout = 2 * time.Second
+	writeTimeout     = time.Second
+	// lastTimeout is how long a side that has sent its last message waits for
+	// that of the peer: a round trip and the writing of a queue.
+	lastTimeout           = 300 * time.Millisecond
 	minBackoff            = 50 * time.Millisecond
 	maxBackoff            = 2 * time.Second
 	refusalRecordInterval = time.Second
