Check graceful stops by what instances have read, and the time of each stop

The soak counted a statement as cut by a stop only if a server had run it and it was sent after SIGTERM. A statement that the instance had read and passed to no server went unseen, a stop longer than its grace was not noticed, and no connection was held open without a login. Change: the callers record how each connection ended. EOF later than 200 ms after sending, or after part of an answer, means that the statement was read, as the kernel resets a connection that is closed with unread data. Statements that a server has received, or that were read, are violations, also if they were sent before SIGTERM. Not counted, each with a test: route timeout reached, server at work in the last sixth of the grace on a statement sent in the first 3 s, instance killed by a fault, given up by the caller. A process that is left at the end of its grace is killed by its handle, which is a violation. Three unfinished connections are held open to each instance. Statements that were only sent are counted apart. Changes to the check: callers gave up after 2 s, and a statement that had run counted as cut then too. Now they give up after 8 s, later than the grace and the second after it, so that the end of the connection is seen; giving up counts as nothing. CutByStops is replaced; what it counted beyond the rule (route timeout reached, at work at the end) is counted apart in the report. Ruled out: delays of the callers that look like a cut.

--- a/cmd/stand/lines.go
+++ b/cmd/stand/lines.go
@@ -20,6 +20,9 @@
 	readyPollInterval = 200 * time.Millisecond
 	// readyTimeout limits the wait for an instance to be started and ready.
 	readyTimeout = time.Minute
+	// callerTimeout exceeds the grace period and the time after it in which a
+	// stop can cut a statement. A caller that gives up sooner hides the cut.
+	callerTimeout = 8 * time.Second
 )
 
 func linesCommand() *cli.Command {
@@ -44,6 +47,9 @@
 			&cli.DurationFlag{Name: "pause", Value: 100 * time.Millisecond, Usage: "mean pause between a caller's statements"},
 			&cli.FloatFlag{Name: "writes", Value: 0.2, Usage: "fraction of a caller's steps that write"},
 			&cli.FloatFlag{Name: "transactions", Value: 0.3, Usage: "fraction of the writes that are transactions"},
+			&cli.DurationFlag{Name: "route-timeout", Value: emul.DefaultRouteTimeout, Usage: "timeout of all routes"},
+			&cli.DurationFlag{Name: "caller-timeout", Value: callerTimeout, Usage: "time after which a caller gives up a statement"},
+			&cli.IntFlag{Name: "held", Value: 1, Usage: "connections of each kind that are held open to each instance with an unfinished message"},
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "duration of the load"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
 			&cli.Uint64Flag{Name: "faults", Usage: "`SEED` of random faults, 0 for none; the process id of instance n1 is read from DIR/pids/n1"},
@@ -65,7 +71,7 @@
 		faults = append(faults, f)
 	}
 	d, err := lines.Open(ctx, lines.DeploymentConfig{
-		Groups: c.Int("groups"), Instances: c.Int("instances"), Accounts: c.Int("accounts"), Rate: c.Float("rate"),
+		Groups: c.Int("groups"), Instances: c.Int("instances"), Accounts: c.Int("accounts"), Rate: c.Float("rate"), RouteTimeout: c.Duration("route-timeout"),
 		Dir: c.String("dir"), BasePort: c.Int("port"), Network: c.Int("network"), Faults: faults, Seed: c.Uint64("faults"), Signals: true, Length: c.Duration("duration"),
 		Group: emul.GroupConfig{
 			Servers: c.Int("servers"), Slots: c.Int("slots"), MaxConns: c.Int("connections"), Sync: 1,
@@ -86,10 +92,10 @@
 	for _, v := range report.Details {
 		fmt.Println("violation:", v)
 	}
-	cut := d.CutByStops(report)
-	fmt.Printf("statements that ran and were cut off by a graceful stop: %d %v\n", len(cut), cut)
 	fmt.Printf("acknowledged commits missing on a later primary: %d\n", d.Lost())
-	if report.Violations()+d.Lost()+len(cut) > 0 {
+	stops := d.CheckStops(report)
+	fmt.Print(stops)
+	if report.Violations()+d.Lost()+stops.Violations() > 0 {
 		err = errViolations
 	}
 	return errors.CombineErrors(err, d.Close())
@@ -108,7 +114,7 @@
 	routes := d.Routes()
 	return lines.Load(ctx, lines.LoadConfig{
 		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: routes, Keys: d.Keys(),
-		Sessions: c.Int("sessions"), Pause: c.Duration("pause"), Writes: c.Float("writes"), Transactions: c.Float("transactions"), Timeout: 2 * time.Second,
+		Sessions: c.Int("sessions"), Pause: c.Duration("pause"), Writes: c.Float("writes"), Transactions: c.Float("transactions"), Timeout: c.Duration("caller-timeout"), Held: c.Int("held"),
 		Duration: c.Duration("duration"), Seed: c.Uint64("seed"),
 	})
 }
--- a/internal/stand/emul/client.go
+++ b/internal/stand/emul/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -70,19 +71,22 @@
 func (c *Client) Close() error { return c.conn.Close() }
 
 // exchange sends a line and reads until the session is ready again. After an
-// error the effect of the line is unknown.
+// error, which is a ClosedError, the effect of the line is unknown.
 func (c *Client) exchange(ctx context.Context, line string) (Reply, error) {
 	end, _ := ctx.Deadline() // the zero time means no deadline
 	_ = c.conn.SetDeadline(end)
 	if _, err := c.conn.Write([]byte(line + "\r\n")); err != nil {
-		return Reply{}, errors.Wrap(err, "send")
+		return Reply{}, newClosedError(time.Time{}, time.Now(), false, errors.Wrap(err, "send"))
 	}
+	sent := time.Now()
 	var r Reply
+	answered := false
 	for {
 		got, err := c.in.ReadString('\n')
 		if err != nil {
-			return r, errors.Wrap(err, "read")
+			return r, newClosedError(sent, time.Now(), answered || got != "", errors.Wrap(err, "read"))
 		}
+		answered = true
 		word, rest, _ := strings.Cut(strings.TrimRight(got, "\r\n"), " ")
 		switch word {
 		case "ROW":
--- a/internal/stand/emul/config.go
+++ b/internal/stand/emul/config.go
@@ -1,6 +1,7 @@
 package emul
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -46,21 +47,28 @@
 	Groups   []*Group
 	Routes   []Route
 	Accounts []Account
+	// RouteTimeout is the timeout of all routes, DefaultRouteTimeout if zero.
+	RouteTimeout time.Duration
 }
 
+// DefaultRouteTimeout is the timeout of a route in a configuration that sets
+// none.
+const DefaultRouteTimeout = time.Second
+
 // idleTx is the idle timeout of a transaction in milliseconds.
 const idleTx = 3000
 
 // Text returns the configuration in JSON, as the operator writes it.
 func (c Config) Text() []byte {
 	services, routes, accounts := []any{}, []any{}, []any{}
+	timeout := cmp.Or(c.RouteTimeout, DefaultRouteTimeout)
 	for _, g := range c.Groups {
 		services = append(services, map[string]any{"name": g.config.Name, "max_conns": g.config.MaxConns, "sync_replicas": g.config.Sync})
 	}
 	for _, r := range c.Routes {
 		routes = append(routes, map[string]any{
 			"name": r.Name, "host": r.Name, "route_type": r.Kind, "service": r.Group,
-			"timeout_ms": 1000, "target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": 1500,
+			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": 1500,
 		})
 	}
 	for _, a := range c.Accounts {
--- a/internal/stand/emul/conn.go
+++ b/internal/stand/emul/conn.go
@@ -105,6 +105,7 @@
 func (c *lineConn) query(line string) bool {
 	_, rest, _ := strings.Cut(line, " ")
 	id, text, _ := strings.Cut(rest, " ")
+	c.server.receive(id)
 	c.awaitResponsive()
 	rows, signature, f := c.run(id, text)
 	if f == nil && c.losesAnswer(text) {
@@ -209,9 +210,12 @@
 func (c *lineConn) work(id, text, word, rest string) ([]string, string, *failure) {
 	s := c.server
 	s.slots <- struct{}{}
+	began := time.Now()
 	time.Sleep(s.group.config.Work)
 	defer func() { <-s.slots }()
-	s.set(func() { s.ran = append(s.ran, Run{ID: id, Text: text, Account: c.account}) })
+	s.set(func() {
+		s.ran = append(s.ran, Run{ID: id, Text: text, Account: c.account, Began: began, Ended: time.Now()})
+	})
 	write := word == "WRITE"
 	if word == "EXECUTE" {
 		name, args, _ := strings.Cut(rest, " ")
--- a/internal/stand/emul/server.go
+++ b/internal/stand/emul/server.go
@@ -1,6 +1,8 @@
 package emul
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -26,6 +28,7 @@
 	loseNext       int // number of next statements that run without an answer
 	closers        map[*lineConn]struct{}
 	ran            []Run
+	arrived        map[string]struct{} // IDs of all statements that were received
 }
 
 // Run records one execution of a statement.
@@ -33,6 +36,8 @@
 	ID      string
 	Text    string
 	Account string
+	// Began and Ended are when the statement got its slot and when it had run.
+	Began, Ended time.Time
 }
 
 // ID returns the server's name.
@@ -54,6 +59,14 @@
 	return append([]Run(nil), s.ran...)
 }
 
+// Received returns the IDs of the statements that the server has received, also
+// of those that it has not run.
+func (s *Server) Received() []string {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return slices.Collect(maps.Keys(s.arrived))
+}
+
 // Crash stops the server at once and closes its connections.
 func (s *Server) Crash() {
 	s.set(func() {
@@ -95,6 +108,16 @@
 // connection instead of answering.
 func (s *Server) LoseAnswers(n int) { s.set(func() { s.loseNext = n }) }
 
+// receive records that a statement has arrived.
+func (s *Server) receive(id string) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if s.arrived == nil {
+		s.arrived = make(map[string]struct{})
+	}
+	s.arrived[id] = struct{}{}
+}
+
 // set applies a change under the group's mutex, resumes replication and wakes
 // the goroutines that wait for a change.
 func (s *Server) set(change func()) {
--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -1,6 +1,7 @@
 package lines
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -39,6 +40,8 @@
 	Instances int
 	Accounts  int
 	Rate      float64 // quota of each account in operations a second
+	// RouteTimeout is the timeout of all routes, emul.DefaultRouteTimeout if zero.
+	RouteTimeout time.Duration
 	// Dir receives the settings file of each instance.
 	Dir string
 	// BasePort is the first of the ports on which each instance listens. Each
@@ -67,7 +70,8 @@
 	listeners []net.Listener
 	procs     procs.Set
 	mu        sync.Mutex
-	stops     []gracefulStop
+	stops     []*Stop
+	kills     []Event
 }
 
 // Open starts the platform, publishes the configuration and writes the settings
@@ -210,8 +214,12 @@
 	return out
 }
 
+func (d *Deployment) routeTimeout() time.Duration {
+	return cmp.Or(d.config.RouteTimeout, emul.DefaultRouteTimeout)
+}
+
 func (d *Deployment) configure() {
-	c := emul.Config{Version: 1, Groups: d.groups}
+	c := emul.Config{Version: 1, Groups: d.groups, RouteTimeout: d.routeTimeout()}
 	for i, g := range d.groups {
 		for kind, name := range map[string]string{emul.Current: "now", emul.Bounded: "soon", emul.OwnWrites: "own"} {
 			c.Routes = append(c.Routes, emul.Route{Name: ident.Route(fmt.Sprintf("%s%d", name, i+1)), Kind: kind, Group: g.Name()})
--- a/internal/stand/lines/fault.go
+++ b/internal/stand/lines/fault.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	if f.Instance != "" {
-		return d.signal(f)
+		return d.signal(ctx, f)
 	}
 	if apply := linkFaults[f.Kind]; apply != nil {
 		l := d.links[f.Server]
@@ -126,53 +126,3 @@
 	}
 	return errors.Newf("fault at %s: no server %s", f.At, f.Server)
 }
-
-// signal sends the signal of a fault of an instance. A process that has ended
-// meanwhile is left alone.
-func (d *Deployment) signal(f Fault) error {
-	now := time.Now()
-	err := d.procs.Signal(string(f.Instance), instanceFaults[f.Kind])
-	if errors.Is(err, syscall.ESRCH) {
-		return nil
-	}
-	if f.Kind == "stop" {
-		d.mu.Lock()
-		d.stops = append(d.stops, gracefulStop{instance: f.Instance, at: now})
-		d.mu.Unlock()
-	}
-	return err
-}
-
-// gracefulStop is the graceful stop of an instance.
-type gracefulStop struct {
-	instance ident.Instance
-	at       time.Time
-}
-
-// stopMargin is how much longer than its grace a stop may take.
-const stopMargin = time.Second
-
-// CutByStops returns the statements that an instance read while it stopped
-// gracefully, that ran, and whose callers got no answer.
-func (d *Deployment) CutByStops(r *Report) []string {
-	ran := make(map[string]bool)
-	for _, g := range d.groups {
-		for _, s := range g.Servers() {
-			for _, run := range s.Runs() {
-				ran[run.ID] = true
-			}
-		}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []string
-	for _, c := range r.closed {
-		for _, s := range d.stops {
-			during := c.sent.After(s.at) && c.sent.Before(s.at.Add(grace+stopMargin))
-			if ran[c.request] && during && c.front == d.frontOf(s.instance) {
-				out = append(out, c.request)
-			}
-		}
-	}
-	return out
-}
--- a/internal/stand/lines/load.go
+++ b/internal/stand/lines/load.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
@@ -35,8 +36,12 @@
 	// of those that do so in a transaction of several statements.
 	Writes       float64
 	Transactions float64
-	// Timeout limits one statement.
-	Timeout  time.Duration
+	// Timeout limits one statement. A caller that gives up sooner than a stopping
+	// instance closes its connection hides a cut.
+	Timeout time.Duration
+	// Held is the number of connections of each kind of heldStarts that are kept
+	// open to each instance.
+	Held     int
 	Duration time.Duration
 	Seed     uint64
 }
@@ -56,21 +61,18 @@
 	Details []string
 	// Unread counts callers whose last read was not answered although all faults
 	// had ended.
-	Unread  int
-	closed  []closedStatement
+	Unread int
+	// Closed are the statements whose connection ended without an answer.
+	Closed []Closed
+	// Stall is the longest time by which the callers' process was late to run.
+	// What is measured in the callers may be late by as much.
+	Stall   time.Duration
 	Latency *hdrhistogram.Histogram // of answered statements, in microseconds
 }
 
 // Violations returns how often a guarantee was violated.
 func (r *Report) Violations() int { return r.Stale + r.Lost + r.RanAfterRefusal + r.Unread }
 
-// closedStatement is a statement whose connection ended without an answer.
-type closedStatement struct {
-	request string
-	front   string
-	sent    time.Time
-}
-
 // String returns the report in a few lines.
 func (r *Report) String() string {
 	at := func(q float64) time.Duration {
@@ -90,6 +92,8 @@
 // could be opened.
 const noSession = "NoSession"
 
+func newLatency() *hdrhistogram.Histogram { return hdrhistogram.New(minLatency, maxLatency, 2) }
+
 // load collects the results of all callers.
 type load struct {
 	config LoadConfig
@@ -100,7 +104,7 @@
 
 // Load runs callers for the configured duration and returns their report.
 func Load(ctx context.Context, c LoadConfig) (*Report, error) {
-	l := &load{config: c, report: Report{NotRun: map[string]int{}, Latency: hdrhistogram.New(minLatency, maxLatency, 2)}}
+	l := &load{config: c, report: Report{NotRun: map[string]int{}, Latency: newLatency()}}
 	loadCtx, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
 	group := tasks.New(ctx)
@@ -112,8 +116,11 @@
 			})
 		}
 	}
+	held := tasks.New(loadCtx)
+	l.holdAll(held)
+	held.Go(l.measureStall)
 	err := group.Wait()
-	return &l.report, err
+	return &l.report, errors.CombineErrors(err, held.Close())
 }
 
 // caller writes increasing numbers to an item of its own and reads them back. A
@@ -191,7 +198,7 @@
 	r, err := c.client.Query(ctx, c.request, text)
 	c.load.count(r, err, time.Since(began))
 	if err != nil {
-		c.load.recordClosed(closedStatement{request: c.request, front: c.front, sent: began})
+		c.load.recordClosed(c.request, c.front, err)
 		c.close()
 	}
 	return r, err == nil
@@ -226,10 +233,16 @@
 	}
 }
 
-func (l *load) recordClosed(s closedStatement) {
+func (l *load) recordClosed(request, front string, err error) {
+	var e *emul.ClosedError
+	if !errors.As(err, &e) {
+		return // nothing was sent
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.report.closed = append(l.report.closed, s)
+	l.report.Closed = append(l.report.Closed, Closed{
+		Request: request, Front: front, Sent: e.Sent, Ended: e.Ended, Ending: e.Ending, Partial: e.Partial,
+	})
 }
 
 func (c *caller) write(ctx context.Context) {
--- a/internal/stand/procs/procs.go
+++ b/internal/stand/procs/procs.go
@@ -31,6 +31,17 @@
 	return pid, errors.Wrapf(err, "process id of %s", name)
 }
 
+// Find returns a handle of the current process of a name. It never refers to a
+// later process with the same process id. The caller must release it.
+func (s Set) Find(name string) (*os.Process, error) {
+	pid, err := s.PID(name)
+	if err != nil {
+		return nil, err
+	}
+	p, err := os.FindProcess(pid)
+	return p, errors.Wrapf(err, "find process %d", pid)
+}
+
 // Signal sends a signal to the current process of a name.
 func (s Set) Signal(name string, sig syscall.Signal) error {
 	pid, err := s.PID(name)
