Plan rolling stops, and stops that get other signals

The three instances of a zone stopped at nearly the same time. The soak had one faulty instance at a time, with 8 s between two. Change: the plan draws rolling stops from random numbers of their own: more than half of the instances within 4 s, at least one spared by all faults, and half of the stopping ones get a second SIGTERM, a SIGHUP or a SIGKILL. The other faults of a seed and the plans without instances stay as they were. Also: a time in which the callers' own process did not run is taken off the slack of 200 ms, as the end of a connection may be seen late by as much; what a server received counts all the same. The process was late by up to 1.2 s beside a load average of 134. A stop that is seen to end more than a second after its grace is a violation too. Packages lines, emul, soak and platform pass; lint passes.

--- a/internal/stand/lines/cut.go
+++ b/internal/stand/lines/cut.go
@@ -65,6 +65,7 @@
 	Runs     map[string][]emul.Run
 	Stops    []Event // SIGTERM to a process that was not stopping
 	Kills    []Event // SIGKILL by a fault
+	Stalls   []Stall // of the callers' process
 	// RouteTimeout is the timeout of all routes.
 	RouteTimeout time.Duration
 }
@@ -72,7 +73,7 @@
 // Judge returns the verdict on a statement.
 func (h *History) Judge(c Closed) Verdict {
 	atServer := h.Received[c.Request]
-	read := c.Partial || c.Ending == emul.Orderly && c.waited() > lossSlack
+	read := c.Partial || c.Ending == emul.Orderly && c.waited()-h.stalled(c) > lossSlack
 	switch {
 	case c.Ending == emul.GaveUp:
 		return Abandoned
@@ -90,6 +91,15 @@
 	return CutRead
 }
 
+// stalled returns how late the end of a connection may have been noticed.
+func (h *History) stalled(c Closed) time.Duration {
+	var total time.Duration
+	for _, s := range h.Stalls {
+		total += s.within(c.Sent, c.Ended)
+	}
+	return total
+}
+
 // killed reports whether the end of the connection follows a kill of the
 // process that it led to.
 func (h *History) killed(c Closed) bool {
--- a/internal/stand/lines/cut_test.go
+++ b/internal/stand/lines/cut_test.go
@@ -63,6 +63,8 @@
 		h.Runs[c.Request] = []emul.Run{{Began: at(0), Ended: at(1)}}
 	case "killed":
 		h.Kills = []Event{{Front: arg.Vals[0], At: at(1)}}
+	case "stalled":
+		h.Stalls = append(h.Stalls, Stall{At: at(0), Late: at(1).Sub(at(0))})
 	case "route-timeout":
 		h.RouteTimeout = at(0).Sub(zero)
 	default:
--- a/internal/stand/lines/lines_test.go
+++ b/internal/stand/lines/lines_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -148,6 +149,53 @@
 	}
 }
 
+// TestPlanRolls checks that several instances stop at the same time, that at
+// least one is always spared, and that stopping instances get other signals.
+func TestPlanRolls(t *testing.T) {
+	for _, instances := range []int{2, 3, 8, 16, 60} {
+		t.Run(strconv.Itoa(instances), func(t *testing.T) {
+			g := NewWithT(t)
+			most, follows := 0, map[string]int{}
+			for seed := range uint64(60) {
+				stops := map[ident.Instance]time.Duration{} // latest stop
+				hits := map[ident.Instance]time.Duration{}  // latest fault
+				for _, f := range lines.NewPlan(seed, []*emul.Group{emul.NewGroup(named("g1"))}, instances, 2*time.Minute) {
+					if f.Instance == "" {
+						continue
+					}
+					if at, ok := stops[f.Instance]; ok && f.At-at < grace {
+						follows[f.Kind]++
+					} else if f.Kind == "stop" {
+						stops[f.Instance] = f.At
+					}
+					hits[f.Instance] = f.At
+					g.Expect(since(hits, f.At)).To(BeNumerically("<", instances), "an instance is spared: seed %d, %s", seed, f)
+					most = max(most, since(stops, f.At))
+				}
+			}
+			g.Expect(most).To(BeNumerically(">=", instances/2), "most instances stop at the same time")
+			for _, kind := range []string{"stop", "reload", "kill"} {
+				g.Expect(follows).To(HaveKey(kind))
+			}
+			g.Expect(follows).To(HaveLen(3), "nothing else hits a stopping instance")
+		})
+	}
+}
+
+// grace is the time that an instance has for a graceful stop.
+const grace = 6 * time.Second
+
+// since counts the instances with a time within the grace period before now.
+func since(times map[ident.Instance]time.Duration, now time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if now-at < grace {
+			n++
+		}
+	}
+	return n
+}
+
 func named(name ident.Group) emul.GroupConfig {
 	c := smallGroup
 	c.Name = name
--- a/internal/stand/lines/load.go
+++ b/internal/stand/lines/load.go
@@ -63,10 +63,8 @@
 	// had ended.
 	Unread int
 	// Closed are the statements whose connection ended without an answer.
-	Closed []Closed
-	// Stall is the longest time by which the callers' process was late to run.
-	// What is measured in the callers may be late by as much.
-	Stall   time.Duration
+	Closed  []Closed
+	Stalls  []Stall
 	Latency *hdrhistogram.Histogram // of answered statements, in microseconds
 }
 
@@ -118,7 +116,7 @@
 	}
 	held := tasks.New(loadCtx)
 	l.holdAll(held)
-	held.Go(l.measureStall)
+	held.Go(l.recordStalls)
 	err := group.Wait()
 	return &l.report, errors.CombineErrors(err, held.Close())
 }
--- a/internal/stand/lines/plan.go
+++ b/internal/stand/lines/plan.go
@@ -40,8 +40,9 @@
 
 // NewPlan returns random faults of servers, the store and the instances n1, n2
 // and so on, in the order of their start. The same arguments give the same plan.
-// Faults overlap, but each group has at most one faulty server at a time, and at
-// most one instance is affected. Without instances, none of them is.
+// Faults overlap, but each group has at most one faulty server at a time. Apart
+// from rolling stops, at most one instance is affected, and one more always
+// stays. Without instances, none of them is affected.
 func NewPlan(seed uint64, groups []*emul.Group, instances int, length time.Duration) []Fault {
 	p := &planner{
 		random: rand.New(rand.NewPCG(seed, uint64(length))), groups: groups, instances: instances,
@@ -56,6 +57,7 @@
 			p.add(f, area, min(span, end-at))
 		}
 	}
+	p.faults = append(p.faults, planRolls(seed, p.faults, instances, length)...)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
--- a/internal/stand/lines/stop.go
+++ b/internal/stand/lines/stop.go
@@ -23,7 +23,7 @@
 	At       time.Time
 	Took     time.Duration // zero while it lasts
 	// Overdue is set if the process was still there at the end of its grace and
-	// was killed.
+	// was killed, or if its end was seen more than stopMargin after that.
 	Overdue bool
 }
 
@@ -97,7 +97,8 @@
 func (d *Deployment) endStop(s *Stop, overdue bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s.Took, s.Overdue = time.Since(s.At), overdue
+	s.Took = time.Since(s.At)
+	s.Overdue = overdue || s.Took > grace+stopMargin
 }
 
 // Stops returns the graceful stops.
--- a/internal/stand/lines/stopreport.go
+++ b/internal/stand/lines/stopreport.go
@@ -31,7 +31,10 @@
 // CheckStops judges the statements of a load that got no answer, and the times
 // of the graceful stops.
 func (d *Deployment) CheckStops(r *Report) *StopReport {
-	out := &StopReport{Verdicts: make(map[Verdict]int), Stall: r.Stall}
+	out := &StopReport{Verdicts: make(map[Verdict]int)}
+	for _, s := range r.Stalls {
+		out.Stall = max(out.Stall, s.Late)
+	}
 	for _, s := range d.Stops() {
 		out.Stops++
 		out.Longest = max(out.Longest, s.Took)
@@ -39,7 +42,9 @@
 			out.Overdue = append(out.Overdue, fmt.Sprintf("%s, process %d, SIGTERM at %s", s.Instance, s.PID, s.At.UTC().Format(time.RFC3339Nano)))
 		}
 	}
-	out.judge(d.History(), r.Closed)
+	h := d.History()
+	h.Stalls = r.Stalls
+	out.judge(h, r.Closed)
 	return out
 }
 
--- a/scripts/lines.sh
+++ b/scripts/lines.sh
@@ -3,7 +3,8 @@
 # the callers see. Without a seed, a primary crashes and the store is unavailable
 # for 4 s; with one, the faults are random. Stops all processes when it ends. If
 # SOAK_KEEP is set to a directory, the logs are copied there.
-# Usage: lines.sh [DURATION] [INSTANCES] [SEED] [NETWORK]
+# Further arguments are passed on to `stand lines`.
+# Usage: lines.sh [DURATION] [INSTANCES] [SEED] [NETWORK] [FLAG...]
 set -u
 cd "$(dirname "$0")/.."
 duration=${1:-20s} instances=${2:-3} seed=${3:-} network=${4:-1}
@@ -17,7 +18,7 @@
 faults=(--fault 8s:crash:g1-a --fault 12s:restart:g1-a --fault 10s:storedown --fault 14s:storeup)
 [ -n "$seed" ] && faults=(--seed "$seed" --faults "$seed")
 mkdir -p "$SET_DIR/logs" "$SET_DIR/pids"
-"$SET_BIN/stand" lines --dir "$SET_DIR" --duration "$duration" --instances "$instances" --network "$network" "${faults[@]}" &
+"$SET_BIN/stand" lines --dir "$SET_DIR" --duration "$duration" --instances "$instances" --network "$network" "${faults[@]}" "${@:5}" &
 tool=$!
 SET_PROXIES="" SET_OTHERS=$tool
 for n in $(seq "$instances"); do
