--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -256,11 +256,14 @@
 // callers.
 func (d *Deployment) Front(i int) string { return d.address(i, 0) }
 
+// instanceName returns the name of the instance with index i, from 0.
+func instanceName(i int) ident.Instance { return ident.Instance(fmt.Sprintf("n%d", i+1)) }
+
 // frontOf returns the address on which an instance serves callers.
 func (d *Deployment) frontOf(n ident.Instance) string {
 	for i := range d.config.Instances {
-		if s := d.settings(i); s.Instance == n {
-			return s.Front
+		if instanceName(i) == n {
+			return d.Front(i)
 		}
 	}
 	return ""
@@ -278,7 +281,7 @@
 // settings returns the settings of an instance.
 func (d *Deployment) settings(i int) emul.Settings {
 	return emul.Settings{
-		Instance: ident.Instance(fmt.Sprintf("n%d", i+1)), DataCentre: dataCentre,
+		Instance: instanceName(i), DataCentre: dataCentre,
 		Front: d.address(i, 0), Ready: d.address(i, 1), Peer: d.address(i, 2), Store: d.links[""].Address(),
 		Grace: grace, Drain: 7 * time.Second,
 	}
--- a/internal/stand/lines/plan.go
+++ b/internal/stand/lines/plan.go
@@ -1,14 +1,12 @@
 package lines
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
-	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -83,7 +81,7 @@
 	case instanceFaults[f.Kind] != 0 && p.instances == 0:
 		return ""
 	case instanceFaults[f.Kind] != 0:
-		f.Instance = ident.Instance(fmt.Sprintf("n%d", 1+p.random.IntN(p.instances)))
+		f.Instance = instanceName(p.random.IntN(p.instances))
 		return instanceArea
 	case serverFaults[f.Kind] != nil, linkFaults[f.Kind] != nil && p.random.IntN(storeLinks) != 0:
 		g := p.groups[p.random.IntN(len(p.groups))]
--- a/internal/stand/lines/roll.go
+++ b/internal/stand/lines/roll.go
@@ -1,7 +1,6 @@
 package lines
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -84,7 +83,7 @@
 	}
 	var out []ident.Instance
 	for i := range instances {
-		if n := ident.Instance(fmt.Sprintf("n%d", i+1)); !hit[n] {
+		if n := instanceName(i); !hit[n] {
 			out = append(out, n)
 		}
 	}
