--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -1,6 +1,7 @@
 package lines
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -39,6 +40,8 @@
 	Instances int
 	Accounts  int
 	Rate      float64 // quota of each account in operations a second
+	// RouteTimeout is the timeout of all routes, emul.DefaultRouteTimeout if zero.
+	RouteTimeout time.Duration
 	// Dir receives the settings file of each instance.
 	Dir string
 	// BasePort is the first of the ports on which each instance listens. Each
@@ -67,7 +70,8 @@
 	listeners []net.Listener
 	procs     procs.Set
 	mu        sync.Mutex
-	stops     []gracefulStop
+	stops     []*Stop
+	kills     []Event
 }
 
 // Open starts the platform, publishes the configuration and writes the settings
@@ -210,8 +214,12 @@
 	return out
 }
 
+func (d *Deployment) routeTimeout() time.Duration {
+	return cmp.Or(d.config.RouteTimeout, emul.DefaultRouteTimeout)
+}
+
 func (d *Deployment) configure() {
-	c := emul.Config{Version: 1, Groups: d.groups}
+	c := emul.Config{Version: 1, Groups: d.groups, RouteTimeout: d.routeTimeout()}
 	for i, g := range d.groups {
 		for kind, name := range map[string]string{emul.Current: "now", emul.Bounded: "soon", emul.OwnWrites: "own"} {
 			c.Routes = append(c.Routes, emul.Route{Name: ident.Route(fmt.Sprintf("%s%d", name, i+1)), Kind: kind, Group: g.Name()})
@@ -248,11 +256,14 @@
 // callers.
 func (d *Deployment) Front(i int) string { return d.address(i, 0) }
 
+// instanceName returns the name of the instance with index i, from 0.
+func instanceName(i int) ident.Instance { return ident.Instance(fmt.Sprintf("n%d", i+1)) }
+
 // frontOf returns the address on which an instance serves callers.
 func (d *Deployment) frontOf(n ident.Instance) string {
 	for i := range d.config.Instances {
-		if s := d.settings(i); s.Instance == n {
-			return s.Front
+		if instanceName(i) == n {
+			return d.Front(i)
 		}
 	}
 	return ""
@@ -270,7 +281,7 @@
 // settings returns the settings of an instance.
 func (d *Deployment) settings(i int) emul.Settings {
 	return emul.Settings{
-		Instance: ident.Instance(fmt.Sprintf("n%d", i+1)), DataCentre: dataCentre,
+		Instance: instanceName(i), DataCentre: dataCentre,
 		Front: d.address(i, 0), Ready: d.address(i, 1), Peer: d.address(i, 2), Store: d.links[""].Address(),
 		Grace: grace, Drain: 7 * time.Second,
 	}
--- a/internal/stand/lines/plan.go
+++ b/internal/stand/lines/plan.go
@@ -1,14 +1,12 @@
 package lines
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
-	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -40,8 +38,9 @@
 
 // NewPlan returns random faults of servers, the store and the instances n1, n2
 // and so on, in the order of their start. The same arguments give the same plan.
-// Faults overlap, but each group has at most one faulty server at a time, and at
-// most one instance is affected. Without instances, none of them is.
+// Faults overlap, but each group has at most one faulty server at a time. Apart
+// from rolling stops, at most one instance is affected, and one more always
+// stays. Without instances, none of them is affected.
 func NewPlan(seed uint64, groups []*emul.Group, instances int, length time.Duration) []Fault {
 	p := &planner{
 		random: rand.New(rand.NewPCG(seed, uint64(length))), groups: groups, instances: instances,
@@ -56,6 +55,7 @@
 			p.add(f, area, min(span, end-at))
 		}
 	}
+	p.faults = append(p.faults, planRolls(seed, p.faults, instances, length)...)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
@@ -81,7 +81,7 @@
 	case instanceFaults[f.Kind] != 0 && p.instances == 0:
 		return ""
 	case instanceFaults[f.Kind] != 0:
-		f.Instance = ident.Instance(fmt.Sprintf("n%d", 1+p.random.IntN(p.instances)))
+		f.Instance = instanceName(p.random.IntN(p.instances))
 		return instanceArea
 	case serverFaults[f.Kind] != nil, linkFaults[f.Kind] != nil && p.random.IntN(storeLinks) != 0:
 		g := p.groups[p.random.IntN(len(p.groups))]
