End the statements at endpoints when a stop gives them up

What callers saw: nothing directly; an instance that was told to stop lived on as long as an endpoint ran one of its statements (14 s with a grace of 6 s and a route's time-out of 20 s), although the caller had its answer, and was killed before it could close its links and tell the others. Cause: the end of a session waits for its exchange with the endpoint, which knew only its own time-out. Change: once all callers and other instances are answered, the connections to endpoints are closed; that is not held against the endpoints.

--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -219,6 +219,16 @@
 	}
 }
 
+// Abandon ends the statements that this instance runs at endpoints. It is called
+// when nobody waits for their answers any more.
+func (n *Node) Abandon() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.runners {
+		r.pool.Abandon()
+	}
+}
+
 // SetConfig puts a configuration in force if it is newer. source is logged.
 func (n *Node) SetConfig(text []byte, source string) {
 	c, err := n.config.Decode(text)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -64,6 +64,7 @@
 	lastWaiter  sched.WaiterID
 	lastTx      engine.TxID
 	idleTxLimit time.Duration
+	abandoned   bool
 
 	commitUncertain func(t ident.Term) bool
 }
@@ -118,6 +119,17 @@
 	return len(p.txs)
 }
 
+// Abandon ends the statements that run at endpoints, with a lost answer. It says
+// nothing about the endpoints.
+func (p *GroupPool) Abandon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandoned = true
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+}
+
 // Close closes all connections and waits for the goroutines.
 func (p *GroupPool) Close() error {
 	err := p.tasks.Close()
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -89,6 +89,12 @@
 	raw, err := p.dialer.Dial(ctx, p.group, d.Endpoint, d.Account)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.abandoned {
+		if err == nil {
+			_ = raw.Close()
+		}
+		return
+	}
 	if err == nil {
 		p.conns[d.Conn] = newEndpointConn(d.Conn, d.Endpoint.ID, raw)
 		p.update(clock.Now(), sched.DialDone{Conn: d.Conn, Result: sched.Connected})
@@ -138,9 +144,13 @@
 	p.update(clock.Now(), sched.ConnLost{Conn: c.id})
 }
 
-// failConn closes a connection whose answer is lost and reports the failure.
+// failConn closes a connection whose answer is lost and reports the failure,
+// unless the pool itself gave up the answer.
 func (p *GroupPool) failConn(c *endpointConn, f sched.EndpointFailure) {
 	p.discardConn(c)
+	if p.isAbandoned() {
+		return
+	}
 	p.Update(f)
 	p.observe(f)
 }
@@ -155,6 +165,12 @@
 	return p.lastTx
 }
 
+func (p *GroupPool) isAbandoned() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.abandoned
+}
+
 func (p *GroupPool) noWrites() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
