Limit a statement's call before the statement is on record

What callers saw: nothing; a data race. A statement that a stop gives up was answered from its call while the session shortened the call's time. Cause: the statement was on record before its call was complete. Evidence: TestGiveUpRacesWithLimit failed with -race before and passes. Why it works: what is on record does not change any more.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -212,11 +212,12 @@
 	now := clock.Now()
 	group := s.state.Group()
 	step := s.state.Receive(statement, f.catalog.Load())
+	inTime := f.stop.limit(now, step)
 	f.begin(now, s, statement, step.Call)
 	if step.RollbackTx != 0 {
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: step.RollbackTx})
 	}
-	if (step.Call != nil || step.StartsOperation) && !f.stop.limit(now, step.Call) {
+	if !inTime {
 		return false, f.refuseStopping(s)
 	}
 	if step.StartsOperation {
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -38,19 +38,21 @@
 	ended atomic.Bool
 }
 
-// limit limits a call to the time that is left for its answer. It reports false
-// if the call must not begin any more. The call is nil for a statement that
-// begins an operation and that the front answers itself.
-func (t *stopping) limit(now time.Time, call *engine.Call) bool {
+// limit limits the call of a statement to the time that is left for its answer. It
+// reports false if the statement begins an operation or a call too late.
+func (t *stopping) limit(now time.Time, step engine.Step) bool {
+	if step.Call == nil {
+		return !step.StartsOperation || !t.statementsEnd.Load()
+	}
 	if t.statementsEnd.Load() {
 		return false
 	}
 	end := t.end.Load()
-	if end == 0 || call == nil {
+	if end == 0 {
 		return true
 	}
 	left := time.Unix(0, end).Sub(now) - answerMargin
-	call.Timeout = min(call.Timeout, left)
+	step.Call.Timeout = min(step.Call.Timeout, left)
 	return left > 0
 }
 
