Give back the operation of a transaction that a stop refuses

What callers saw: an account whose transaction was refused by a stopping instance had one operation less to spend, although nothing had run. Cause: BEGIN spends the operation, and the refusal of the first statement after it gave nothing back, unlike every other refusal.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -218,7 +218,7 @@
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: step.RollbackTx})
 	}
 	if !inTime {
-		return false, f.refuseStopping(s)
+		return false, f.refuseStopping(s, step)
 	}
 	if step.StartsOperation {
 		if refusal, ok := f.spendQuota(s); !ok {
@@ -232,7 +232,7 @@
 	}
 	a, home := f.call(ctx, s, step.Call)
 	if a.Outcome == engine.NotRun && (step.StartsOperation || step.Call.Phase == engine.First) {
-		f.limiter.Refund(step.Call.Account)
+		f.limiter.Refund(step.Call.Account) // the whole operation has not run
 	}
 	return false, s.answer(a, home)
 }
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -88,8 +88,11 @@
 }
 
 // refuseStopping refuses the open statement of a session, whose transaction is
-// rolled back.
-func (f *Front) refuseStopping(s *session) error {
+// rolled back. If nothing of the transaction has run, its operation is given back.
+func (f *Front) refuseStopping(s *session, step engine.Step) error {
+	if step.Call != nil && step.Call.Phase == engine.First {
+		f.limiter.Refund(step.Call.Account)
+	}
 	group := s.state.Group()
 	if tx := s.state.Abandon(); tx != 0 {
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: tx})
