Let the requests of one call share its time

What callers saw: a call whose endpoint answered slowly could take its time-out several times: for each variable, for BEGIN, for PREPARE and for the statement. The caller had its answer after one, but the connection, a slot and, in a stop, the instance were held on. Cause: each request to the endpoint was given the call's whole time-out. Change: the call's deadline is passed down in place of a time-out, and a request whose deadline has passed is not sent. Evidence: TestEachRequestOfCallTakesWholeTimeout failed before (3 s for a call of 0.7 s) and passes.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -14,8 +15,9 @@
 // maxPrepared limits the prepared statements of one endpoint connection.
 const maxPrepared = 256
 
-// errSetup reports that an endpoint refused to apply a session's state.
-var errSetup = errors.New("endpoint refused the session state")
+// errSetup reports that a statement was not sent, because the session's state
+// could not be applied at the endpoint.
+var errSetup = errors.New("statement not sent")
 
 // endpointConn is an open connection and the session state that the endpoint
 // holds for it.
@@ -34,10 +36,11 @@
 	}
 }
 
-// applyVariables sets the session's variables on the connection.
-func (c *endpointConn) applyVariables(variables []engine.Variable, timeout time.Duration) error {
+// applyVariables sets the session's variables on the connection, by the deadline
+// of the call.
+func (c *endpointConn) applyVariables(variables []engine.Variable, deadline time.Time) error {
 	if c.hasStaleVariables(variables) {
-		if err := c.setup(Request{Control: Reset}, timeout); err != nil {
+		if err := c.setup(Request{Control: Reset}, deadline); err != nil {
 			return err
 		}
 		clear(c.variables)
@@ -48,7 +51,7 @@
 			continue
 		}
 		s := engine.Statement{Op: engine.Set, Name: v.Name, Argument: v.Value}
-		if err := c.setup(Request{Statement: s}, timeout); err != nil {
+		if err := c.setup(Request{Statement: s}, deadline); err != nil {
 			return err
 		}
 		c.variables[v.Name] = v.Value
@@ -70,21 +73,21 @@
 
 // prepare returns the endpoint's name for a statement template. Sessions with
 // the same template share the prepared statement.
-func (c *endpointConn) prepare(template engine.StatementTemplate, timeout time.Duration) (string, error) {
+func (c *endpointConn) prepare(template engine.StatementTemplate, deadline time.Time) (string, error) {
 	if name, ok := c.prepared[template]; ok {
 		return name, nil
 	}
 	name := "p" + strconv.Itoa(len(c.prepared))
 	s := engine.Statement{Op: engine.Prepare, Template: template}
-	if err := c.setup(Request{Statement: s, PreparedName: name}, timeout); err != nil {
+	if err := c.setup(Request{Statement: s, PreparedName: name}, deadline); err != nil {
 		return "", err
 	}
 	c.prepared[template] = name
 	return name, nil
 }
 
-func (c *endpointConn) setup(r Request, timeout time.Duration) error {
-	a, err := c.Do(r, timeout)
+func (c *endpointConn) setup(r Request, deadline time.Time) error {
+	a, err := c.exchange(r, deadline)
 	if err != nil {
 		return errors.Wrap(err, "set up session")
 	}
@@ -96,16 +99,25 @@
 
 // run sends one statement. An Execute runs under the endpoint's name of the
 // prepared statement.
-func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, timeout time.Duration) (engine.Answer, error) {
+func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time) (engine.Answer, error) {
 	r := Request{Statement: s, After: after}
 	if s.Op == engine.Execute {
-		name, err := c.prepare(s.Template, timeout)
+		name, err := c.prepare(s.Template, deadline)
 		if err != nil {
 			return engine.Answer{}, err
 		}
 		r.PreparedName = name
 	}
-	return c.Do(r, timeout)
+	return c.exchange(r, deadline)
+}
+
+// exchange sends one request, unless the deadline has passed.
+func (c *endpointConn) exchange(r Request, deadline time.Time) (engine.Answer, error) {
+	left := deadline.Sub(clock.Now())
+	if left <= 0 {
+		return engine.Answer{}, errors.Wrap(errSetup, "no time is left for the request")
+	}
+	return c.Do(r, left)
 }
 
 // exhausted reports whether the connection holds too many prepared statements
--- a/internal/relay/deadline_test.go
+++ b/internal/relay/deadline_test.go
@@ -41,7 +41,7 @@
 			Variables: []engine.Variable{{Name: "a", Value: "1"}, {Name: "b", Value: "2"}},
 		}
 		began := time.Now()
-		_, _ = p.send(call, grant{conn: newEndpointConn(1, "db-a", slowConn{took: 600 * time.Millisecond})}, timeout)
+		_, _ = p.send(call, grant{conn: newEndpointConn(1, "db-a", slowConn{took: 600 * time.Millisecond})}, began.Add(timeout))
 		g.Expect(time.Since(began)).To(BeNumerically("<=", timeout))
 	})
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -232,7 +232,7 @@
 	}
 	a, home := f.call(ctx, s, step.Call)
 	if a.Outcome == engine.NotRun && (step.StartsOperation || step.Call.Phase == engine.First) {
-		f.limiter.Refund(step.Call.Account) // the whole operation has not run
+		f.limiter.Refund(step.Call.Account)
 	}
 	return false, s.answer(a, home)
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -192,16 +192,15 @@
 // call took effect and another endpoint may run it.
 func (p *GroupPool) attempt(call *engine.Call, g grant, origin ident.Instance, deadline time.Time) (a engine.Answer, tx engine.TxID, retry bool) {
 	began := clock.Now()
-	timeout := deadline.Sub(began)
-	if call.Repeatable() {
-		timeout = min(timeout, firstReadTimeout)
+	if firstTry := began.Add(firstReadTimeout); call.Repeatable() && firstTry.Before(deadline) {
+		deadline = firstTry
 	}
-	a, err := p.send(call, g, timeout)
+	a, err := p.send(call, g, deadline)
 	took := clock.Now().Sub(began)
 	if err != nil {
 		lost := p.lost(call, g.conn, err, took)
 		if errors.Is(err, errSetup) {
-			lost = engine.Refuse(engine.Aborted, saturatedPause, "the endpoint refused the session state")
+			lost = engine.Refuse(engine.Aborted, saturatedPause, "the statement was not sent to the endpoint")
 		}
 		return lost, 0, call.Repeatable() || errors.Is(err, errSetup)
 	}
@@ -256,19 +255,19 @@
 
 // send sends the call's requests one after the other, so that no statement
 // follows one that was refused.
-func (p *GroupPool) send(call *engine.Call, g grant, timeout time.Duration) (engine.Answer, error) {
-	if err := g.conn.applyVariables(call.Variables, timeout); err != nil {
+func (p *GroupPool) send(call *engine.Call, g grant, deadline time.Time) (engine.Answer, error) {
+	if err := g.conn.applyVariables(call.Variables, deadline); err != nil {
 		return engine.Answer{}, err
 	}
 	after := g.After
 	if begin, needed := beginFor(call, g.VerifyPrimary); needed {
-		a, err := g.conn.run(begin, after, timeout)
+		a, err := g.conn.run(begin, after, deadline)
 		if err != nil || !a.OK() {
 			return a, err
 		}
 		after = ident.LogPosition{}
 	}
-	return g.conn.run(call.Statement, after, timeout)
+	return g.conn.run(call.Statement, after, deadline)
 }
 
 // beginFor returns the statement that opens a transaction for the call, if it
@@ -319,11 +318,10 @@
 func (p *GroupPool) runInTx(call *engine.Call, c *endpointConn, deadline time.Time) (engine.Answer, error) {
 	for {
 		began := clock.Now()
-		timeout := deadline.Sub(began)
-		if err := c.applyVariables(call.Variables, timeout); err != nil {
+		if err := c.applyVariables(call.Variables, deadline); err != nil {
 			return engine.Answer{}, err
 		}
-		a, err := c.run(call.Statement, ident.LogPosition{}, timeout)
+		a, err := c.run(call.Statement, ident.LogPosition{}, deadline)
 		if err != nil {
 			return a, err
 		}
