--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -41,14 +41,11 @@
 // limit limits the call of a statement to the time that is left for its answer. It
 // reports false if the statement begins an operation or a call too late.
 func (t *stopping) limit(now time.Time, step engine.Step) bool {
-	if step.Call == nil {
-		return !step.StartsOperation || !t.statementsEnd.Load()
-	}
 	if t.statementsEnd.Load() {
-		return false
+		return step.Call == nil && !step.StartsOperation
 	}
 	end := t.end.Load()
-	if end == 0 {
+	if end == 0 || step.Call == nil {
 		return true
 	}
 	left := time.Unix(0, end).Sub(now) - answerMargin
