--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -19,6 +19,9 @@
 type Endpoint struct {
 	ID       ident.Endpoint
 	Draining bool
+	// Evacuated is set while the operator has taken the endpoint's data centre
+	// out of service.
+	Evacuated bool
 	// IsPrimary is set when the server reports itself as primary.
 	IsPrimary bool
 	// StartedAt is the start time of the server process in Unix milliseconds.
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -25,6 +25,12 @@
 	DataCentre ident.DataCentre
 	Slots      int
 	Draining   bool
+	// Evacuated is set while the operator has taken the endpoint's data centre
+	// out of service. It is not part of the directory.
+	Evacuated bool `cbor:"-"`
+	// ColdLeft is for how much longer the server said that it is slow after its
+	// start, zero if it is not.
+	ColdLeft time.Duration `cbor:",omitempty"`
 	// IsPrimary is set when the server reports itself as primary.
 	IsPrimary bool `cbor:"Leads"`
 	// StartedAt is the start time of the server process in Unix milliseconds.
@@ -132,6 +138,14 @@
 	MaxConns int
 	// DrainTime is how long a draining endpoint may be used, zero for no limit.
 	DrainTime time.Duration
+	// EvacuationTime is how long an evacuated endpoint may be used, zero for no
+	// limit.
+	EvacuationTime time.Duration
+	// ColdRate is how many calls a second an endpoint may receive from all
+	// instances while it is cold, and ColdTime how long an endpoint that returns
+	// from an evacuation may be cold. Zero means no limit.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Primary names the group's primary. Usable is false while the primary can't
