Send a session's variables and prepared statements in one round trip

A session's RESET, SET and PREPARE took one exchange each. On the network of 4.4 ms between data centres the median read at a replica elsewhere took 50 ms for 8 ms of work (a trial that logged each statement; at the primary 21 ms).

Set-up requests now go out together, and the statement follows once all of them are answered. None of them reads or writes, so nothing has run if one is refused. A connection whose set-up failed is closed, as before.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -36,13 +36,14 @@
 	}
 }
 
-// applyVariables sets the session's variables on the connection, by the deadline
-// of the call.
-func (c *endpointConn) applyVariables(variables []engine.Variable, deadline time.Time) error {
+// apply sets the session's variables on the connection and prepares the
+// statement, by the deadline of the call. All requests are sent together, which
+// takes one round trip. None of them reads or changes data, so nothing has run
+// if one of them fails.
+func (c *endpointConn) apply(variables []engine.Variable, s engine.Statement, deadline time.Time) error {
+	var requests []Request
 	if c.hasStaleVariables(variables) {
-		if err := c.setup(Request{Control: Reset}, deadline); err != nil {
-			return err
-		}
+		requests = append(requests, Request{Control: Reset})
 		clear(c.variables)
 		clear(c.prepared)
 	}
@@ -50,13 +51,16 @@
 		if old, ok := c.variables[v.Name]; ok && old == v.Value {
 			continue
 		}
-		s := engine.Statement{Op: engine.Set, Name: v.Name, Argument: v.Value}
-		if err := c.setup(Request{Statement: s}, deadline); err != nil {
-			return err
-		}
+		requests = append(requests, Request{Statement: engine.Statement{Op: engine.Set, Name: v.Name, Argument: v.Value}})
 		c.variables[v.Name] = v.Value
 	}
-	return nil
+	if _, known := c.prepared[s.Template]; s.Op == engine.Execute && !known {
+		name := "p" + strconv.Itoa(len(c.prepared))
+		prepare := engine.Statement{Op: engine.Prepare, Template: s.Template}
+		requests = append(requests, Request{Statement: prepare, PreparedName: name})
+		c.prepared[s.Template] = name
+	}
+	return c.sendSetup(requests, deadline)
 }
 
 // hasStaleVariables reports whether a variable is set on the connection that
@@ -71,42 +75,34 @@
 	return shared < len(c.variables)
 }
 
-// prepare returns the endpoint's name for a statement template. Sessions with
-// the same template share the prepared statement.
-func (c *endpointConn) prepare(template engine.StatementTemplate, deadline time.Time) (string, error) {
-	if name, ok := c.prepared[template]; ok {
-		return name, nil
+// sendSetup sends the requests of apply. After an error the connection must not
+// be used again, because the endpoint's state is not known.
+func (c *endpointConn) sendSetup(requests []Request, deadline time.Time) error {
+	if len(requests) == 0 {
+		return nil
 	}
-	name := "p" + strconv.Itoa(len(c.prepared))
-	s := engine.Statement{Op: engine.Prepare, Template: template}
-	if err := c.setup(Request{Statement: s, PreparedName: name}, deadline); err != nil {
-		return "", err
+	left := deadline.Sub(clock.Now())
+	if left <= 0 {
+		return errors.Wrap(errSetup, "no time is left for the request")
 	}
-	c.prepared[template] = name
-	return name, nil
-}
-
-func (c *endpointConn) setup(r Request, deadline time.Time) error {
-	a, err := c.exchange(r, deadline)
+	answers, err := c.DoAll(requests, left)
 	if err != nil {
 		return errors.Wrap(err, "set up session")
 	}
-	if !a.OK() {
-		return errors.Wrapf(errSetup, "%s", a.Reason)
+	for _, a := range answers {
+		if !a.OK() {
+			return errors.Wrapf(errSetup, "%s", a.Reason)
+		}
 	}
 	return nil
 }
 
 // run sends one statement. An Execute runs under the endpoint's name of the
-// prepared statement.
+// prepared statement, which apply has prepared.
 func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time) (engine.Answer, error) {
 	r := Request{Statement: s, After: after}
 	if s.Op == engine.Execute {
-		name, err := c.prepare(s.Template, deadline)
-		if err != nil {
-			return engine.Answer{}, err
-		}
-		r.PreparedName = name
+		r.PreparedName = c.prepared[s.Template]
 	}
 	return c.exchange(r, deadline)
 }
--- a/internal/relay/deadline_test.go
+++ b/internal/relay/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,15 @@
 	time.Sleep(c.took)
 	return engine.Answer{Outcome: engine.Answered}, nil
 }
+
+func (c slowConn) DoAll(requests []Request, timeout time.Duration) ([]engine.Answer, error) {
+	a, err := c.Do(Request{}, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Repeat([]engine.Answer{a}, len(requests)), nil
+}
+
 func (c slowConn) Close() error { return nil }
 
 // The requests of one call share its time-out, or a local call outlives the stop
--- a/internal/relay/endpoint.go
+++ b/internal/relay/endpoint.go
@@ -58,6 +58,9 @@
 	// Do sends a request and returns the answer. An error means that the answer
 	// is lost and that the connection can't be used any more.
 	Do(r Request, timeout time.Duration) (engine.Answer, error)
+	// DoAll sends the requests together and returns their answers in order. The
+	// endpoint handles each of them, whatever the others' answers.
+	DoAll(requests []Request, timeout time.Duration) ([]engine.Answer, error)
 	Close() error
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -256,7 +256,7 @@
 // send sends the call's requests one after the other, so that no statement
 // follows one that was refused.
 func (p *GroupPool) send(call *engine.Call, g grant, deadline time.Time) (engine.Answer, error) {
-	if err := g.conn.applyVariables(call.Variables, deadline); err != nil {
+	if err := g.conn.apply(call.Variables, call.Statement, deadline); err != nil {
 		return engine.Answer{}, err
 	}
 	after := g.After
@@ -318,7 +318,7 @@
 func (p *GroupPool) runInTx(call *engine.Call, c *endpointConn, deadline time.Time) (engine.Answer, error) {
 	for {
 		began := clock.Now()
-		if err := c.applyVariables(call.Variables, deadline); err != nil {
+		if err := c.apply(call.Variables, call.Statement, deadline); err != nil {
 			return engine.Answer{}, err
 		}
 		a, err := c.run(call.Statement, ident.LogPosition{}, deadline)
