Keep a panic in one session or call from ending the process

Operators of similar systems have seen one malformed message take down a whole process. Here any panic did: nothing recovered, so a fault that one caller met ended the sessions of all others and the calls of other instances.

A caller's session on both protocols, and a call that runs for another instance, are now isolated: the panic is logged with its stack, the session ends and its transaction is rolled back; the other instance is told that the outcome of a commit is unknown. Handlers of peer messages are not isolated: some hold a lock without defer, and going on with that lock held would be worse. engine.Op.String panicked for a kind of a later version; it has no name now.

In tests a violated invariant still panics through the isolation.

--- a/internal/assert/assert.go
+++ b/internal/assert/assert.go
@@ -11,6 +11,9 @@
 	"k8s.io/klog/v2"
 )
 
+// Violation is the panic value of a violation in tests.
+type Violation string
+
 // Name identifies one invariant in logs, metrics and reports.
 type Name string
 
@@ -53,7 +56,7 @@
 	addReport(text)
 	klog.ErrorS(nil, "Invariant violated", "name", name, "detail", detail)
 	if fatal.Load() {
-		panic("invariant violated: " + text)
+		panic(Violation("invariant violated: " + text))
 	}
 }
 
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -29,8 +29,13 @@
 }
 
 // String returns the name of the kind, empty for a statement that could not be
-// parsed.
-func (o Op) String() string { return opNames[o] }
+// parsed or that an instance of another version sent.
+func (o Op) String() string {
+	if int(o) < len(opNames) {
+		return opNames[o]
+	}
+	return ""
+}
 
 // Access is the access mode of a prepared statement.
 type Access uint8
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -112,7 +112,13 @@
 	se := newSession(s, socket)
 	defer se.close()
 	defer context.AfterFunc(ctx, se.end)()
-	if err := se.serve(ctx); err != nil && !errors.Is(err, errGone) {
+	err := tasks.Isolate(func() error { return se.serve(ctx) })
+	var panicked *tasks.PanicError
+	if errors.As(err, &panicked) {
+		klog.ErrorS(panicked, "Caller session panicked", "session", se.id)
+		return
+	}
+	if err != nil && !errors.Is(err, errGone) {
 		klog.V(3).InfoS("Caller session failed", "session", se.id, "err", err)
 	}
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -312,8 +312,5 @@
 	f.mu.Lock()
 	delete(f.sessions, s)
 	f.mu.Unlock()
-	group := s.state.Group()
-	if tx := s.state.Abandon(); tx != 0 {
-		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: tx})
-	}
+	f.abandonTx(s)
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -198,7 +198,7 @@
 	}
 	r.tasks.Go(func(ctx context.Context) error {
 		defer r.inbound.done()
-		a, tx := r.runHere(ctx, from, &m.Call)
+		a, tx := r.runIsolated(ctx, from, &m.Call)
 		if m.Call.Phase == engine.End {
 			return nil
 		}
@@ -209,6 +209,20 @@
 	})
 }
 
+// runIsolated is like runHere for a call of another instance. After a panic, it
+// is not known what has run.
+func (r *Router) runIsolated(ctx context.Context, origin ident.Instance, call *engine.Call) (a engine.Answer, tx engine.TxID) {
+	err := tasks.Isolate(func() error {
+		a, tx = r.runHere(ctx, origin, call)
+		return nil
+	})
+	if err != nil {
+		trace.Failure("CallPanicked", err, "Request", call.Statement.ID, "Group", call.Group, "From", origin)
+		return call.LostAnswer("the owner of the group failed while it ran the statement"), 0
+	}
+	return a, tx
+}
+
 // refuseCall answers a call that arrived too late to be run.
 func (r *Router) refuseCall(from ident.Instance, m peer.Call) {
 	if pool := r.locator.Local(m.Call.Group); pool != nil && m.Call.Tx != 0 {
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -90,12 +90,17 @@
 	if step.Call != nil && step.Call.Phase == engine.First {
 		f.limiter.Refund(step.Call.Account)
 	}
+	f.abandonTx(s)
+	s.state.Reset()
+	return s.answer(engine.Refuse(engine.Aborted, lostRetry, "the instance is shutting down"), "")
+}
+
+// abandonTx rolls back the open transaction of a session, if there is one.
+func (f *Front) abandonTx(s *session) {
 	group := s.state.Group()
 	if tx := s.state.Abandon(); tx != 0 {
 		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: tx})
 	}
-	s.state.Reset()
-	return s.answer(engine.Refuse(engine.Aborted, lostRetry, "the instance is shutting down"), "")
 }
 
 // GiveUp ends all sessions. It answers the statements that have been read and have
