Order waiting calls by target and fair shares, and admit them by their position

Calls that can still meet their target go first, then priorities, then accounts in turn, weighted by their rates. One grant in eight goes to the call that has waited longest. A new call is rejected if the calls before it in that order, at the service times of their kinds, take longer than its share of the timeout. Rejected callers get retry times of their own.

--- /dev/null
+++ b/internal/sched/admission.go
@@ -0,0 +1,170 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// maxWaiting limits the waiting calls of one group.
+	maxWaiting = 1024
+	// maxAccountWaiting limits the waiting calls of one account, so that there
+	// is room for others.
+	maxAccountWaiting = maxWaiting * 3 / 4
+	// minAccountWaiting is how many calls of an account may wait although the
+	// queue is full.
+	minAccountWaiting = 4
+)
+
+// acquire queues a call, or rejects it immediately if it can't be served in
+// time.
+func (s *Scheduler) acquire(now time.Time, m Acquire) {
+	w := newWaiter(now, m, s.nextArrival)
+	s.nextArrival++
+	if len(s.endpoints) == 0 {
+		s.reject(now, w, engine.NoEndpoint, NoEndpointKnown, 0)
+		return
+	}
+	servable := s.servableAt(now, m.Call)
+	if servable.After(w.deadline) {
+		s.rejectUnservable(now, w, servable)
+		return
+	}
+	if m.Call.MayCommit() && s.primary.NoWrites {
+		s.reject(now, w, engine.NoPrimary, NoCommits, s.primary.ExpectedAt.Sub(now))
+		return
+	}
+	if !s.hasRoom(m.Call.Account) {
+		s.reject(now, w, engine.Overloaded, QueueFull, 0)
+		return
+	}
+	starts := now.Add(s.expectedWait(now, w))
+	if servable.After(now) {
+		starts = starts.Add(servable.Sub(now))
+	}
+	if starts.After(w.deadline) {
+		s.reject(now, w, engine.Overloaded, QueueTooLong, starts.Sub(w.deadline))
+		return
+	}
+	s.waiting = append(s.waiting, w)
+}
+
+// hasRoom reports whether a further call of an account may wait.
+func (s *Scheduler) hasRoom(a ident.Account) bool {
+	if len(s.waiting) < maxAccountWaiting {
+		return true
+	}
+	count := 0
+	for _, w := range s.waiting {
+		if w.call.Account == a {
+			count++
+		}
+	}
+	return count < minAccountWaiting || count < maxAccountWaiting && len(s.waiting) < maxWaiting
+}
+
+// expectedWait estimates how long a new call would wait for the calls that run
+// before it. A call that would miss its target meanwhile is served after the
+// calls that can meet theirs.
+func (s *Scheduler) expectedWait(now time.Time, w *waiter) time.Duration {
+	if len(s.waiting) == 0 {
+		return 0
+	}
+	s.setOrder(now)
+	service := s.expectedService(w)
+	w.late = w.lateAfter(now, service)
+	wait := s.waitInOrder(now, w)
+	if !w.late && w.lateAfter(now.Add(wait), service) {
+		w.late = true
+		wait = s.waitInOrder(now, w)
+	}
+	return wait
+}
+
+// waitInOrder estimates the wait of a new call in its class: the work of the
+// calls that run before it, divided by the slots that can run it. Late calls get
+// only a share of the slots, because further calls go before them. Some calls
+// behind it run before it because they have waited longest.
+func (s *Scheduler) waitInOrder(now time.Time, w *waiter) time.Duration {
+	w.turn = s.nextTurn(w.accountClass())
+	var before, late, behind work
+	for _, other := range s.waiting {
+		service := s.expectedService(other)
+		switch {
+		case compareOrder(other, w) > 0:
+			behind.add(other, service)
+		case other.late:
+			late.add(other, service)
+		default:
+			before.add(other, service)
+		}
+	}
+	slots := s.slotsFor(now)
+	wait := slots.time(w.call, before) + time.Duration(float64(slots.time(w.call, late))/s.lateShare.value())
+	return wait + min(wait/(oldestShare-1), slots.time(w.call, behind))
+}
+
+// work is the time that a set of calls occupies slots.
+type work struct {
+	primaryOnly time.Duration
+	anywhere    time.Duration
+}
+
+func (k *work) add(w *waiter, service time.Duration) {
+	if w.call.PrimaryOnly {
+		k.primaryOnly += service
+	} else {
+		k.anywhere += service
+	}
+}
+
+// slots are the slots of a group that can run calls.
+type slots struct{ primary, replicas int }
+
+// slotsFor returns the slots of the endpoints that are in use. Those of other
+// endpoints count if there is none.
+func (s *Scheduler) slotsFor(now time.Time) slots {
+	var inUse, all slots
+	for _, e := range s.sorted {
+		n := max(1, e.Slots)
+		switch paused := e.Draining || now.Before(e.readsPausedUntil); {
+		case e.ID == s.primary.Endpoint:
+			inUse.primary += n
+			all.primary += n
+		case !paused:
+			inUse.replicas += n
+			fallthrough
+		default:
+			all.replicas += n
+		}
+	}
+	if inUse.primary+inUse.replicas == 0 {
+		return all
+	}
+	return inUse
+}
+
+// time returns how long the slots that can run a call are occupied by work.
+// Calls that run anywhere use the slots of the primary in proportion.
+func (n slots) time(c *engine.Call, k work) time.Duration {
+	total := time.Duration(max(1, n.primary+n.replicas))
+	if c.PrimaryOnly {
+		return k.primaryOnly/time.Duration(max(1, n.primary)) + k.anywhere/total
+	}
+	wait := (k.primaryOnly + k.anywhere) / total
+	if n.replicas > 0 {
+		wait = min(wait, k.anywhere/time.Duration(n.replicas))
+	}
+	return wait
+}
+
+// spacing returns the average time between two calls of a kind that the slots
+// start one after the other.
+func (n slots) spacing(c *engine.Call, service time.Duration) time.Duration {
+	if c.PrimaryOnly {
+		return service / time.Duration(max(1, n.primary))
+	}
+	return service / time.Duration(max(1, n.primary+n.replicas))
+}
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -107,6 +107,8 @@
 	// UsedSlot is set when the request occupied a slot, so that Took measures
 	// the endpoint's latency.
 	UsedSlot bool
+	// Kind is the kind of the call, if UsedSlot is set.
+	Kind CallKind
 }
 
 // EndpointFailure reports a call that an endpoint failed to serve.
@@ -148,6 +150,11 @@
 	ColdTime time.Duration
 }
 
+// Weights carries the configured rates of the accounts. Accounts share the
+// connections in proportion to their rates. Without rates, all accounts have
+// equal shares.
+type Weights struct{ Rates map[ident.Account]float64 }
+
 // Primary names the group's primary. Usable is false while the primary can't
 // serve. ExpectedAt is then when the next primary is expected, or zero if that
 // is not known.
@@ -181,6 +188,7 @@
 func (EndpointFailure) message()  {}
 func (Directory) message()        {}
 func (Limits) message()           {}
+func (Weights) message()          {}
 func (Primary) message()          {}
 func (Ownership) message()        {}
 func (CloseIdleConn) message()    {}
@@ -207,6 +215,7 @@
 type Reject struct {
 	Waiter  WaiterID
 	Reason  engine.Reason
+	Cause   RejectCause
 	RetryIn time.Duration
 	Detail  string
 	Waited  time.Duration
--- /dev/null
+++ b/internal/sched/order.go
@@ -0,0 +1,109 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// oldestShare is the number of grants of which one goes to the call that has
+// waited longest. It bounds the wait of calls that others always precede.
+const oldestShare = 8
+
+// compareOrder compares two waiting calls by the order in which they are
+// served: those that can still meet their target, then by priority, by the
+// turns of their accounts, and by arrival.
+func compareOrder(a, b *waiter) int {
+	return cmp.Or(compareLate(a, b), cmp.Compare(a.call.Priority, b.call.Priority), cmp.Compare(a.turn, b.turn), cmp.Compare(a.arrival, b.arrival))
+}
+
+func compareLate(a, b *waiter) int {
+	switch {
+	case a.late == b.late:
+		return 0
+	case b.late:
+		return -1
+	}
+	return 1
+}
+
+// accountClass identifies the waiting calls of an account in one class.
+type accountClass struct {
+	class
+	account ident.Account
+}
+
+func (w *waiter) accountClass() accountClass {
+	return accountClass{class: class{late: w.late, priority: w.call.Priority}, account: w.call.Account}
+}
+
+// setOrder sets the class and the turn of each waiting call. The turns of an
+// account's calls follow each other, so that an account with many waiting calls
+// gets no more than its share when several connections become free at once.
+func (s *Scheduler) setOrder(now time.Time) {
+	s.nextTurns = make(map[accountClass]float64)
+	for _, w := range s.waiting {
+		w.late = w.lateAfter(now, s.expectedService(w))
+		k := w.accountClass()
+		w.turn = s.nextTurn(k)
+		s.nextTurns[k] = w.turn + s.turns.step(k.account)
+	}
+}
+
+// nextTurn returns the turn of a further call of an account. setOrder has to be
+// called before.
+func (s *Scheduler) nextTurn(k accountClass) float64 {
+	if t, waiting := s.nextTurns[k]; waiting {
+		return t
+	}
+	return s.turns.first(k.class, k.account)
+}
+
+// dispatch grants connections to the waiting calls in their order. One grant in
+// oldestShare goes to the call that has waited longest.
+func (s *Scheduler) dispatch(now time.Time) {
+	if len(s.waiting) == 0 || !slices.ContainsFunc(s.sorted, func(e *endpoint) bool { return e.hasSlot(now) }) {
+		return
+	}
+	s.setOrder(now)
+	oldestTried := false
+	for _, w := range slices.SortedFunc(slices.Values(s.waiting), compareOrder) {
+		if s.oldestDue() && !oldestTried {
+			oldestTried = true
+			s.placeOldest(now)
+		}
+		if !w.granted && s.place(now, w) {
+			s.recordGrant(w)
+		}
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool { return w.granted })
+}
+
+// oldestDue reports whether the next grant belongs to the call that has waited
+// longest.
+func (s *Scheduler) oldestDue() bool { return s.grantsInOrder >= oldestShare-1 }
+
+// placeOldest grants or opens a connection for the call that has waited longest
+// of those that an endpoint can take. The waiting calls are kept by arrival.
+func (s *Scheduler) placeOldest(now time.Time) {
+	for _, w := range s.waiting {
+		if w.granted || s.choose(now, w, s.requirements(now, w.call)) == nil {
+			continue
+		}
+		if s.place(now, w) {
+			s.recordGrant(w)
+			s.grantsInOrder = 0
+		}
+		return
+	}
+}
+
+// recordGrant records that a call has left the queue with a connection.
+func (s *Scheduler) recordGrant(w *waiter) {
+	w.granted = true
+	s.grantsInOrder++
+	s.lateShare.record(w.late || !s.onTimeWaiting())
+	s.turns.granted(class{late: w.late, priority: w.call.Priority}, w.call.Account)
+}
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -80,6 +80,7 @@
 		Account:     rapid.SampledFrom([]ident.Account{"x", "y", "z"}).Draw(d.t, "account"),
 		PrimaryOnly: rapid.Bool().Draw(d.t, "primary"),
 		Priority:    rapid.IntRange(0, 2).Draw(d.t, "priority"),
+		Target:      rapid.SampledFrom([]time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond}).Draw(d.t, "target"),
 	}
 	d.waiting[d.next] = call
 	d.update(Acquire{Waiter: d.next, Call: call, Deadline: d.now.Add(500 * time.Millisecond)})
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
-	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -35,8 +34,7 @@
 	endpoints   map[ident.Endpoint]*endpoint
 	sorted      []*endpoint // endpoints sorted by name
 	conns       map[ConnID]*conn
-	waiting     []*waiter
-	inUse       map[ident.Account]int // connections that run a statement or are idle in transaction
+	waiting     []*waiter // by arrival
 	floors      floorTracker
 	primary     Primary
 	owner       bool
@@ -44,6 +42,13 @@
 	lastConn    ConnID
 	nextArrival uint64
 	commands    []Command
+
+	turns         turns
+	nextTurns     map[accountClass]float64 // after the waiting calls, see setOrder
+	grantsInOrder int                      // since the latest grant to the call that had waited longest
+	lateShare     lateShare
+	services      serviceTimes
+	retries       map[retryKey]*retryPlan
 }
 
 // New returns a scheduler without endpoints.
@@ -51,8 +56,11 @@
 	return &Scheduler{
 		endpoints:   make(map[ident.Endpoint]*endpoint),
 		conns:       make(map[ConnID]*conn),
-		inUse:       make(map[ident.Account]int),
 		serviceTime: initialServiceTime,
+		turns:       newTurns(),
+		lateShare:   1,
+		services:    make(serviceTimes),
+		retries:     make(map[retryKey]*retryPlan),
 	}
 }
 
@@ -90,6 +98,8 @@
 		}
 	case Directory:
 		s.setDirectory(now, m)
+	case Weights:
+		s.turns.setRates(m.Rates)
 	case Limits:
 		s.limits = m
 	case Primary:
@@ -164,17 +174,11 @@
 	s.adjustCounts(c, 1)
 }
 
-// adjustCounts adds c to the counters of its state, or removes it from them.
+// adjustCounts adds c to the calls that occupy a slot, or removes it from them.
 func (s *Scheduler) adjustCounts(c *conn, by int) {
 	if c.takesSlot() {
 		c.endpoint.active += by
 	}
-	if c.state == running || c.state == idleInTx {
-		s.inUse[c.account] += by
-		if s.inUse[c.account] == 0 {
-			delete(s.inUse, c.account)
-		}
-	}
 }
 
 func (s *Scheduler) connLost(id ConnID) {
@@ -232,6 +236,7 @@
 		s.floors.record(m.Began, m.Position)
 	}
 	if m.UsedSlot {
+		s.services.observe(m.Kind, m.Took, s.serviceTime)
 		s.serviceTime += (m.Took - s.serviceTime) / 16
 	}
 }
@@ -292,8 +297,3 @@
 	}
 	return max(1, int(fraction*float64(s.limits.MaxConns)))
 }
-
-// reject rejects a waiting or newly arrived call.
-func (s *Scheduler) reject(now time.Time, w *waiter, reason engine.Reason, retryIn time.Duration, detail string) {
-	s.emit(Reject{Waiter: w.id, Reason: reason, RetryIn: retryIn, Detail: detail, Waited: now.Sub(w.since)})
-}
--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -19,6 +19,7 @@
 	scheduler *Scheduler
 	now       time.Time
 	grants    map[WaiterID]Grant
+	retries   []time.Duration // of all rejections so far
 	// slow leaves dials pending until the command dialled.
 	slow bool
 }
@@ -77,6 +78,18 @@
 			t.Fatal(err)
 		}
 		fmt.Fprint(&out, s.update(Limits{MaxConns: 16, DrainTime: limit}))
+	case "load":
+		fmt.Fprint(&out, s.runLoad(t, d))
+	case "weights":
+		m := Weights{Rates: map[ident.Account]float64{}}
+		for _, a := range d.CmdArgs {
+			var rate float64
+			d.ScanArgs(t, a.Key, &rate)
+			m.Rates[ident.Account(a.Key)] = rate
+		}
+		fmt.Fprint(&out, s.update(m))
+	case "retries":
+		fmt.Fprint(&out, s.checkRetries(t, d))
 	case "slowdials":
 		s.slow = true
 	case "dialled":
@@ -112,7 +125,7 @@
 }
 
 // acquire queues calls: acquire 1..4 account=shop [primary] [priority=2]
-// [timeout=1s].
+// [timeout=1s] [target=150ms] [quiet]. With quiet, it prints counts only.
 func (s *script) acquire(t *testing.T, d *datadriven.TestData) string {
 	var first, last int
 	if _, err := fmt.Sscanf(d.CmdArgs[0].Key, "%d..%d", &first, &last); err != nil {
@@ -133,6 +146,8 @@
 			d.ScanArgs(t, "priority", &call.Priority)
 		case "timeout":
 			timeout, _ = time.ParseDuration(a.Vals[0])
+		case "target":
+			call.Target, _ = time.ParseDuration(a.Vals[0])
 		}
 	}
 	var out strings.Builder
@@ -140,6 +155,37 @@
 		c := call
 		out.WriteString(s.update(Acquire{Waiter: WaiterID(n), Call: &c, Deadline: s.now.Add(timeout)}))
 	}
+	if d.HasArg("quiet") {
+		return fmt.Sprintf("%d run, %d rejected\n", strings.Count(out.String(), " runs at "), strings.Count(out.String(), " rejected: "))
+	}
+	return out.String()
+}
+
+// checkRetries checks the delays of all rejections so far: retries from=25ms
+// until=150ms bunch=10. No more than bunch of them are within the same 10 ms, and
+// they fill the time between from and until.
+func (s *script) checkRetries(t *testing.T, d *datadriven.TestData) string {
+	var fromText, untilText string
+	var bunch int
+	d.ScanArgs(t, "from", &fromText)
+	d.ScanArgs(t, "until", &untilText)
+	d.ScanArgs(t, "bunch", &bunch)
+	from, _ := time.ParseDuration(fromText)
+	until, _ := time.ParseDuration(untilText)
+	first, last := slices.Min(s.retries), slices.Max(s.retries)
+	var out strings.Builder
+	if first < from || last > until {
+		fmt.Fprintf(&out, "retries are from %s until %s\n", first, last)
+	}
+	if last-first < (until-from)*8/10 {
+		fmt.Fprintf(&out, "retries fill only %s of %s\n", last-first, until-from)
+	}
+	if n := (&stream{retries: s.retries}).largestBunch(); n > bunch {
+		fmt.Fprintf(&out, "%d retries within 10 ms\n", n)
+	}
+	if out.Len() == 0 {
+		return "spread\n"
+	}
 	return out.String()
 }
 
@@ -170,6 +216,7 @@
 			s.grants[c.Waiter] = c
 			fmt.Fprintf(&out, "%d runs at %s, %s\n", c.Waiter, c.Endpoint, requirement(c))
 		case Reject:
+			s.retries = append(s.retries, c.RetryIn)
 			fmt.Fprintf(&out, "%d rejected: %s, retry in %s\n", c.Waiter, c.Reason, c.RetryIn.Round(time.Millisecond))
 		case Dial:
 			fmt.Fprintf(&out, "dial %s for %s\n", c.Endpoint.ID, c.Account)
