--- a/internal/engine/catalog.go
+++ b/internal/engine/catalog.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// AccountRates returns the configured rates of the accounts.
+func (c *Catalog) AccountRates() map[ident.Account]float64 {
+	rates := make(map[ident.Account]float64, len(c.Accounts))
+	for _, a := range c.Accounts {
+		rates[a.Name] = a.Quota.Rate
+	}
+	return rates
+}
+
 // AccountOf returns the account that owns key.
 func (c *Catalog) AccountOf(key string) (ident.Account, bool) {
 	a, ok := c.keys[key]
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -256,6 +256,7 @@
 
 // applyLimits updates the limits of every group. The caller holds the mutex.
 func (n *Node) applyLimits(c *engine.Catalog) {
+	weights := sched.Weights{Rates: c.AccountRates()}
 	for g, limits := range c.Groups {
 		r := n.runners[g]
 		if r == nil {
@@ -264,6 +265,7 @@
 			r.setEndpoints(n.endpoints[g])
 		}
 		r.pool.Update(sched.Limits{MaxConns: limits.MaxConns, DrainTime: n.config.DrainTime})
+		r.pool.Update(weights)
 		r.pool.SetIdleTx(c.IdleTx)
 		r.update(lead.ReplicationRules{SyncReplicas: limits.SyncReplicas})
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -186,12 +186,13 @@
 	took       time.Duration
 	wasPrimary bool // the endpoint proved that it is the primary
 	wrote      bool // the answer acknowledges a commit
+	kind       sched.CallKind
 }
 
 // attempt runs a call on a granted connection. retry is set when nothing of the
 // call took effect and another endpoint may run it.
 func (p *GroupPool) attempt(call *engine.Call, g grant, origin ident.Instance, deadline time.Time) (a engine.Answer, tx engine.TxID, retry bool) {
-	began := clock.Now()
+	began, kind := clock.Now(), sched.KindOf(call)
 	if firstTry := began.Add(firstReadTimeout); call.Repeatable() && firstTry.Before(deadline) {
 		deadline = firstTry
 	}
@@ -205,7 +206,7 @@
 		return lost, 0, call.Repeatable() || errors.Is(err, errSetup)
 	}
 	if a.OK() && call.Phase == engine.First && call.Statement.Op != engine.Commit {
-		p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary}, a)
+		p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary, kind: kind}, a)
 		return a, p.holdTx(g.conn, origin, call.Statement.Writes()), false
 	}
 	p.release(g.conn, a.State != engine.Idle)
@@ -218,7 +219,7 @@
 	}
 	wrote := call.Phase == engine.Single && call.Statement.Writes()
 	a = p.confirmCommit(a, wrote)
-	p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary || wrote, wrote: wrote}, a)
+	p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary || wrote, wrote: wrote, kind: kind}, a)
 	return a, 0, a.Reason == engine.Failed && call.Phase == engine.Single && call.Repeatable()
 }
 
@@ -329,7 +330,7 @@
 			time.Sleep(saturatedPause)
 			continue
 		}
-		x := exchange{began: began, took: clock.Now().Sub(began), wasPrimary: call.PrimaryOnly && call.Statement.Op != engine.Commit}
+		x := exchange{began: began, took: clock.Now().Sub(began), wasPrimary: call.PrimaryOnly && call.Statement.Op != engine.Commit, kind: sched.KindOf(call)}
 		p.observed(c.endpoint, x, a)
 		return a, nil
 	}
@@ -338,7 +339,7 @@
 func (p *GroupPool) observed(e ident.Endpoint, x exchange, a engine.Answer) {
 	m := sched.EndpointObserved{
 		Endpoint: e, Began: x.began, Took: x.took, Position: a.Position,
-		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered,
+		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered, Kind: x.kind,
 	}
 	p.Update(m)
 	p.observe(m)
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -88,7 +88,7 @@
 // only a share of the slots, because further calls go before them. Some calls
 // behind it run before it because they have waited longest.
 func (s *Scheduler) waitInOrder(now time.Time, w *waiter) time.Duration {
-	w.turn = s.nextTurn(w.accountClass())
+	w.turn = *s.nextTurn(w.accountClass())
 	var before, late, behind work
 	for _, other := range s.waiting {
 		service := s.expectedService(other)
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -43,22 +43,24 @@
 // account's calls follow each other, so that an account with many waiting calls
 // gets no more than its share when several connections become free at once.
 func (s *Scheduler) setOrder(now time.Time) {
-	s.nextTurns = make(map[accountClass]float64)
+	s.nextTurns = make(map[accountClass]*float64)
 	for _, w := range s.waiting {
 		w.late = w.lateAfter(now, s.expectedService(w))
-		k := w.accountClass()
-		w.turn = s.nextTurn(k)
-		s.nextTurns[k] = w.turn + s.turns.step(k.account)
+		next := s.nextTurn(w.accountClass())
+		w.turn = *next
+		*next += s.turns.step(w.call.Account)
 	}
 }
 
 // nextTurn returns the turn of a further call of an account. setOrder has to be
 // called before.
-func (s *Scheduler) nextTurn(k accountClass) float64 {
-	if t, waiting := s.nextTurns[k]; waiting {
-		return t
+func (s *Scheduler) nextTurn(k accountClass) *float64 {
+	next := s.nextTurns[k]
+	if next == nil {
+		next = new(s.turns.first(k.class, k.account))
+		s.nextTurns[k] = next
 	}
-	return s.turns.first(k.class, k.account)
+	return next
 }
 
 // dispatch grants connections to the waiting calls in their order. One grant in
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -44,8 +44,8 @@
 	commands    []Command
 
 	turns         turns
-	nextTurns     map[accountClass]float64 // after the waiting calls, see setOrder
-	grantsInOrder int                      // since the latest grant to the call that had waited longest
+	nextTurns     map[accountClass]*float64 // after the waiting calls, see setOrder
+	grantsInOrder int                       // since the latest grant to the call that had waited longest
 	lateShare     lateShare
 	services      serviceTimes
 	retries       map[retryKey]*retryPlan
