Remove the calls of callers that have left from the owner's queue

A session notices that its caller has disconnected during a statement. The owner is told with CallWithdrawn, which older instances skip. The calls of an instance that was lost leave the queue as well.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -159,6 +159,8 @@
 		return decodeAs[MemberList](kind, body)
 	case LastKind:
 		return decodeAs[Last](kind, body)
+	case CallWithdrawnKind:
+		return decodeAs[CallWithdrawn](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -29,6 +29,7 @@
 		TokenLoan{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
 		Leaving{},
 		Last{},
+		CallWithdrawn{Number: 9},
 		LeaseRequest{Nonce: 8, Leases: leaseRefs()},
 		LeasePromise{Nonce: 8, Length: time.Second},
 	}
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -29,8 +29,10 @@
 	MemberRequestKind    Kind = 20
 	MemberListKind       Kind = 21
 	LastKind             Kind = 22
+	// Numbers 23 and 24 are reserved for evacuations.
+	CallWithdrawnKind Kind = 25
 
-	kinds = 23
+	kinds = 26
 )
 
 // String returns the name of the message type, for metrics and errors.
@@ -41,8 +43,9 @@
 		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
 		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
 		"DirectoryAsk", "Directory", "MemberRequest", "MemberList", "Last",
+		25: "CallWithdrawn",
 	}
-	if int(k) < len(names) {
+	if int(k) < len(names) && names[k] != "" {
 		return names[k]
 	}
 	return names[0]
@@ -104,6 +107,8 @@
 		return MemberListKind
 	case Last:
 		return LastKind
+	case CallWithdrawn:
+		return CallWithdrawnKind
 	}
 	return 0
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -140,6 +140,13 @@
 	Call   engine.Call
 }
 
+// CallWithdrawn reports that the caller of a Call has left. The recipient still
+// answers the call. It need not run it if it has not begun.
+type CallWithdrawn struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+}
+
 // Answer is the reply to a Call. Tx is the transaction that holds a connection
 // at the sender, or zero if there is none.
 type Answer struct {
@@ -268,6 +275,7 @@
 func (Last) message()             {}
 func (Call) message()             {}
 func (Answer) message()           {}
+func (CallWithdrawn) message()    {}
 func (Heartbeat) message()        {}
 func (MemberRequest) message()    {}
 func (MemberList) message()       {}
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -74,6 +74,9 @@
 	Reply(s engine.Statement, a engine.Answer) error
 	// Unread reports whether the caller has sent bytes that were not read.
 	Unread() bool
+	// Disconnected reports whether the caller has closed the connection and
+	// everything it sent has been read.
+	Disconnected() bool
 	Close() error
 }
 
@@ -117,6 +120,8 @@
 	}
 	defer f.closeCaller(c, s.id)
 	defer f.removeSession(s)
+	ctx, cancel := s.untilCallerLeft(ctx)
+	defer cancel()
 	if err := c.FinishLogin(engine.NoReason); err != nil {
 		return errors.Wrap(err, "accept login")
 	}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -40,6 +40,7 @@
 func (n *Node) handlers() *peer.Router {
 	r := peer.NewRouter()
 	peer.Handle(r, func(from ident.Instance, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.CallWithdrawn, _ time.Time) { n.router.ReceiveWithdrawal(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Heartbeat, _ time.Time) { n.receiveHeartbeat(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.DocumentRequest, _ time.Time) { n.sendConfig(from) })
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/puzpuzpuz/xsync/v4"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
@@ -65,15 +66,16 @@
 	sender  Sender
 	tasks   *tasks.Group
 
-	inbound  *inbound
-	lastCall atomic.Uint64
-	waiting  *xsync.Map[uint64, *waitingCall]
+	inbound   *inbound
+	forwarded forwardedCalls // the calls that run here for other instances
+	lastCall  atomic.Uint64
+	waiting   *xsync.Map[uint64, *waitingCall]
 }
 
 // NewRouter returns a router for the instance self. SetSender has to be called
 // before the first call.
 func NewRouter(ctx context.Context, self ident.Instance, locator GroupLocator) *Router {
-	return &Router{self: self, locator: locator, tasks: tasks.New(ctx), inbound: newInbound(), waiting: xsync.NewMap[uint64, *waitingCall]()}
+	return &Router{self: self, locator: locator, tasks: tasks.New(ctx), inbound: newInbound(), forwarded: newForwardedCalls(), waiting: xsync.NewMap[uint64, *waitingCall]()}
 }
 
 // SetSender sets the sender of messages to other instances.
@@ -94,7 +96,7 @@
 		owner := r.locator.OwnerOf(call.Group, tried...)
 		a, at, lost := r.runAt(ctx, call, owner)
 		tried = append(tried, owner)
-		if !lost || !call.Repeatable() || len(tried) == maxOwners || owner == r.self {
+		if !lost || !call.Repeatable() || len(tried) == maxOwners || owner == r.self || ctx.Err() != nil {
 			return a, at
 		}
 		trace.Event("CallMoved", "Request", call.Statement.ID, "Group", call.Group, "Lost", owner, "Tried", len(tried))
@@ -131,16 +133,21 @@
 	defer r.abandon(number, target, call, answer)
 	timer := time.NewTimer(call.Timeout + answerMargin)
 	defer timer.Stop()
-	select {
-	case m, ok := <-answer:
-		if !ok {
-			return call.LostAnswer("the connection to the owner of the group was lost"), at, true
+	for done := ctx.Done(); ; done = nil {
+		select {
+		case m, ok := <-answer:
+			if !ok {
+				return call.LostAnswer("the connection to the owner of the group was lost"), at, true
+			}
+			return m.Answer, TxLocation{Instance: target, Tx: m.Tx}, false
+		case <-timer.C:
+			return call.LostAnswer("the owner of the group did not answer"), at, false
+		case <-done:
+			if !errors.Is(context.Cause(ctx), errCallerLeft) {
+				return call.LostAnswer("the instance is shutting down"), at, false
+			}
+			r.sender.Offer(target, peer.CallWithdrawn{Number: number}) // the owner still answers the call
 		}
-		return m.Answer, TxLocation{Instance: target, Tx: m.Tx}, false
-	case <-timer.C:
-		return call.LostAnswer("the owner of the group did not answer"), at, false
-	case <-ctx.Done():
-		return call.LostAnswer("the instance is shutting down"), at, false
 	}
 }
 
@@ -196,8 +203,10 @@
 		r.refuseCall(from, m)
 		return
 	}
-	r.tasks.Go(func(ctx context.Context) error {
+	ctx, answered := r.forwarded.add(r.tasks.Context(), from, m.Number)
+	r.tasks.Go(func(context.Context) error {
 		defer r.inbound.done()
+		defer answered()
 		a, tx := r.runHere(ctx, from, &m.Call)
 		if m.Call.Phase == engine.End {
 			return nil
@@ -238,8 +247,10 @@
 	}
 }
 
-// PeerLost fails the calls that are waiting for an instance.
+// PeerLost fails the calls that are waiting for an instance, and removes the
+// calls of the instance from the queues.
 func (r *Router) PeerLost(n ident.Instance) {
+	r.forwarded.withdrawAll(n)
 	r.waiting.Range(func(number uint64, w *waitingCall) bool {
 		if w.to != n {
 			return true
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -18,8 +18,9 @@
 // otherOwner locates every group at the instance "other" and records what is
 // sent to it.
 type otherOwner struct {
-	mu   sync.Mutex
-	sent []peer.Call
+	mu        sync.Mutex
+	sent      []peer.Call
+	withdrawn []peer.CallWithdrawn
 }
 
 func (o *otherOwner) OwnerOf(ident.Group, ...ident.Instance) ident.Instance { return "other" }
@@ -29,6 +30,10 @@
 func (o *otherOwner) Offer(_ ident.Instance, m peer.Message) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if w, ok := m.(peer.CallWithdrawn); ok {
+		o.withdrawn = append(o.withdrawn, w)
+		return true
+	}
 	o.sent = append(o.sent, m.(peer.Call))
 	return true
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -24,7 +25,8 @@
 
 	writing sync.Mutex // held while an answer is written
 	mu      sync.Mutex
-	open    *openStatement // the statement that has been read and not been answered, or nil
+	open    *openStatement          // the statement that has been read and not been answered, or nil
+	leave   context.CancelCauseFunc // ends the calls of a caller that has left, nil once called
 }
 
 // openStatement is a statement that has been read and not been answered.
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -73,6 +73,15 @@
 	return nil
 }
 
+func (c *scriptedCaller) Disconnected() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *scriptedCaller) Unread() bool { return len(c.statements) > 0 }
 
 func (c *scriptedCaller) Close() error {
--- a/internal/relay/ticker.go
+++ b/internal/relay/ticker.go
@@ -20,6 +20,9 @@
 	idleTicks = 25
 	// expireTicks is the number between two checks for abandoned calls.
 	expireTicks = 250
+	// disconnectTicks is the number between two checks for callers that have
+	// left during a statement.
+	disconnectTicks = 2
 )
 
 // tickGroups advances the time of all groups. One goroutine serves them all,
@@ -32,6 +35,9 @@
 		for _, r := range n.view.Load().runners {
 			r.tickAt(now, tick)
 		}
+		if tick%disconnectTicks == 0 {
+			n.front.withdrawDisconnected(now)
+		}
 		if tick%expireTicks == 0 {
 			n.router.Expire(now)
 		}
