--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -65,6 +65,7 @@
 	lastTx      engine.TxID
 	idleTxLimit time.Duration
 	abandoned   bool
+	gauges      waitingGauges
 
 	commitUncertain func(t ident.Term) bool
 }
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -55,6 +55,7 @@
 		case sched.Grant:
 			p.deliver(c.Waiter, grant{Grant: c, conn: p.conns[c.Conn]})
 		case sched.Reject:
+			rejections[c.Cause].Inc()
 			p.deliver(c.Waiter, grant{reject: &c})
 		case sched.Dial:
 			p.tasks.Go(func(ctx context.Context) error {
@@ -286,6 +287,7 @@
 // Tick checks for calls, connections and transactions whose time has run out.
 func (p *GroupPool) Tick(now time.Time) {
 	p.Update(sched.Tick{})
+	p.recordWaiting(now)
 	p.reportOverdue(now)
 	p.rollbackIdle(now)
 }
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -101,7 +101,7 @@
 			before.add(other, service)
 		}
 	}
-	slots := s.slotsFor(now)
+	slots := s.slotsFor(now, w.call)
 	wait := slots.time(w.call, before) + time.Duration(float64(slots.time(w.call, late))/s.lateShare.value())
 	return wait + min(wait/(oldestShare-1), slots.time(w.call, behind))
 }
@@ -123,27 +123,28 @@
 // slots are the slots of a group that can run calls.
 type slots struct{ primary, replicas int }
 
-// slotsFor returns the slots of the endpoints that are in use. Those of other
-// endpoints count if there is none.
-func (s *Scheduler) slotsFor(now time.Time) slots {
-	var inUse, all slots
+// slotsFor returns the slots that can run calls like c now. If there are none,
+// those of all endpoints count, because the call waits until some are usable.
+func (s *Scheduler) slotsFor(now time.Time, c *engine.Call) slots {
+	var usable, all slots
 	for _, e := range s.sorted {
 		n := max(1, e.Slots)
-		switch paused := e.Draining || now.Before(e.readsPausedUntil); {
-		case e.ID == s.primary.Endpoint:
-			inUse.primary += n
+		if e.ID == s.primary.Endpoint {
 			all.primary += n
-		case !paused:
-			inUse.replicas += n
-			fallthrough
-		default:
-			all.replicas += n
+			if c.PrimaryOnly || s.primary.Usable {
+				usable.primary += n
+			}
+			continue
+		}
+		all.replicas += n
+		if !e.Draining && !now.Before(e.readsPausedUntil) {
+			usable.replicas += n
 		}
 	}
-	if inUse.primary+inUse.replicas == 0 {
+	if usable.primary+usable.replicas == 0 {
 		return all
 	}
-	return inUse
+	return usable
 }
 
 // time returns how long the slots that can run a call are occupied by work.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -63,6 +63,19 @@
 	return next
 }
 
+// WaitingCalls returns how many waiting calls can still meet their target, and
+// how many can't.
+func (s *Scheduler) WaitingCalls(now time.Time) (onTime, late int) {
+	for _, w := range s.waiting {
+		if w.lateAfter(now, s.expectedService(w)) {
+			late++
+		} else {
+			onTime++
+		}
+	}
+	return onTime, late
+}
+
 // dispatch grants connections to the waiting calls in their order. One grant in
 // oldestShare goes to the call that has waited longest.
 func (s *Scheduler) dispatch(now time.Time) {
--- a/internal/sched/reject.go
+++ b/internal/sched/reject.go
@@ -20,6 +20,11 @@
 	WaitedTooLong
 )
 
+// RejectCauses are all causes of rejections.
+func RejectCauses() []RejectCause {
+	return []RejectCause{NoEndpointKnown, EndpointsUnreachable, PrimaryMissing, NoCommits, QueueTooLong, QueueFull, WaitedTooLong}
+}
+
 var causeTexts = [...]struct{ name, detail string }{
 	NoEndpointKnown:      {"NoEndpointKnown", "no endpoint of the group is known"},
 	EndpointsUnreachable: {"EndpointsUnreachable", "no endpoint of the group can be reached"},
@@ -56,7 +61,7 @@
 		plan = &retryPlan{}
 		s.retries[key] = plan
 	}
-	spacing := s.slotsFor(now).spacing(w.call, s.expectedService(w))
+	spacing := s.slotsFor(now, w.call).spacing(w.call, s.expectedService(w))
 	retryIn := plan.reserve(now, retry{earliest: max(minRetry, earliest), spacing: spacing, timeout: w.timeout})
 	s.emit(Reject{Waiter: w.id, Reason: reason, Cause: cause, RetryIn: retryIn, Detail: causeTexts[cause].detail, Waited: now.Sub(w.since)})
 }
