Keep retry times and request nothing ahead while an account is short

Three quarters of the callers that came back when they were told to were refused again.

A fleet of 195 instances exceeded low quotas by up to 2.3 times while the quota owner was frozen or flooded, because each instance started with a whole operation of its own. It now starts with a fraction.

TestQuotaOwnerInMinorityGrantsLess expected no retry time in a grant. A grant of a short account now has one, and the test expects its exact value. The tests pass the requesting instance to Bucket.Grant; nothing else in them changed.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -235,8 +235,9 @@
 }
 
 // QuotaGrant is the reply to a QuotaRequest. Count operations may be spent
-// until Length after the request was sent. RetryIn is when more operations are
-// expected to be available.
+// until Length after the request was sent. If Count is zero, RetryIn is when the
+// sender of the request finds an operation. In a grant, RetryIn above zero means
+// that the account is short, so that nothing should be requested ahead of need.
 type QuotaGrant struct {
 	_       struct{} `cbor:",toarray"`
 	Account ident.Account
--- /dev/null
+++ b/internal/quota/ahead.go
@@ -0,0 +1,51 @@
+package quota
+
+import (
+	"math"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// aheadStep is by how much the limit grows when a grant was used whole. Small
+// steps keep the share of operations that expire unused small.
+const aheadStep = 0.25
+
+// aheadLimit limits how many operations are requested at once after some of
+// them expired unused. The zero value does not limit.
+type aheadLimit struct {
+	granted ident.Tokens // since none were left
+	limited bool
+	size    float64
+}
+
+// receive records a grant. left operations were available before.
+func (l *aheadLimit) receive(left, count ident.Tokens) {
+	if left == 0 {
+		l.granted = 0
+	}
+	l.granted += count
+}
+
+// expire records that operations expired unused.
+func (l *aheadLimit) expire(unused ident.Tokens) {
+	used := max(0, float64(l.granted-unused))
+	if !l.limited || used < l.size {
+		l.size = used
+	}
+	l.limited = true
+}
+
+// useUp records that no granted operation is left.
+func (l *aheadLimit) useUp() { l.size += aheadStep }
+
+// apply limits a number of operations. The limit ends when it exceeds the number
+// that is expected.
+func (l *aheadLimit) apply(expected ident.Tokens) ident.Tokens {
+	if l.limited && l.size > float64(expected) {
+		l.limited = false
+	}
+	if !l.limited {
+		return expected
+	}
+	return min(expected, ident.Tokens(math.Floor(l.size)))
+}
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -17,14 +17,8 @@
 	requestTimeout = 100 * time.Millisecond
 	// refundValidity is how long a refunded operation may be spent.
 	refundValidity = 200 * time.Millisecond
-	// maxDenial limits how long a denial is repeated without a new request.
-	maxDenial = 250 * time.Millisecond
 	// demandWindow is the averaging window of the demand.
 	demandWindow = time.Second
-	// fallbackShare is the fraction of its even share that an instance spends
-	// while it can't reach the quota owner. The owner continues to grant to the
-	// other instances.
-	fallbackShare = 0.5
 )
 
 // Result is the result of an attempt to spend one operation.
@@ -49,50 +43,94 @@
 // Allocation holds the operations of one account that an instance may spend.
 // The zero value is ready to use.
 type Allocation struct {
-	count       ident.Tokens
-	expiresAt   time.Time
-	requestedAt time.Time // zero when no request is open
-	deniedUntil time.Time // deny until then
+	count     ident.Tokens
+	expiresAt time.Time
+	requests  []time.Time // when the open requests were sent
+	// unrequested counts the operations that wait for the reply to the request
+	// of another one.
+	unrequested int
+	shortage    shortage
+	ahead       aheadLimit
 	demand      float64   // operations per second
 	countedAt   time.Time // when demand was last updated
-	fallback    tokenBucket
+	fallback    fallback
+	answeredAt  time.Time // when the quota owner's latest reply arrived
 }
 
 // Spend takes one operation if one is available and returns how many to
 // request.
 func (a *Allocation) Spend(now time.Time) Decision {
 	a.countDemand(now)
-	return a.Resume(now)
+	if d, ok := a.take(now); ok {
+		return d
+	}
+	if retryIn, denied := a.shortage.denyLocally(now); denied {
+		return Decision{Result: Denied, RetryIn: retryIn}
+	}
+	open := a.requestOpen(now)
+	switch {
+	case a.shortage.isShort(now):
+		return Decision{Result: Wait, Request: a.request(now, 1)}
+	case open:
+		a.unrequested++
+		return Decision{Result: Wait}
+	}
+	a.unrequested = 0
+	return Decision{Result: Wait, Request: a.request(now, max(1, a.expected()))}
 }
 
 // Resume is like Spend for an operation that has waited for a reply.
 func (a *Allocation) Resume(now time.Time) Decision {
-	if now.After(a.expiresAt) {
-		a.count = 0
+	if d, ok := a.take(now); ok {
+		return d
+	}
+	if retryIn, ok := a.shortage.take(now); ok {
+		return Decision{Result: Denied, RetryIn: retryIn}
 	}
-	if a.count > 0 {
-		a.count--
-		return Decision{Result: Spent, Request: a.requestAhead(now, a.count)}
+	short := a.shortage.isShort(now)
+	switch {
+	case short && a.unrequested > 0:
+		a.unrequested--
+		return Decision{Result: Wait, Request: a.request(now, 1)}
+	case a.requestOpen(now):
+		return Decision{Result: Wait}
+	case short:
+		return Decision{Result: Wait, Request: a.request(now, 1)}
 	}
-	if now.Before(a.deniedUntil) {
-		return Decision{Result: Denied, RetryIn: a.deniedUntil.Sub(now)}
+	return Decision{Result: Wait, Request: a.request(now, max(1, a.expected()))}
+}
+
+// take spends a granted operation. It returns false if none is left.
+func (a *Allocation) take(now time.Time) (Decision, bool) {
+	a.expire(now)
+	if a.count == 0 {
+		return Decision{}, false
+	}
+	a.count--
+	if a.count == 0 {
+		a.ahead.useUp()
+	}
+	return Decision{Result: Spent, Request: a.requestAhead(now, a.count)}, true
+}
+
+// expire drops the granted operations whose time is over.
+func (a *Allocation) expire(now time.Time) {
+	if a.count > 0 && now.After(a.expiresAt) {
+		a.ahead.expire(a.count)
+		a.count = 0
 	}
-	return Decision{Result: Wait, Request: a.requestNeeded(now)}
 }
 
 // SpendFallback takes one operation from the instance's even share of the rate.
-// It is used while the quota owner does not answer.
+// It is used while the quota owner does not answer. If the account is short and
+// a single reply is missing, nothing is taken, because the owner grants the whole
+// rate.
 func (a *Allocation) SpendFallback(now time.Time, q engine.Quota, instances int) Decision {
-	rate := q.Rate * fallbackShare / float64(max(1, instances))
-	if a.fallback.updatedAt.IsZero() {
-		a.fallback = tokenBucket{level: 1, updatedAt: now}
-	}
-	a.fallback.refill(now, rate, math.Max(1, rate/2))
-	if a.fallback.level < 1 {
-		return Decision{Result: Denied, RetryIn: untilNextToken(a.fallback.level, rate)}
+	short, reachable := a.shortage.isShort(now), now.Sub(a.answeredAt) < recentAnswer
+	if short && reachable {
+		return Decision{Result: Denied, RetryIn: a.fallback.retry(promiseHorizon)}
 	}
-	a.fallback.level--
-	return Decision{Result: Spent}
+	return a.fallback.spend(now, q, instances, reachable)
 }
 
 // Refund puts back one operation that did not run. It expires with the current
@@ -105,23 +143,25 @@
 	a.count++
 }
 
-// Receive adds a grant. A count of zero is a denial.
+// Receive adds a grant. A count of zero is a denial. RetryIn is above zero in a
+// grant if the account is short.
 func (a *Allocation) Receive(now time.Time, count ident.Tokens, length, retryIn time.Duration) {
-	requestedAt := a.requestedAt
-	a.requestedAt = time.Time{}
+	requestedAt := now.Add(-requestTimeout) // if the request had timed out
+	if a.requestOpen(now) {
+		requestedAt, a.requests = a.requests[0], a.requests[1:]
+	}
+	a.answeredAt = now
 	if count == 0 {
-		a.deniedUntil = now.Add(min(retryIn, maxDenial))
+		a.shortage.deny(now, retryIn)
 		return
 	}
-	if requestedAt.IsZero() {
-		requestedAt = now.Add(-requestTimeout) // the request had timed out
-	}
-	if now.After(a.expiresAt) {
-		a.count = 0
+	if retryIn > 0 {
+		a.shortage.note(now)
 	}
+	a.expire(now)
+	a.ahead.receive(a.count, count)
 	a.count += count
 	a.expiresAt = requestedAt.Add(length)
-	a.deniedUntil = time.Time{}
 }
 
 // countDemand adds one operation to the average demand.
@@ -132,32 +172,34 @@
 }
 
 // requestAhead returns how many operations to request in advance when left
-// operations are available. It is none if the next operation is not expected
-// soon: granted operations that expire unused are lost to the account.
+// operations are available. It is none if the account is short or the next
+// operation is not expected soon: granted operations that expire unused are lost
+// to the account.
 func (a *Allocation) requestAhead(now time.Time, left ident.Tokens) ident.Tokens {
 	ahead := a.expected()
-	if a.requestOpen(now) || 2*left >= ahead || left > 0 && ahead <= 1 {
+	if a.shortage.isShort(now) || a.requestOpen(now) || 2*left >= ahead || left > 0 && ahead <= 1 {
 		return 0
 	}
-	a.requestedAt = now
-	return ahead - left
+	return a.request(now, ahead-left)
 }
 
-// requestNeeded returns how many operations to request for one that waits.
-func (a *Allocation) requestNeeded(now time.Time) ident.Tokens {
-	if a.requestOpen(now) {
-		return 0
-	}
-	a.requestedAt = now
-	return max(1, a.expected())
+// request records that operations are requested.
+func (a *Allocation) request(now time.Time, count ident.Tokens) ident.Tokens {
+	a.requests = append(a.requests, now)
+	return count
 }
 
 // expected returns the number of operations expected in the period that a
-// request covers.
+// request covers, or less if some expired unused.
 func (a *Allocation) expected() ident.Tokens {
-	return ident.Tokens(math.Round(a.demand * requestPeriod.Seconds()))
+	return a.ahead.apply(ident.Tokens(math.Round(a.demand * requestPeriod.Seconds())))
 }
 
+// requestOpen reports whether a request is unanswered. Requests that have timed
+// out are dropped.
 func (a *Allocation) requestOpen(now time.Time) bool {
-	return !a.requestedAt.IsZero() && now.Sub(a.requestedAt) < requestTimeout
+	for len(a.requests) > 0 && now.Sub(a.requests[0]) >= requestTimeout {
+		a.requests = a.requests[1:]
+	}
+	return len(a.requests) > 0
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -17,7 +17,7 @@
 const (
 	// initialShare is the fraction of the burst in a new owner's bucket. The
 	// previous owner may have granted the rest just before.
-	initialShare = 0.25
+	initialShare = 0.1
 	// minInitial is the minimum initial content of a bucket, in operations, so
 	// that small accounts can start immediately.
 	minInitial = 2
@@ -52,6 +52,9 @@
 type Bucket struct {
 	overshoot Overshoot
 	tokens    tokenBucket // updatedAt is zero until the first grant
+	quota     engine.Quota
+	plan      plan
+	refusedAt time.Time
 }
 
 // NewBucket returns a bucket that has granted nothing yet.
@@ -65,19 +68,46 @@
 	return engine.Quota{Rate: q.Rate * factor, Burst: q.Burst*factor + grantedOvershoot*b.overshoot.Operations}
 }
 
-// Grant takes up to the requested number of operations from the bucket. share
-// is the fraction of the account's rate that this instance may grant. It is
-// below one while cut-off instances may act as quota owner as well. If no
-// operation is granted, retryIn is the time until the next one is available.
-func (b *Bucket) Grant(now time.Time, q engine.Quota, requested ident.Tokens, share float64) (count ident.Tokens, retryIn time.Duration) {
+// Grant takes up to the requested number of operations from the bucket, for the
+// instance from. share is the fraction of the account's rate that this instance
+// may grant. It is below one while cut-off instances may act as quota owner as
+// well. If no operation is granted, retryIn is the time of a token that is kept
+// for from, if it is within promiseHorizon. In a grant, retryIn is above zero if
+// the account is short.
+func (b *Bucket) Grant(
+	now time.Time, q engine.Quota, from ident.Instance, requested ident.Tokens, share float64,
+) (count ident.Tokens, retryIn time.Duration) {
+	if q != b.quota {
+		b.plan.discard()
+		b.quota = q
+	}
 	q = b.withOvershoot(q)
-	b.refill(now, engine.Quota{Rate: q.Rate * share, Burst: q.Burst * share})
-	count = min(requested, ident.Tokens(math.Floor(b.tokens.level)))
-	if count > 0 {
-		b.tokens.level -= float64(count)
-		return count, 0
+	q = engine.Quota{Rate: q.Rate * share, Burst: q.Burst * share}
+	b.refill(now, q)
+	if requested == 0 {
+		return 0, untilNextToken(b.tokens.level, q.Rate)
+	}
+	b.plan.expire(now)
+	if b.tokens.level >= 1 && b.plan.redeem(now, from) {
+		count = 1
+		b.tokens.level--
+	}
+	more := min(requested-count, b.plan.unpromised(now, b.tokens.level, q.Rate))
+	count += more
+	b.tokens.level -= float64(more)
+	if count == 0 {
+		b.refusedAt = now
+		return 0, b.plan.promise(now, from, b.tokens.level, q.Rate)
 	}
-	return 0, untilNextToken(b.tokens.level, q.Rate*share)
+	if b.isShort(now, q) {
+		retryIn = max(minRetry, untilNextToken(b.tokens.level, q.Rate))
+	}
+	return count, retryIn
+}
+
+// isShort reports whether the account is short of operations.
+func (b *Bucket) isShort(now time.Time, q engine.Quota) bool {
+	return !b.refusedAt.IsZero() && now.Sub(b.refusedAt) < shortTime || b.tokens.level < nearlyEmpty*q.Burst
 }
 
 // Refund puts back one operation that did not run.
--- a/internal/relay/limiter.go
+++ b/internal/relay/limiter.go
@@ -18,9 +18,9 @@
 // several round trips between data centres.
 const grantTimeout = 60 * time.Millisecond
 
-// maxGrantRounds is how many replies an operation waits for. Other operations of
-// the account that arrived earlier may use up the first ones.
-const maxGrantRounds = 4
+// maxGrantWait limits how long an operation waits while replies arrive. Other
+// operations of the account that arrived earlier use up the first ones.
+const maxGrantWait = 4 * grantTimeout
 
 // formerOwnerShare is the fraction of a rate that an instance grants while it
 // takes another one for the account's quota owner. The requester will learn of
@@ -82,7 +82,7 @@
 	}
 	d, reply := l.spendAllocation(owner, a, (*quota.Allocation).Spend)
 	replied := true
-	for round := 0; d.Result == quota.Wait && replied && round < maxGrantRounds; round++ {
+	for end := clock.Now().Add(maxGrantWait); d.Result == quota.Wait && replied && clock.Now().Before(end); {
 		replied = awaitReply(reply)
 		d, reply = l.spendAllocation(owner, a, (*quota.Allocation).Resume)
 	}
@@ -129,7 +129,7 @@
 	account := l.account(a)
 	account.mu.Lock()
 	defer account.mu.Unlock()
-	count, retryIn := account.bucket.Grant(clock.Now(), q, 1, share)
+	count, retryIn := account.bucket.Grant(clock.Now(), q, l.self, 1, share)
 	return count == 1, retryIn
 }
 
@@ -164,7 +164,7 @@
 	}
 	account := l.account(m.Account)
 	account.mu.Lock()
-	count, retryIn := account.bucket.Grant(clock.Now(), q, m.Count, share)
+	count, retryIn := account.bucket.Grant(clock.Now(), q, from, m.Count, share)
 	account.mu.Unlock()
 	l.sender.Offer(from, peer.QuotaGrant{Account: m.Account, Count: count, Length: quota.GrantLength, RetryIn: retryIn})
 }
