--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -128,7 +128,7 @@
 func (a *Allocation) SpendFallback(now time.Time, q engine.Quota, instances int) Decision {
 	short, reachable := a.shortage.isShort(now), now.Sub(a.answeredAt) < recentAnswer
 	if short && reachable {
-		return Decision{Result: Denied, RetryIn: a.fallback.retry(promiseHorizon)}
+		return Decision{Result: Denied, RetryIn: a.fallback.retry(now, promiseHorizon)}
 	}
 	return a.fallback.spend(now, q, instances, reachable)
 }
--- a/internal/quota/fallback.go
+++ b/internal/quota/fallback.go
@@ -34,38 +34,33 @@
 	spread spread
 }
 
-// spend takes one operation. It starts with a whole one if whole is set.
+// spend takes one operation. It starts with a whole one if whole is set, and
+// otherwise with a fraction. If each of hundreds of instances started with a
+// whole operation, an account with a low rate would exceed its limit: at 5
+// operations a second over 195 instances, it got 2.3 times the limit while its
+// quota owner was frozen.
 func (f *fallback) spend(now time.Time, q engine.Quota, instances int, whole bool) Decision {
 	rate := q.Rate * fallbackShare / float64(max(1, instances))
 	if now.Sub(f.tokens.updatedAt) > fallbackMemory {
-		f.tokens = tokenBucket{level: f.initial(now), updatedAt: now.Add(-fallbackMemory)}
+		f.tokens = tokenBucket{level: scatter(now), updatedAt: now.Add(-fallbackMemory)}
 		if whole || float64(instances) <= wholeStart*q.Burst {
 			f.tokens = tokenBucket{level: 1, updatedAt: now}
 		}
 	}
 	f.tokens.refill(now, rate, math.Max(1, rate/2))
 	if f.tokens.level < 1 {
-		return Decision{Result: Denied, RetryIn: f.retry(untilNextToken(f.tokens.level, rate))}
+		return Decision{Result: Denied, RetryIn: f.retry(now, untilNextToken(f.tokens.level, rate))}
 	}
 	f.tokens.level--
 	return Decision{Result: Spent}
 }
 
-// initial returns a level below one that differs between instances. If each of
-// hundreds of instances started with a whole operation, an account with a low
-// rate would exceed its limit: at 5 operations a second over 195 instances, it
-// got 2.3 times the limit while its quota owner was frozen.
-func (f *fallback) initial(now time.Time) float64 {
-	_, level := math.Modf(float64(now.Nanosecond()) * goldenRatio)
-	return level
-}
-
 // retry returns the retry time. The quota owner is usually reached before the
 // small share of this instance has refilled, so callers are spread over a short
 // time in place of waiting for it.
-func (f *fallback) retry(next time.Duration) time.Duration {
+func (f *fallback) retry(now time.Time, next time.Duration) time.Duration {
 	if next <= fallbackRetry {
 		return next
 	}
-	return fallbackRetry + f.spread.next()/2
+	return fallbackRetry + f.spread.next(now)/2
 }
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -85,7 +85,7 @@
 	// not find its token.
 	in = max(time.Millisecond, (in + time.Millisecond - 1).Truncate(time.Millisecond))
 	if rate <= 0 || in > promiseHorizon {
-		return promiseHorizon + p.spread.next()
+		return promiseHorizon + p.spread.next(now)
 	}
 	p.promises = append(p.promises, promise{to: to, at: now.Add(in)})
 	return in
@@ -94,11 +94,23 @@
 // discard drops all promises.
 func (p *plan) discard() { p.promises = nil }
 
-// spread is a sequence of times that fills retrySpread evenly.
+// spread is a sequence of times that fills retrySpread evenly. It starts at a
+// position that differs between instances, whose callers would otherwise all
+// retry at the same time after a restart.
 type spread struct{ position float64 }
 
 // next returns the next time, at least a millisecond.
-func (s *spread) next() time.Duration {
+func (s *spread) next(now time.Time) time.Duration {
+	if s.position == 0 {
+		s.position = scatter(now)
+	}
 	_, s.position = math.Modf(s.position + goldenRatio)
 	return max(time.Millisecond, time.Duration(s.position*float64(retrySpread)))
 }
+
+// scatter returns a number below one that differs between instances, which do
+// not ask in the same nanosecond.
+func scatter(now time.Time) float64 {
+	_, fraction := math.Modf(float64(now.Nanosecond()) * goldenRatio)
+	return fraction
+}
--- a/internal/quota/plan_test.go
+++ b/internal/quota/plan_test.go
@@ -123,3 +123,20 @@
 	d = a.Spend(now)
 	g.Expect(d.Request).To(Equal(ident.Tokens(1)))
 }
+
+// TestInstancesSpreadCallersDifferently guards against callers of all instances
+// that retry at the same time after a restart of all.
+func TestInstancesSpreadCallersDifferently(t *testing.T) {
+	g := NewWithT(t)
+	q := engine.Quota{Rate: 43, Burst: 43}
+	seen := make(map[time.Duration]int)
+	for i := range 70 {
+		now := time.Unix(1000, int64(i)*1_234_567)
+		_, retryIn := NewBucket(Overshoot{}).Grant(now, q, "self", 1, 0.01)
+		seen[retryIn.Truncate(100*time.Millisecond)]++
+	}
+	for at, count := range seen {
+		g.Expect(count).To(BeNumerically("<=", 20), at.String())
+	}
+	g.Expect(len(seen)).To(BeNumerically(">=", 8))
+}
--- a/internal/quota/shortage.go
+++ b/internal/quota/shortage.go
@@ -74,5 +74,5 @@
 	if !now.Before(s.deniedUntil) {
 		return 0, false
 	}
-	return promiseHorizon + s.spread.next(), true
+	return promiseHorizon + s.spread.next(now), true
 }
