--- a/internal/engine/catalog.go
+++ b/internal/engine/catalog.go
@@ -54,6 +54,11 @@
 	// SyncReplicas is how many replicas hold a commit before it is
 	// acknowledged.
 	SyncReplicas int
+	// ColdRate is how many calls a second a cold endpoint may receive from all
+	// instances, and ColdTime how long an endpoint may be cold. Zero means no
+	// limit.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Catalog is one accepted configuration. It is immutable once built.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,8 +13,8 @@
 	MaxDocument = 1 << 20
 	// MaxFrame limits every frame, in bytes.
 	MaxFrame = MaxDocument + maxSmallFrame
-	// maxListFrame limits a frame that lists leases or members. It has room for
-	// about 1500 of them.
+	// maxListFrame limits a frame that lists leases, members or data centres.
+	// It has room for about 1500 of them.
 	maxListFrame = 64 << 10
 	// maxSmallFrame limits every other frame.
 	maxSmallFrame = 4 << 10
@@ -159,6 +159,10 @@
 		return decodeAs[MemberList](kind, body)
 	case LastKind:
 		return decodeAs[Last](kind, body)
+	case EvacuationRequestKind:
+		return decodeAs[EvacuationRequest](kind, body)
+	case EvacuationListKind:
+		return decodeAs[EvacuationList](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
@@ -175,7 +179,7 @@
 	switch kind {
 	case DocumentKind, DirectoryKind, MemberListKind, CallKind, AnswerKind:
 		return MaxFrame
-	case LeaseRequestKind, HeartbeatKind:
+	case LeaseRequestKind, HeartbeatKind, EvacuationListKind:
 		return maxListFrame
 	}
 	return maxSmallFrame
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -29,6 +29,9 @@
 		TokenLoan{Account: "acme", Part: 2, Count: 5, EndsIn: time.Second, Nonce: 8},
 		Leaving{},
 		Last{},
+		EvacuationRequest{Revision: 3},
+		EvacuationList{Revision: 4, DataCentres: []ident.DataCentre{"z1", "z2"}},
+		Heartbeat{Version: 2, Evacuations: 4},
 		LeaseRequest{Nonce: 8, Leases: leaseRefs()},
 		LeasePromise{Nonce: 8, Length: time.Second},
 	}
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -30,7 +30,7 @@
 	MemberListKind       Kind = 21
 	LastKind             Kind = 22
 
-	kinds = 23
+	kinds = 25
 )
 
 // String returns the name of the message type, for metrics and errors.
@@ -41,6 +41,7 @@
 		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
 		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
 		"DirectoryAsk", "Directory", "MemberRequest", "MemberList", "Last",
+		"EvacuationRequest", "EvacuationList",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -51,7 +52,7 @@
 // expectsReply reports whether the recipient replies to messages of this kind.
 func expectsReply(k Kind) bool {
 	switch k {
-	case CallKind, QuotaRequestKind, DocumentRequestKind, DirectoryRequestKind, MemberRequestKind, TokenRequestKind, LeaseRequestKind:
+	case CallKind, QuotaRequestKind, DocumentRequestKind, DirectoryRequestKind, MemberRequestKind, EvacuationRequestKind, TokenRequestKind, LeaseRequestKind:
 		return true
 	}
 	return false
@@ -104,6 +105,10 @@
 		return MemberListKind
 	case Last:
 		return LastKind
+	case EvacuationRequest:
+		return EvacuationRequestKind
+	case EvacuationList:
+		return EvacuationListKind
 	}
 	return 0
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -168,6 +168,9 @@
 	Store uint8
 	// Roster is the revision of the sender's list of members.
 	Roster ident.Revision
+	// Evacuations is the revision of the sender's set of evacuated data centres,
+	// zero if it knows none.
+	Evacuations ident.Revision `cbor:",omitempty"`
 	// Members are instances that are missing from the list of members: the
 	// sender in the first heartbeat on a link, and others that the sender has
 	// learned of from their heartbeats only.
