Distribute the operator's evacuations to all instances

The rows of the operator's table give the set and a revision. Heartbeats carry the revision, and instances with an older one request the set. An instance uses no endpoint before it knows the set, because a statement must not reach a data centre that was evacuated before the instance started; after 1.5 s it proceeds.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -34,6 +34,7 @@
 		}
 	}
 	runners := maps.Clone(n.runners)
+	entries = n.allEndpoints()
 	n.mu.Unlock()
 	trace.Event("DirectoryInForce", "Revision", revision, "Before", before, "Source", source, "Endpoints", len(all))
 	for g, r := range runners {
--- /dev/null
+++ b/internal/relay/evacuation.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// SetEvacuations replaces the set of evacuated data centres if it is newer.
+// source is logged.
+func (n *Node) SetEvacuations(e Evacuations, source string) {
+	n.evacuationMu.Lock()
+	defer n.evacuationMu.Unlock()
+	now := clock.Now()
+	n.mu.Lock()
+	l := &n.evacuations
+	before := l.revision
+	if !l.enabled || !l.replace(now, e) {
+		n.mu.Unlock()
+		return
+	}
+	revision, dataCentres, counts := l.revision, slices.Clone(l.dataCentres), n.countEndpoints()
+	n.mu.Unlock()
+	affected := 0
+	for _, dc := range dataCentres {
+		affected += counts[dc]
+		if counts[dc] == 0 {
+			trace.Event("EvacuationWithoutEndpoints", "DataCentre", dc, "Revision", revision)
+		}
+	}
+	trace.Event("EvacuationsInForce", "Revision", revision, "Before", before, "Source", source, "DataCentres", dataCentres, "Endpoints", affected)
+	n.updateDataCentres(now, dataCentres)
+	n.passEndpoints()
+	n.announceVersions() // the other instances may not be following the store
+}
+
+// countEndpoints returns the number of endpoints in each data centre. The caller
+// holds the mutex.
+func (n *Node) countEndpoints() map[ident.DataCentre]int {
+	counts := make(map[ident.DataCentre]int)
+	for _, e := range n.directoryEntries {
+		counts[e.Endpoint.DataCentre]++
+	}
+	return counts
+}
+
+// passEndpoints passes the endpoints to all groups anew.
+func (n *Node) passEndpoints() {
+	n.directoryMu.Lock()
+	defer n.directoryMu.Unlock()
+	n.mu.Lock()
+	runners := maps.Clone(n.runners)
+	endpoints := n.allEndpoints()
+	n.mu.Unlock()
+	for g, r := range runners {
+		r.setEndpoints(endpoints[g])
+	}
+}
+
+// allEndpoints returns the endpoints of all groups for the runners. The caller
+// holds the mutex.
+func (n *Node) allEndpoints() map[ident.Group][]sched.Endpoint {
+	all := make(map[ident.Group][]sched.Endpoint, len(n.endpoints))
+	for g := range n.endpoints {
+		all[g] = n.endpointsOf(g)
+	}
+	return all
+}
+
+// endpointsOf returns the endpoints of a group for its runner. There are none
+// while the evacuations are not known, because nothing may reach an endpoint that
+// was evacuated before this instance started. The caller holds the mutex.
+func (n *Node) endpointsOf(g ident.Group) []sched.Endpoint {
+	if !n.evacuations.settled() {
+		return nil
+	}
+	all := slices.Clone(n.endpoints[g])
+	for i := range all {
+		all[i].Evacuated = n.evacuations.includes(all[i].DataCentre)
+	}
+	return all
+}
+
+// proceedWithoutEvacuations lets the instance serve without the set once it has
+// waited long enough for it.
+func (n *Node) proceedWithoutEvacuations(now time.Time) {
+	n.mu.Lock()
+	due := n.evacuations.proceed(now, n.catalog.Load().Version > 0)
+	n.mu.Unlock()
+	if due {
+		trace.Event("EvacuationsUnknown", "Waited", evacuationsWait.String())
+		n.passEndpoints()
+	}
+}
+
+// OperatorNeed returns how this instance has to follow the operator's table at
+// present. It relies only on peers that know the evacuations, unless they are
+// ignored.
+func (n *Node) OperatorNeed() StoreNeed {
+	need := n.StoreNeed()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if need == RelyOnPeers && n.evacuations.enabled && !n.evacuations.hasSource(clock.Now()) {
+		return FollowLoosely
+	}
+	return need
+}
+
+// Evacuated returns the data centres that are known to be evacuated.
+func (n *Node) Evacuated() []ident.DataCentre {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.evacuations.dataCentres)
+}
+
+func (n *Node) sendEvacuations(to ident.Instance, m peer.EvacuationRequest) {
+	n.mu.Lock()
+	list := peer.EvacuationList{Revision: n.evacuations.revision, DataCentres: slices.Clone(n.evacuations.dataCentres)}
+	n.mu.Unlock()
+	if list.Revision > m.Revision {
+		n.mesh.Offer(to, list)
+	}
+}
+
+// receiveEvacuations applies a set of another instance, which may be one without
+// a revision only by mistake.
+func (n *Node) receiveEvacuations(from ident.Instance, m peer.EvacuationList) {
+	if m.Revision != 0 {
+		n.SetEvacuations(Evacuations{Revision: m.Revision, DataCentres: m.DataCentres}, string(from))
+	}
+}
--- /dev/null
+++ b/internal/relay/evacuation_list.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/peer"
+	"github.com/marjoramrudder/marjoramrudder/internal/roster"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// evacuationsWait is how long an instance with a configuration waits for the
+	// set of evacuated data centres before it proceeds without it. Callers wait
+	// as long for the configuration.
+	evacuationsWait = 1500 * time.Millisecond
+	// evacuationSourceTimeout is how long an instance relies on peers for the set
+	// after the latest heartbeat of one that follows the store and knows the set:
+	// two and a half intervals.
+	evacuationSourceTimeout = 2500 * time.Millisecond
+)
+
+// Evacuations is a set of data centres that the operator has taken out of
+// service.
+type Evacuations struct {
+	// Revision is the store's version of the newest change of the set.
+	Revision ident.Revision
+	// Read is the store's version up to which the set is complete, zero if it
+	// comes from another instance.
+	Read        ident.Revision
+	DataCentres []ident.DataCentre
+}
+
+// evacuationList is what an instance knows of evacuations. It is not safe for
+// concurrent use.
+type evacuationList struct {
+	enabled bool
+	known   bool // a set has been received
+	// proceeding is set if the instance serves although it knows no set.
+	proceeding   bool
+	configuredAt time.Time // when the wait for the set began
+	revision     ident.Revision
+	read         ident.Revision // the store's version of its latest answer
+	dataCentres  []ident.DataCentre
+	fetch        fetcher[ident.Revision]
+	sourceAt     time.Time // of the latest heartbeat of a follower that knows the set
+}
+
+// replace applies a set unless a newer one is known. It reports whether that
+// changed the data centres or made them known.
+func (l *evacuationList) replace(now time.Time, e Evacuations) bool {
+	fromStore := e.Read != 0
+	before := l.read
+	l.read = max(l.read, e.Read)
+	slices.Sort(e.DataCentres)
+	differs := !l.known || !slices.Equal(l.dataCentres, e.DataCentres)
+	revision := e.Revision
+	switch {
+	case l.known && fromStore && (e.Read < before || e.Read < l.revision):
+		return false
+	case l.known && fromStore && differs && revision <= l.revision:
+		// A peer's set was wrong, and the peers have to learn of the right one.
+		revision = e.Read
+	case l.known && !fromStore && (revision <= l.revision || revision <= l.read):
+		// The store would have told this instance of a change that old.
+		l.fetch.received(now, max(revision, l.revision))
+		return false
+	}
+	if !l.known || revision > l.revision {
+		l.fetch.received(now, revision)
+	}
+	l.known, l.revision, l.dataCentres = true, max(revision, l.revision), e.DataCentres
+	return differs
+}
+
+// observe records what a heartbeat shows.
+func (l *evacuationList) observe(now time.Time, source versionSource, m peer.Heartbeat) {
+	if !l.enabled || m.Evacuations == 0 {
+		return
+	}
+	l.fetch.observe(now, source, m.Evacuations)
+	if roster.StoreState(m.Store) == roster.Following {
+		l.sourceAt = now
+	}
+}
+
+// hasSource reports whether a peer follows the store and knows the set. An
+// instance of an older version follows the store without knowing it.
+func (l *evacuationList) hasSource(now time.Time) bool {
+	return now.Sub(l.sourceAt) < evacuationSourceTimeout
+}
+
+// settled reports whether endpoints may be used.
+func (l *evacuationList) settled() bool { return !l.enabled || l.known || l.proceeding }
+
+// proceed reports, once, that the instance has waited long enough for the set.
+func (l *evacuationList) proceed(now time.Time, configured bool) bool {
+	switch {
+	case l.settled() || !configured:
+		return false
+	case l.configuredAt.IsZero():
+		l.configuredAt = now
+	}
+	l.proceeding = now.Sub(l.configuredAt) >= evacuationsWait
+	return l.proceeding
+}
+
+func (l *evacuationList) includes(dc ident.DataCentre) bool {
+	return slices.Contains(l.dataCentres, dc)
+}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -31,6 +31,7 @@
 		need = RelyOnPeers
 	}
 	n.configFetch.noFeed, n.directoryFetch.noFeed, n.memberFetch.noFeed = need == RelyOnPeers, need == RelyOnPeers, need == RelyOnPeers
+	n.evacuations.fetch.noFeed = need == RelyOnPeers
 	return need
 }
 
--- a/internal/relay/heartbeat.go
+++ b/internal/relay/heartbeat.go
@@ -115,7 +115,7 @@
 	n.roster.SetSelf(s)
 	return peer.Heartbeat{
 		Version: s.Version, Directory: n.revision, Serving: s.Serving, Leaving: s.Leaving, UnreachableGroups: s.UnreachableGroups,
-		Store: uint8(s.Store), Roster: n.memberRevision,
+		Store: uint8(s.Store), Roster: n.memberRevision, Evacuations: n.evacuations.revision,
 	}
 }
 
@@ -155,6 +155,8 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		n.fetchUpdates(now)
+		n.proceedWithoutEvacuations(now)
+		n.trackDataCentres(now)
 		elapsed := now.Sub(sentAt)
 		if n.beginServing(now, began) || elapsed >= heartbeatInterval || elapsed >= newMemberInterval && n.hasUnlisted(now) {
 			far := max(heartbeatInterval, time.Duration(n.fleetSize())*farHeartbeatSpacing)
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/evac"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
@@ -59,6 +60,11 @@
 	Decode  Decoder
 	// DrainTime is how long a draining endpoint may be used.
 	DrainTime time.Duration
+	// EvacuationTime is how long an endpoint may be used after its data centre
+	// was evacuated. Zero means that evacuations are ignored.
+	EvacuationTime time.Duration
+	// ColdLimits is set if the rate of cold endpoints is limited.
+	ColdLimits bool
 	// Overshoot is what may run beyond an account's quota.
 	Overshoot    quota.Overshoot
 	Promoter     Promoter
@@ -108,6 +114,9 @@
 	directoryLoaded  bool   // a directory has been received
 	serving          bool
 	leaving          bool
+	evacuationMu     sync.Mutex // serialises the updates of the evacuations
+	evacuations      evacuationList
+	dataCentres      *evac.Tracker
 }
 
 // NewNode returns a node that has not started.
@@ -117,6 +126,7 @@
 		config:    c, tasks: tasks.New(ctx), roster: roster.New(c.Self),
 		runners: make(map[ident.Group]*groupRunner), unreachable: make(map[ident.Group]bool), endpoints: make(map[ident.Group][]sched.Endpoint),
 		unlisted: make(unlisted), departures: roster.NewDepartures(),
+		evacuations: evacuationList{enabled: c.EvacuationTime > 0}, dataCentres: evac.New(),
 	}
 	n.catalog.Store(emptyCatalog())
 	n.publish()
@@ -185,7 +195,7 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.catalog.Load().Version > 0 && n.directoryLoaded && !n.leaving
+	return n.catalog.Load().Version > 0 && n.directoryLoaded && n.evacuations.settled() && !n.leaving
 }
 
 // ConfigVersion returns the version of the configuration in force.
@@ -261,10 +271,19 @@
 		if r == nil {
 			r = newGroupRunner(n.tasks.Context(), g, n)
 			n.runners[g] = r
-			r.setEndpoints(n.endpoints[g])
+			r.setEndpoints(n.endpointsOf(g))
 		}
-		r.pool.Update(sched.Limits{MaxConns: limits.MaxConns, DrainTime: n.config.DrainTime})
+		r.pool.Update(n.schedLimits(limits))
 		r.pool.SetIdleTx(c.IdleTx)
 		r.update(lead.ReplicationRules{SyncReplicas: limits.SyncReplicas})
 	}
 }
+
+// schedLimits returns the limits of a group's scheduler.
+func (n *Node) schedLimits(limits engine.GroupLimits) sched.Limits {
+	l := sched.Limits{MaxConns: limits.MaxConns, DrainTime: n.config.DrainTime, EvacuationTime: n.config.EvacuationTime}
+	if n.config.ColdLimits {
+		l.ColdRate, l.ColdTime = limits.ColdRate, limits.ColdTime
+	}
+	return l
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -48,6 +48,8 @@
 	peer.Handle(r, func(from ident.Instance, m peer.QuotaRequest, _ time.Time) { n.limiter.receiveRequest(from, m) })
 	peer.Handle(r, func(_ ident.Instance, m peer.QuotaGrant, _ time.Time) { n.limiter.receiveGrant(m) })
 	peer.Handle(r, func(from ident.Instance, m peer.DirectoryRequest, _ time.Time) { n.sendDirectory(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.EvacuationRequest, _ time.Time) { n.sendEvacuations(from, m) })
+	peer.Handle(r, func(from ident.Instance, m peer.EvacuationList, _ time.Time) { n.receiveEvacuations(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.MemberRequest, _ time.Time) { n.sendMembers(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.MemberList, _ time.Time) { n.receiveMembers(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Directory, _ time.Time) {
@@ -70,6 +72,7 @@
 	n.configFetch.observe(now, source, m.Version)
 	n.directoryFetch.observe(now, source, m.Directory)
 	n.memberFetch.observe(now, source, m.Roster)
+	n.evacuations.observe(now, source, m)
 	n.roster.Heard(now, from)
 	changed := n.roster.SetState(from, roster.State{
 		Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, UnreachableGroups: m.UnreachableGroups, Store: roster.StoreState(m.Store),
@@ -87,14 +90,16 @@
 	n.fetchUpdates(clock.Now())
 }
 
-// fetchUpdates requests a newer configuration, directory or list of members from
-// other instances if it is due.
+// fetchUpdates requests a newer configuration, directory, list of members or set
+// of evacuations from other instances if it is due.
 func (n *Node) fetchUpdates(now time.Time) {
 	n.mu.Lock()
 	version, revision, roster := n.configFetch.newest, n.revision, n.memberRevision
 	config, configDue := n.configFetch.due(now)
 	directory, directoryDue := n.directoryFetch.due(now)
 	members, membersDue := n.memberFetch.due(now)
+	evacuations := n.evacuations.revision
+	informed, evacuationsDue := n.evacuations.fetch.due(now)
 	n.mu.Unlock()
 	if configDue {
 		n.mesh.Offer(config, peer.DocumentRequest{Version: version})
@@ -105,6 +110,9 @@
 	if membersDue {
 		n.mesh.Offer(members, peer.MemberRequest{Revision: roster})
 	}
+	if evacuationsDue {
+		n.mesh.Offer(informed, peer.EvacuationRequest{Revision: evacuations})
+	}
 }
 
 func (n *Node) sendConfig(to ident.Instance) {
