Emulate evacuations and test how their state spreads

Servers are placed in data centres, the operator's requests are rows of the store, and the emulator describes the statements that reach an evacuated server too late.

--- a/internal/stand/emul/config.go
+++ b/internal/stand/emul/config.go
@@ -63,7 +63,11 @@
 	services, routes, accounts := []any{}, []any{}, []any{}
 	timeout := cmp.Or(c.RouteTimeout, DefaultRouteTimeout)
 	for _, g := range c.Groups {
-		services = append(services, map[string]any{"name": g.config.Name, "max_conns": g.config.MaxConns, "sync_replicas": g.config.Sync})
+		service := map[string]any{"name": g.config.Name, "max_conns": g.config.MaxConns, "sync_replicas": g.config.Sync}
+		if g.config.ColdRate > 0 {
+			service["cold_per_s"], service["cold_start_s"] = g.config.ColdRate, g.config.ColdTime.Seconds()
+		}
+		services = append(services, service)
 	}
 	for _, r := range c.Routes {
 		routes = append(routes, map[string]any{
@@ -79,7 +83,8 @@
 	})
 }
 
-// Entry returns the server's entry for the store, in JSON.
+// Entry returns the server's entry for the store, in JSON. A server that is placed
+// in a data centre by its group's configuration ignores dc.
 func (s *Server) Entry(address string, dc ident.DataCentre) []byte {
 	state, role := "ready", "replica"
 	if s.Draining() {
@@ -89,8 +94,8 @@
 		role = "primary"
 	}
 	return encode(map[string]any{
-		"service": s.group.config.Name, "address": address, "zone": dc, "version": "v1", "slots": s.group.config.Slots,
-		"state": state, "cold_left_ms": 0, "db_role": role, "sequence": 1, "born": 1000,
+		"service": s.group.config.Name, "address": address, "zone": cmp.Or(s.dataCentre, dc), "version": "v1", "slots": s.group.config.Slots,
+		"state": state, "cold_left_ms": s.coldLeft().Milliseconds(), "db_role": role, "sequence": 1, "born": 1000,
 	})
 }
 
@@ -101,19 +106,25 @@
 	Front, Ready, Peer string
 	Store              string // also the address of the promotion call
 	Grace, Drain       time.Duration
+	// Evacuation is the time limit of an evacuation, zero for none.
+	Evacuation time.Duration
 }
 
 // Text returns the settings in JSON.
 func (s Settings) Text() []byte {
+	bounds := map[string]any{
+		"grace_s": s.Grace.Seconds(), "drain_ms": s.Drain.Milliseconds(), "fencing_enforced": true,
+		"quota_overage": 0.1, "quota_slack": 20,
+	}
+	if s.Evacuation > 0 {
+		bounds["evac_ms"], bounds["cold_overage"], bounds["cold_slack"] = s.Evacuation.Milliseconds(), coldOverage, coldSlack
+	}
 	return encode(map[string]any{
 		"node_name": s.Instance, "zone": s.DataCentre,
 		"listen_addrs": map[string]string{"front": s.Front, "ready": s.Ready, "control": s.Peer},
 		"limits":       map[string]any{"cpu_share": 1, "cores": 1},
-		"bounds": map[string]any{
-			"grace_s": s.Grace.Seconds(), "drain_ms": s.Drain.Milliseconds(), "fencing_enforced": true,
-			"quota_overage": 0.1, "quota_slack": 20,
-		},
-		"platform": map[string]string{"address": s.Store}, "cloud_api": map[string]string{"address": s.Store},
+		"bounds":       bounds,
+		"platform":     map[string]string{"address": s.Store}, "cloud_api": map[string]string{"address": s.Store},
 	})
 }
 
--- a/internal/stand/emul/conn.go
+++ b/internal/stand/emul/conn.go
@@ -106,6 +106,7 @@
 	_, rest, _ := strings.Cut(line, " ")
 	id, text, _ := strings.Cut(rest, " ")
 	c.server.receive(id)
+	c.server.recordArrival(id, text)
 	c.awaitResponsive()
 	rows, signature, f := c.run(id, text)
 	if f == nil && c.losesAnswer(text) {
--- /dev/null
+++ b/internal/stand/emul/evacuation.go
@@ -0,0 +1,126 @@
+package emul
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// EvacuateKey is the prefix of the keys in ConfigTable that request
+	// evacuations.
+	EvacuateKey = "evacuate/"
+	// coldOverage and coldSlack are what a cold server tolerates beyond its rate.
+	coldOverage = 1.5
+	coldSlack   = 5
+	// coldStep is the resolution of what an entry says about a cold server, so
+	// that the entry does not change all the time.
+	coldStep = time.Second
+)
+
+// Arrival is a statement that a server has received.
+type Arrival struct {
+	Server ident.Endpoint
+	ID     string
+	Text   string
+	At     time.Time
+}
+
+// Evacuation is a request of the operator. Withdrawn is zero while it is in force.
+type Evacuation struct {
+	DataCentre ident.DataCentre
+	Requested  time.Time // when the store acknowledged the request
+	Withdrawn  time.Time // just before the request was withdrawn
+}
+
+// Evacuate writes the operator's request to evacuate a data centre.
+func (s *Store) Evacuate(dc ident.DataCentre) {
+	s.Put(ConfigTable, EvacuateKey+string(dc), nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce(dc) < 0 {
+		s.evacuations = append(s.evacuations, Evacuation{DataCentre: dc, Requested: time.Now()})
+	}
+}
+
+// Withdraw removes the operator's request to evacuate a data centre.
+func (s *Store) Withdraw(dc ident.DataCentre) {
+	s.mu.Lock()
+	if i := s.inForce(dc); i >= 0 {
+		s.evacuations[i].Withdrawn = time.Now()
+	}
+	s.mu.Unlock()
+	s.Drop(ConfigTable, EvacuateKey+string(dc))
+}
+
+// inForce returns the index of the request that is in force for a data centre, or
+// a negative number. The caller holds the mutex.
+func (s *Store) inForce(dc ident.DataCentre) int {
+	return slices.IndexFunc(s.evacuations, func(e Evacuation) bool { return e.DataCentre == dc && e.Withdrawn.IsZero() })
+}
+
+// Evacuations returns all requests, also those that have been withdrawn.
+func (s *Store) Evacuations() []Evacuation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.evacuations)
+}
+
+// CheckEvacuations describes the statements that reached a server later than
+// limit after its data centre was evacuated. Control statements are allowed.
+func (s *Store) CheckEvacuations(limit time.Duration) []string {
+	var late []string
+	for _, e := range s.Evacuations() {
+		for _, g := range s.groups {
+			for _, server := range g.Servers() {
+				if server.dataCentre != e.DataCentre {
+					continue
+				}
+				for _, a := range server.Arrivals() {
+					if a.At.After(e.Requested.Add(limit)) && (e.Withdrawn.IsZero() || a.At.Before(e.Withdrawn)) {
+						late = append(late, fmt.Sprintf("%s %s at %s in %s, %s after the request", a.ID, a.Text, a.Server, e.DataCentre, a.At.Sub(e.Requested).Round(time.Millisecond)))
+					}
+				}
+			}
+		}
+	}
+	slices.Sort(late)
+	return late
+}
+
+// Arrivals returns the statements that the server has received, except control
+// statements. Servers without a data centre record none.
+func (s *Server) Arrivals() []Arrival {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// recordArrival records a statement that has arrived.
+func (s *Server) recordArrival(id, text string) {
+	word, _, _ := strings.Cut(text, " ")
+	if s.dataCentre == "" || slices.Contains([]string{"STATUS", "PAUSE", "RESUME", "STEPDOWN"}, word) {
+		return
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.arrivals = append(s.arrivals, Arrival{Server: s.id, ID: id, Text: text, At: time.Now()})
+}
+
+// coldLeft returns for how much longer the server is cold, in whole steps.
+func (s *Server) coldLeft() time.Duration {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	left := time.Until(s.coldUntil)
+	if left <= 0 {
+		return 0
+	}
+	return (left + coldStep - 1).Truncate(coldStep)
+}
+
+// DataCentre returns where the server is, or nothing if the group's configuration
+// places no servers.
+func (s *Server) DataCentre() ident.DataCentre { return s.dataCentre }
--- a/internal/stand/emul/group.go
+++ b/internal/stand/emul/group.go
@@ -25,6 +25,13 @@
 	Work        time.Duration
 	Lag         time.Duration
 	PromoteTime time.Duration
+	// DataCentres are where the servers are, in turn. Without any, the caller of
+	// Server.Entry decides.
+	DataCentres []ident.DataCentre
+	// ColdRate is how many statements a second a server may receive while it is
+	// cold, ColdTime how long it is cold after a restart. Zero means no limit.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Entry is one write in a server's log.
@@ -56,6 +63,9 @@
 	for i := range c.Servers {
 		id := ident.Endpoint(string(c.Name) + "-" + string(rune('a'+i)))
 		g.servers[id] = &Server{id: id, group: g, isPrimary: i == 0, term: 1, slots: make(chan struct{}, c.Slots)}
+		if n := len(c.DataCentres); n > 0 {
+			g.servers[id].dataCentre = c.DataCentres[i%n]
+		}
 		g.ids = append(g.ids, id)
 	}
 	return g
--- a/internal/stand/emul/server.go
+++ b/internal/stand/emul/server.go
@@ -13,6 +13,8 @@
 	id    ident.Endpoint
 	group *Group
 	slots chan struct{}
+	// dataCentre is empty if the group has no data centres.
+	dataCentre ident.DataCentre
 
 	isPrimary      bool
 	term           ident.Term
@@ -29,6 +31,8 @@
 	closers        map[*lineConn]struct{}
 	ran            []Run
 	arrived        map[string]struct{} // IDs of all statements that were received
+	arrivals       []Arrival           // if the server is in a data centre
+	coldUntil      time.Time
 }
 
 // Run records one execution of a statement.
@@ -84,6 +88,7 @@
 		s.down, s.unresponsive = false, false
 		s.isPrimary = s.isPrimary && s.term == s.group.term
 		s.sealedTerm = 0
+		s.coldUntil = time.Now().Add(s.group.config.ColdTime)
 	})
 }
 
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -47,6 +47,7 @@
 	epochs        map[ident.Group]uint64
 	calls         int
 	promoted      []ident.Endpoint
+	evacuations   []Evacuation
 }
 
 // NewStore returns an empty store that promotes in the groups.
