Limit the use of endpoints in evacuated data centres

An evacuated endpoint gets no new reads, and nothing at all once EvacuationTime is over: the new command AbortConn ends what is open there. Calls that no endpoint may run are refused at once. Endpoints that are cold or return from an evacuation get calls from a token bucket.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -47,6 +47,7 @@
 	drainingSince    time.Time // zero while the endpoint is not draining
 	drainingFirst    bool      // it was draining when it was first listed, since an unknown time
 	removed          bool
+	cold             *coldState
 }
 
 func newEndpoint() *endpoint { return &endpoint{conns: make(map[ConnID]*conn)} }
@@ -171,6 +172,7 @@
 	account  ident.Account
 	state    connState
 	since    time.Time
+	aborted  bool // AbortConn was sent
 }
 
 func (c *conn) takesSlot() bool { return c.state == dialling || c.state == running }
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -222,7 +222,14 @@
 // CloseConn closes an idle connection.
 type CloseConn struct{ Conn ConnID }
 
+// AbortConn closes a connection in use, because nothing more may be sent to its
+// endpoint. The caller is told that its call or transaction is aborted. A commit
+// in flight is waited for first. A connection that was idle in transaction is
+// forgotten; for one that runs a statement, ConnLost or Released follows.
+type AbortConn struct{ Conn ConnID }
+
 func (Grant) command()     {}
 func (Reject) command()    {}
 func (Dial) command()      {}
 func (CloseConn) command() {}
+func (AbortConn) command() {}
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -45,6 +45,7 @@
 	}
 	if c := e.idleConn(w.call.Account); c != nil {
 		s.setState(now, c, running)
+		s.countCold(now, e)
 		s.emit(Grant{
 			Waiter: w.id, Conn: c.id, Endpoint: e.ID,
 			After: required.minPosition, VerifyPrimary: required.verifyPrimary, FloorAge: required.floorAge, Waited: now.Sub(w.since),
@@ -98,7 +99,7 @@
 		return nil
 	}
 	e := s.endpoints[s.primary.Endpoint]
-	if e == nil || !e.hasSlot(now) || e.drainExpired(now, s.limits.DrainTime) {
+	if e == nil || !e.hasSlot(now) || s.expired(now, e) || !s.coldAllows(now, e) {
 		return nil
 	}
 	if e.idleConn(w.call.Account) == nil && !s.canDial(now, e, w) {
@@ -109,7 +110,9 @@
 
 func (s *Scheduler) eligible(now time.Time, e *endpoint, w *waiter, required requirements) bool {
 	switch {
-	case e.Draining, !e.hasSlot(now), now.Before(e.readsPausedUntil), slices.Contains(w.avoid, e.ID):
+	case e.leaving(), !e.hasSlot(now), now.Before(e.readsPausedUntil), slices.Contains(w.avoid, e.ID):
+		return false
+	case !s.coldAllows(now, e):
 		return false
 	case now.Before(e.behindUntil) && !e.position.Covers(required.minPosition):
 		return false
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -44,7 +44,7 @@
 		s.reject(now, w, engine.NoEndpoint, minRetry, "no endpoint of the group is known")
 		return
 	}
-	if at := s.servableAt(now, m.Call); at.After(w.deadline) {
+	if at := s.servableAt(now, m.Call); s.tooLate(now, w, at) {
 		s.rejectUnservable(now, w, at)
 		return
 	}
@@ -94,22 +94,28 @@
 		if e.ID == s.primary.Endpoint {
 			at = s.primaryUsableAt(now, c)
 		}
-		if !e.Draining && (earliest.IsZero() || at.Before(earliest)) {
+		if !e.leaving() && (earliest.IsZero() || at.Before(earliest)) {
 			earliest = at
 		}
 	}
+	if s.noReader() {
+		return s.returnExpectedAt(now)
+	}
 	return earliest
 }
 
 // allAvailable reports whether the primary and all endpoints are available.
 func (s *Scheduler) allAvailable(now time.Time) bool {
-	return s.primary.Usable && !slices.ContainsFunc(s.sorted, func(e *endpoint) bool {
+	return s.primary.Usable && !s.evacuationBlocks(now) && !slices.ContainsFunc(s.sorted, func(e *endpoint) bool {
 		return now.Before(e.noDialUntil) || now.Before(e.readsPausedUntil) || e.drainExpired(now, s.limits.DrainTime)
 	})
 }
 
 // primaryUsableAt returns when the primary can serve a call.
 func (s *Scheduler) primaryUsableAt(now time.Time, c *engine.Call) time.Time {
+	if s.noPrimary(now) {
+		return s.returnExpectedAt(now)
+	}
 	if !s.primary.Usable {
 		return s.primary.ExpectedAt
 	}
@@ -117,6 +123,8 @@
 	switch {
 	case e == nil:
 		return now
+	case s.evacuationExpired(now, e):
+		return s.returnExpectedAt(now)
 	case e.drainExpired(now, s.limits.DrainTime):
 		return now.Add(usualSwitchTime)
 	}
@@ -142,10 +150,11 @@
 			if !available {
 				at = s.servableAt(now, w.call)
 			}
-			if at.After(w.deadline) {
+			late := s.tooLate(now, w, at)
+			if late {
 				s.rejectUnservable(now, w, at)
 			}
-			return at.After(w.deadline)
+			return late
 		}
 		s.reject(now, w, s.timeoutReason(w), max(minRetry, s.primary.ExpectedAt.Sub(now)), "no connection became free in time")
 		return true
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +28,7 @@
 	dials     map[ConnID]Dial
 	accounts  map[ConnID]ident.Account
 	endpoints map[ConnID]ident.Endpoint
+	evacuated *evacuationChecks
 }
 
 const (
@@ -39,10 +42,11 @@
 		d := &driver{
 			t: t, scheduler: New(), now: time.Unix(1000, 0), waiting: map[WaiterID]*engine.Call{}, granted: map[WaiterID]Grant{},
 			inUse: map[ConnID]WaiterID{}, dials: map[ConnID]Dial{}, accounts: map[ConnID]ident.Account{}, endpoints: map[ConnID]ident.Endpoint{},
+			evacuated: newEvacuationChecks(),
 		}
-		d.update(Limits{MaxConns: testConns})
+		d.update(Limits{MaxConns: testConns, EvacuationTime: testEvacuationTime, ColdRate: testColdRate, ColdTime: testColdTime})
 		d.update(Ownership{Owner: true})
-		d.update(Directory{Endpoints: []Endpoint{{ID: "a", Slots: testSlots}, {ID: "b", Slots: testSlots}, {ID: "c", Slots: testSlots}}})
+		d.update(Directory{Endpoints: []Endpoint{testEndpoint("a"), testEndpoint("b"), testEndpoint("c")}})
 		d.update(Primary{Endpoint: "a", Usable: true})
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			d.step()
@@ -52,7 +56,7 @@
 }
 
 func (d *driver) step() {
-	switch rapid.IntRange(0, 7).Draw(d.t, "step") {
+	switch rapid.IntRange(0, 9).Draw(d.t, "step") {
 	case 0, 1, 2:
 		d.acquire()
 	case 3, 4:
@@ -68,8 +72,12 @@
 			EndpointFailure{Endpoint: e, Kind: Behind}, EndpointFailure{Endpoint: e, Kind: Unresponsive}, EndpointFailure{Endpoint: e, Kind: Saturated},
 			Primary{Endpoint: e, Usable: true}, Primary{Endpoint: e}, CloseIdleConn{Endpoint: e},
 			EndpointObserved{Endpoint: e, Began: d.now, Position: ident.LogPosition{Term: 1, Position: 5}, WasPrimary: true},
-			Directory{Endpoints: []Endpoint{{ID: "a", Slots: testSlots}, {ID: e, Slots: testSlots}}},
+			Directory{Endpoints: []Endpoint{testEndpoint("a"), testEndpoint(e)}},
 		}).Draw(d.t, "event"))
+	case 8:
+		d.evacuate()
+	case 9:
+		d.useTx()
 	}
 }
 
@@ -82,7 +90,8 @@
 		Priority:    rapid.IntRange(0, 2).Draw(d.t, "priority"),
 	}
 	d.waiting[d.next] = call
-	d.update(Acquire{Waiter: d.next, Call: call, Deadline: d.now.Add(500 * time.Millisecond)})
+	timeout := rapid.SampledFrom([]time.Duration{500 * time.Millisecond, 5 * time.Second}).Draw(d.t, "timeout")
+	d.update(Acquire{Waiter: d.next, Call: call, Deadline: d.now.Add(timeout)})
 }
 
 // release ends one granted call.
@@ -104,10 +113,10 @@
 }
 
 func (d *driver) endDial(r DialResult) {
-	for id := range d.dials {
+	if len(d.dials) > 0 {
+		id := slices.Min(slices.Collect(maps.Keys(d.dials)))
 		delete(d.dials, id)
 		d.update(DialDone{Conn: id, Result: r})
-		return
 	}
 }
 
@@ -121,6 +130,7 @@
 }
 
 func (d *driver) update(m Message) {
+	d.evacuated.message(d, m)
 	for _, c := range d.scheduler.Update(d.now, m) {
 		switch c := c.(type) {
 		case Grant:
@@ -134,9 +144,12 @@
 			if id, used := d.inUse[c.Conn]; used {
 				d.t.Fatalf("connection %d of call %d is closed", c.Conn, id)
 			}
+		case AbortConn:
+			d.abort(c.Conn)
 		}
 	}
 	d.check()
+	d.checkEvacuated()
 }
 
 func (d *driver) answered(id WaiterID) *engine.Call {
@@ -159,6 +172,7 @@
 	if !g.VerifyPrimary && g.After.Zero() {
 		d.t.Fatalf("call %d runs at %s without a proof of freshness", g.Waiter, g.Endpoint)
 	}
+	d.evacuated.sent(d, g.Endpoint, !g.VerifyPrimary)
 	d.inUse[g.Conn], d.granted[g.Waiter] = g.Waiter, g
 }
 
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -38,6 +38,8 @@
 	waiting     []*waiter
 	inUse       map[ident.Account]int // connections that run a statement or are idle in transaction
 	floors      floorTracker
+	evacuations evacuations
+	cold        coldStates
 	primary     Primary
 	owner       bool
 	serviceTime time.Duration // moving average duration of calls that occupied a slot
@@ -52,6 +54,8 @@
 		endpoints:   make(map[ident.Endpoint]*endpoint),
 		conns:       make(map[ConnID]*conn),
 		inUse:       make(map[ident.Account]int),
+		evacuations: make(evacuations),
+		cold:        make(coldStates),
 		serviceTime: initialServiceTime,
 	}
 }
@@ -63,6 +67,7 @@
 	s.apply(now, m)
 	s.expire(now)
 	s.dispatch(now)
+	s.leaveEvacuated(now)
 	return s.commands
 }
 
@@ -82,6 +87,7 @@
 		s.updateGranted(now, m.Conn, idleInTx)
 	case Resumed:
 		s.updateGranted(now, m.Conn, running)
+		s.countResumed(now, m.Conn)
 	case EndpointObserved:
 		s.observe(m)
 	case EndpointFailure:
@@ -237,6 +243,8 @@
 }
 
 func (s *Scheduler) setDirectory(now time.Time, m Directory) {
+	s.evacuations.update(now, m.Endpoints)
+	s.cold.update(now, m.Endpoints)
 	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
 	for _, d := range m.Endpoints {
 		seen[d.ID] = true
@@ -247,7 +255,7 @@
 			e.drainingFirst = d.Draining
 			s.endpoints[d.ID] = e
 		}
-		e.Endpoint = d
+		e.Endpoint, e.cold = d, s.cold[d.ID]
 		switch {
 		case !d.Draining:
 			e.drainingSince, e.drainingFirst = time.Time{}, false
--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -90,7 +90,7 @@
 	case "connlimit":
 		fmt.Fprint(&out, s.update(DialDone{Conn: s.dialling(), Result: ConnLimitReached}))
 	default:
-		t.Fatalf("unknown command %s", d.Cmd)
+		out.WriteString(s.evacuation(t, d))
 	}
 	return out.String()
 }
@@ -178,6 +178,8 @@
 			}
 		case CloseConn:
 			fmt.Fprintf(&out, "close a connection\n")
+		case AbortConn:
+			fmt.Fprintf(&out, "abort the connection of %d\n", s.callOf(c.Conn))
 		}
 	}
 	return out.String()
