End what runs in an evacuated data centre when its time is over

A pool closes the connections that the scheduler aborts. The endpoint rolls back then, so the caller is told that nothing has run, and another endpoint may run the call. A commit that was sent is waited for. No request follows on such a connection, not even a rollback.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,10 @@
 	endpoint  ident.Endpoint
 	variables map[string]string
 	prepared  map[engine.StatementTemplate]string
+
+	mu         sync.Mutex
+	aborted    bool // nothing more may be sent
+	committing bool // the latest request may commit
 }
 
 func newEndpointConn(id sched.ConnID, endpoint ident.Endpoint, c Conn) *endpointConn {
@@ -87,7 +92,7 @@
 }
 
 func (c *endpointConn) setup(r Request, deadline time.Time) error {
-	a, err := c.exchange(r, deadline)
+	a, err := c.exchange(r, deadline, false)
 	if err != nil {
 		return errors.Wrap(err, "set up session")
 	}
@@ -98,8 +103,8 @@
 }
 
 // run sends one statement. An Execute runs under the endpoint's name of the
-// prepared statement.
-func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time) (engine.Answer, error) {
+// prepared statement. commits is set if it may commit.
+func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time, commits bool) (engine.Answer, error) {
 	r := Request{Statement: s, After: after}
 	if s.Op == engine.Execute {
 		name, err := c.prepare(s.Template, deadline)
@@ -108,15 +113,19 @@
 		}
 		r.PreparedName = name
 	}
-	return c.exchange(r, deadline)
+	return c.exchange(r, deadline, commits)
 }
 
-// exchange sends one request, unless the deadline has passed.
-func (c *endpointConn) exchange(r Request, deadline time.Time) (engine.Answer, error) {
+// exchange sends one request, unless the deadline has passed or nothing more may
+// be sent.
+func (c *endpointConn) exchange(r Request, deadline time.Time, commits bool) (engine.Answer, error) {
 	left := deadline.Sub(clock.Now())
 	if left <= 0 {
 		return engine.Answer{}, errors.Wrap(errSetup, "no time is left for the request")
 	}
+	if err := c.admit(commits); err != nil {
+		return engine.Answer{}, err
+	}
 	return c.Do(r, left)
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -65,6 +65,7 @@
 	lastTx      engine.TxID
 	idleTxLimit time.Duration
 	abandoned   bool
+	evacuated   bool // an endpoint is in an evacuated data centre
 
 	commitUncertain func(t ident.Term) bool
 }
@@ -197,6 +198,10 @@
 	}
 	a, err := p.send(call, g, deadline)
 	took := clock.Now().Sub(began)
+	if err != nil && g.conn.isAborted() {
+		a, retry = p.abortedAnswer(call, g.conn, err)
+		return a, 0, retry
+	}
 	if err != nil {
 		lost := p.lost(call, g.conn, err, took)
 		if errors.Is(err, errSetup) {
@@ -261,13 +266,13 @@
 	}
 	after := g.After
 	if begin, needed := beginFor(call, g.VerifyPrimary); needed {
-		a, err := g.conn.run(begin, after, deadline)
+		a, err := g.conn.run(begin, after, deadline, false)
 		if err != nil || !a.OK() {
 			return a, err
 		}
 		after = ident.LogPosition{}
 	}
-	return g.conn.run(call.Statement, after, deadline)
+	return g.conn.run(call.Statement, after, deadline, call.MayCommit())
 }
 
 // beginFor returns the statement that opens a transaction for the call, if it
@@ -300,6 +305,11 @@
 	}
 	began := clock.Now()
 	a, err := p.runInTx(call, t.conn, began.Add(call.Timeout))
+	if err != nil && t.conn.isAborted() {
+		p.removeTx(call.Tx)
+		a, _ = p.abortedAnswer(call, t.conn, err)
+		return a, 0
+	}
 	if err != nil {
 		p.removeTx(call.Tx)
 		return p.lost(call, t.conn, err, clock.Now().Sub(began)), 0
@@ -321,7 +331,7 @@
 		if err := c.applyVariables(call.Variables, deadline); err != nil {
 			return engine.Answer{}, err
 		}
-		a, err := c.run(call.Statement, ident.LogPosition{}, deadline)
+		a, err := c.run(call.Statement, ident.LogPosition{}, deadline, call.MayCommit())
 		if err != nil {
 			return a, err
 		}
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -55,6 +55,7 @@
 		case sched.Grant:
 			p.deliver(c.Waiter, grant{Grant: c, conn: p.conns[c.Conn]})
 		case sched.Reject:
+			p.countEvacuated(c.Reason)
 			p.deliver(c.Waiter, grant{reject: &c})
 		case sched.Dial:
 			p.tasks.Go(func(ctx context.Context) error {
@@ -63,6 +64,8 @@
 			})
 		case sched.CloseConn:
 			p.removeConn(c.Conn)
+		case sched.AbortConn:
+			p.abortConn(c.Conn)
 		}
 	}
 }
@@ -129,6 +132,10 @@
 }
 
 func (p *GroupPool) rollbackAndRelease(c *endpointConn) {
+	if c.admit(false) != nil {
+		p.discardConn(c)
+		return
+	}
 	a, err := c.Do(Request{Statement: engine.Statement{Op: engine.Rollback}}, rollbackTimeout)
 	if err != nil || a.State != engine.Idle || c.exhausted() {
 		p.discardConn(c)
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -95,7 +95,7 @@
 		d.Endpoints = append(d.Endpoints, lead.Endpoint{ID: e.ID, Draining: e.Draining, Evacuated: e.Evacuated, IsPrimary: e.IsPrimary, StartedAt: e.StartedAt})
 	}
 	rn.mu.Unlock()
-	rn.pool.Update(sched.Directory{Endpoints: all})
+	rn.pool.SetEndpoints(all)
 	rn.update(d)
 	rn.forgetEndpoints()
 }
