Evacuate data centres in the soak of the platform

The servers and instances are placed in three data centres. Evacuations have random numbers of their own, so that the other faults of a seed stay the same. A request is made only while all instances can learn of it, because the time limit holds only for those. Statements that a link held since before the limit are counted apart.

--- a/cmd/stand/lines.go
+++ b/cmd/stand/lines.go
@@ -13,6 +13,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/lines"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -36,6 +37,7 @@
 			&cli.IntFlag{Name: "instances", Value: 3, Usage: "number of instances"},
 			&cli.IntFlag{Name: "groups", Value: 2, Usage: "number of database groups"},
 			&cli.IntFlag{Name: "servers", Value: 3, Usage: "servers in each group"},
+			&cli.IntFlag{Name: "data-centres", Value: 3, Usage: "data centres in which the servers and instances are, in turn"},
 			&cli.IntFlag{Name: "slots", Value: 2, Usage: "statements that run concurrently on a server"},
 			&cli.IntFlag{Name: "connections", Value: 16, Usage: "maximum number of connections to a server"},
 			&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond, Usage: "run time of a statement"},
@@ -75,7 +77,7 @@
 		Dir: c.String("dir"), BasePort: c.Int("port"), Network: c.Int("network"), Faults: faults, Seed: c.Uint64("faults"), Signals: true, Length: c.Duration("duration"),
 		Group: emul.GroupConfig{
 			Servers: c.Int("servers"), Slots: c.Int("slots"), MaxConns: c.Int("connections"), Sync: 1,
-			Work: c.Duration("work"), Lag: c.Duration("lag"), PromoteTime: c.Duration("promote-time"),
+			Work: c.Duration("work"), Lag: c.Duration("lag"), PromoteTime: c.Duration("promote-time"), DataCentres: dataCentres(c.Int("data-centres")),
 		},
 	})
 	if err != nil {
@@ -95,12 +97,23 @@
 	fmt.Printf("acknowledged commits missing on a later primary: %d\n", d.Lost())
 	stops := d.CheckStops(report)
 	fmt.Print(stops)
-	if report.Violations()+d.Lost()+stops.Violations() > 0 {
+	evacuations := d.CheckEvacuations()
+	fmt.Print(evacuations)
+	if report.Violations()+d.Lost()+stops.Violations()+evacuations.Violations() > 0 {
 		err = errViolations
 	}
 	return errors.CombineErrors(err, d.Close())
 }
 
+// dataCentres returns the names of data centres.
+func dataCentres(count int) []ident.DataCentre {
+	var all []ident.DataCentre
+	for i := range count {
+		all = append(all, ident.DataCentre(fmt.Sprintf("z%d", i+1)))
+	}
+	return all
+}
+
 // runLinesLoad waits until the instances are ready and runs the load.
 func runLinesLoad(ctx context.Context, c *cli.Command, d *lines.Deployment) (*lines.Report, error) {
 	var fronts []string
--- a/internal/stand/emul/evacuation.go
+++ b/internal/stand/emul/evacuation.go
@@ -69,10 +69,24 @@
 	return slices.Clone(s.evacuations)
 }
 
-// CheckEvacuations describes the statements that reached a server later than
-// limit after its data centre was evacuated. Control statements are allowed.
-func (s *Store) CheckEvacuations(limit time.Duration) []string {
-	var late []string
+// LateArrival is a statement that reached an evacuated server too late.
+type LateArrival struct {
+	Arrival
+	DataCentre ident.DataCentre
+	Requested  time.Time
+	Allowed    time.Time // until when statements were allowed
+}
+
+// String describes the statement.
+func (l LateArrival) String() string {
+	return fmt.Sprintf("%s %s at %s in %s, %s after the request", l.ID, l.Text, l.Server, l.DataCentre, l.At.Sub(l.Requested).Round(time.Millisecond))
+}
+
+// CheckEvacuations returns the statements that reached a server later than limit
+// after its data centre was evacuated, in the order of their arrival. Control
+// statements are allowed.
+func (s *Store) CheckEvacuations(limit time.Duration) []LateArrival {
+	var late []LateArrival
 	for _, e := range s.Evacuations() {
 		for _, g := range s.groups {
 			for _, server := range g.Servers() {
@@ -80,14 +94,15 @@
 					continue
 				}
 				for _, a := range server.Arrivals() {
-					if a.At.After(e.Requested.Add(limit)) && (e.Withdrawn.IsZero() || a.At.Before(e.Withdrawn)) {
-						late = append(late, fmt.Sprintf("%s %s at %s in %s, %s after the request", a.ID, a.Text, a.Server, e.DataCentre, a.At.Sub(e.Requested).Round(time.Millisecond)))
+					end := e.Requested.Add(limit)
+					if a.At.After(end) && (e.Withdrawn.IsZero() || a.At.Before(e.Withdrawn)) {
+						late = append(late, LateArrival{Arrival: a, DataCentre: e.DataCentre, Requested: e.Requested, Allowed: end})
 					}
 				}
 			}
 		}
 	}
-	slices.Sort(late)
+	slices.SortFunc(late, func(a, b LateArrival) int { return a.At.Compare(b.At) })
 	return late
 }
 
--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -25,7 +25,7 @@
 	publishInterval = 100 * time.Millisecond
 	// headerTimeout limits the time to read a request's header.
 	headerTimeout = 5 * time.Second
-	// dataCentre is the only data centre of a deployment.
+	// dataCentre is the data centre of a deployment that has only one.
 	dataCentre = "z1"
 	// grace is the time that an instance has for a graceful stop.
 	grace = 6 * time.Second
@@ -281,12 +281,20 @@
 // settings returns the settings of an instance.
 func (d *Deployment) settings(i int) emul.Settings {
 	return emul.Settings{
-		Instance: instanceName(i), DataCentre: dataCentre,
+		Instance: instanceName(i), DataCentre: d.dataCentreOf(i), Evacuation: evacuationLimit,
 		Front: d.address(i, 0), Ready: d.address(i, 1), Peer: d.address(i, 2), Store: d.links[""].Address(),
 		Grace: grace, Drain: 7 * time.Second,
 	}
 }
 
+// dataCentreOf returns where an instance is.
+func (d *Deployment) dataCentreOf(i int) ident.DataCentre {
+	if all := dataCentresOf(d.groups); len(all) > 0 {
+		return all[i%len(all)]
+	}
+	return dataCentre
+}
+
 func (d *Deployment) writeSettings() error {
 	for i := range d.config.Instances {
 		path := filepath.Join(d.config.Dir, fmt.Sprintf("n%d.json", i+1))
--- a/internal/stand/lines/fault.go
+++ b/internal/stand/lines/fault.go
@@ -20,12 +20,14 @@
 	Kind     string
 	Server   ident.Endpoint // of a fault of a server
 	Instance ident.Instance // of a fault of an instance
+	// DataCentre is that of an evacuation.
+	DataCentre ident.DataCentre
 }
 
 // String formats the fault as ParseFault reads it.
 func (f Fault) String() string {
 	text := f.At.Round(time.Millisecond).String() + ":" + f.Kind
-	if target := string(f.Server) + string(f.Instance); target != "" {
+	if target := string(f.Server) + string(f.Instance) + string(f.DataCentre); target != "" {
 		text += ":" + target
 	}
 	return text
@@ -86,6 +88,8 @@
 		out.Server = ident.Endpoint(target)
 	case instanceFaults[out.Kind] != 0:
 		out.Instance = ident.Instance(target)
+	case out.Kind == evacuateKind, out.Kind == withdrawKind:
+		out.DataCentre = ident.DataCentre(target)
 	default:
 		return Fault{}, errors.Newf("fault %q: unknown kind", text)
 	}
@@ -104,6 +108,9 @@
 	case "storeup":
 		d.store.Fail(0)
 		return nil
+	case evacuateKind, withdrawKind:
+		d.applyEvacuation(f)
+		return nil
 	}
 	if f.Instance != "" {
 		return d.signal(ctx, f)
--- a/internal/stand/lines/link.go
+++ b/internal/stand/lines/link.go
@@ -42,6 +42,7 @@
 	state   linkState
 	changed chan struct{} // closed when the state changes
 	conns   map[net.Conn]struct{}
+	holds   []hold
 }
 
 // newLink returns a link from listener to the address target. It takes
@@ -69,6 +70,9 @@
 func (l *link) Set(s linkState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if s.holdRequests != l.state.holdRequests {
+		l.recordHold(s.holdRequests)
+	}
 	l.state = s
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/internal/stand/lines/plan.go
+++ b/internal/stand/lines/plan.go
@@ -40,7 +40,8 @@
 // and so on, in the order of their start. The same arguments give the same plan.
 // Faults overlap, but each group has at most one faulty server at a time. Apart
 // from rolling stops, at most one instance is affected, and one more always
-// stays. Without instances, none of them is affected.
+// stays. Without instances, none of them is affected. Data centres are evacuated
+// if the servers are in several.
 func NewPlan(seed uint64, groups []*emul.Group, instances int, length time.Duration) []Fault {
 	p := &planner{
 		random: rand.New(rand.NewPCG(seed, uint64(length))), groups: groups, instances: instances,
@@ -55,7 +56,9 @@
 			p.add(f, area, min(span, end-at))
 		}
 	}
+	evacuations := planEvacuations(seed, p.faults, groups, length)
 	p.faults = append(p.faults, planRolls(seed, p.faults, instances, length)...)
+	p.faults = append(p.faults, evacuations...)
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p.faults
 }
