Replace the primary of an evacuated data centre

An evacuated primary is replaced while it serves, like one that drains. A target that is evacuated during the switch is abandoned. After a failure the most advanced replica is still promoted, so that no commit is lost.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -118,16 +118,17 @@
 	return n
 }
 
-// monitorPrimary starts the replacement of a primary that is draining or gone.
+// monitorPrimary starts the replacement of a primary that is draining, evacuated
+// or gone.
 func (el *Elector) monitorPrimary(now time.Time) {
 	s := el.servers[el.primary]
 	switch {
 	case s == nil || !s.departedAt.IsZero():
 		el.setState(now, Doubting, "it left the directory")
 		el.emit(AskPeers{Endpoint: el.primary})
-	case s.Draining && el.successor() != nil && el.epoch != 0:
+	case s.leaving() && el.successor() != nil && el.epoch != 0:
 		el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
-		el.setState(now, Switching, "it is draining")
+		el.setState(now, Switching, s.leavingReason())
 	case now.Sub(el.provedAt) > idleProbeDelay:
 		el.probe(now, s, probeInterval)
 	}
@@ -260,10 +261,10 @@
 }
 
 // mostAdvanced returns the sealed replica that has received the most. Among
-// equal ones it prefers a replica that is not draining, then one that was not
-// refused as the target of the latest refused promotion. It skips replicas that
-// lack a commit known to be acknowledged: the replica that held the commit may
-// have become the primary and then disappeared.
+// equal ones it prefers a replica that is not evacuated, then one that is not
+// draining, then one that was not refused as the target of the latest refused
+// promotion. It skips replicas that lack a commit known to be acknowledged: the
+// replica that held the commit may have become the primary and then disappeared.
 func (el *Elector) mostAdvanced(now time.Time, term ident.Term) *server {
 	var all []*server
 	for id, s := range el.sortedServers() {
@@ -277,6 +278,7 @@
 	slices.SortFunc(all, func(a, b *server) int {
 		return cmp.Or(
 			comparePositions(b.lastResult.Received, a.lastResult.Received),
+			compareBool(a.Evacuated, b.Evacuated),
 			compareBool(a.Draining, b.Draining),
 			compareBool(a.ID == el.refusedTarget, b.ID == el.refusedTarget),
 			cmp.Compare(a.ID, b.ID),
@@ -301,12 +303,13 @@
 	return 1
 }
 
-// successor returns the replica that takes over from a draining primary: the
-// most advanced one that is neither draining nor departed.
+// successor returns the replica that takes over from a draining or evacuated
+// primary: the most advanced one that is neither draining nor evacuated nor
+// departed.
 func (el *Elector) successor() *server {
 	var best *server
 	for id, s := range el.sortedServers() {
-		if id == el.primary || s.Draining || !s.departedAt.IsZero() {
+		if id == el.primary || s.leaving() || !s.departedAt.IsZero() {
 			continue
 		}
 		if best == nil || comparePositions(s.lastResult.Received, best.lastResult.Received) > 0 ||
@@ -330,8 +333,12 @@
 		}
 		el.target = s.ID
 	}
+	if el.targetEvacuated() {
+		el.abandonTarget(now)
+		return
+	}
 	target := el.servers[el.target]
-	if target == nil || target.Draining || now.Sub(el.stateSince) > promotionTimeout {
+	if target == nil || target.leaving() || now.Sub(el.stateSince) > promotionTimeout {
 		el.setState(now, Doubting, "the successor is not ready")
 		return
 	}
@@ -345,6 +352,10 @@
 	el.probe(now, target, urgentProbeInterval)
 	primary := el.servers[el.primary]
 	el.probe(now, primary, urgentProbeInterval)
+	if primary != nil && el.targetCutOff(primary, target) {
+		el.setState(now, Sealing, "the successor is sealed and lacks commits")
+		return
+	}
 	if primary == nil || !el.caughtUp(primary, target) || el.epoch == 0 || el.peerPromotionPending(now) {
 		return
 	}
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -14,6 +14,10 @@
 // awaitPromotion sends the Promote command and waits until the target is the
 // primary.
 func (el *Elector) awaitPromotion(now time.Time) {
+	if el.targetEvacuated() {
+		el.abandonTarget(now)
+		return
+	}
 	if now.Sub(el.stateSince) > promotionTimeout {
 		el.setState(now, Sealing, "the promotion timed out")
 		return
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -49,6 +49,7 @@
 			for _, v := range a.Vals {
 				e.IsPrimary = e.IsPrimary || v == "primary"
 				e.Draining = e.Draining || v == "draining"
+				e.Evacuated = e.Evacuated || v == "evacuated"
 				if v == "restarted" {
 					e.StartedAt = 1
 				}
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -38,6 +38,7 @@
 	pending             int  // promotions that have not taken effect yet
 	restartWhilePending bool // sealed servers may restart while a promotion is pending
 	log                 []string
+	evacuations         *simEvacuations // nil for none
 }
 
 var simIDs = []ident.Endpoint{"a", "b", "c"}
@@ -93,6 +94,7 @@
 		}
 		s.commit()
 		s.injectFault()
+		s.evacuations.inject(s)
 		for i := range s.electors {
 			s.send(i, Tick{})
 		}
@@ -260,7 +262,7 @@
 		v := s.servers[id]
 		v.draining = v.draining || v.isPrimary && s.chance(20)
 		if !v.down || v.draining || s.chance(2) {
-			d.Endpoints = append(d.Endpoints, Endpoint{ID: id, IsPrimary: v.isPrimary, StartedAt: v.starts, Draining: v.draining})
+			d.Endpoints = append(d.Endpoints, Endpoint{ID: id, IsPrimary: v.isPrimary, StartedAt: v.starts, Draining: v.draining, Evacuated: s.evacuations.contains(id)})
 		}
 	}
 	s.send(i, d)
--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -20,8 +20,8 @@
 	Sealing
 	// Promoting means that a replica is being promoted.
 	Promoting
-	// Switching means that a draining primary is being replaced while it
-	// serves.
+	// Switching means that a draining or evacuated primary is being replaced
+	// while it serves.
 	Switching
 )
 
