Keep newer evidence of the primary when a data centre is evacuated

Passing the directory again at a request also repeated which endpoint was listed as primary. During a failover the elector then believed the old entry, and the group had no primary for more than 6 s. The elector now gets the evacuated endpoints alone.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -133,6 +133,8 @@
 	switch m := m.(type) {
 	case Directory:
 		el.setDirectory(now, m)
+	case Evacuated:
+		el.setEvacuated(m)
 	case ReplicationRules:
 		el.syncReplicas = m.SyncReplicas
 	case Ownership:
--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/internal/trace"
@@ -20,7 +21,7 @@
 	now := clock.Now()
 	n.mu.Lock()
 	l := &n.evacuations
-	before := l.revision
+	before, first := l.revision, !l.settled()
 	if !l.enabled || !l.replace(now, e) {
 		n.mu.Unlock()
 		return
@@ -36,7 +37,7 @@
 	}
 	trace.Event("EvacuationsInForce", "Revision", revision, "Before", before, "Source", source, "DataCentres", dataCentres, "Endpoints", affected)
 	n.updateDataCentres(now, dataCentres)
-	n.passEndpoints()
+	n.passEndpoints(first)
 	n.announceVersions() // the other instances may not be following the store
 }
 
@@ -50,8 +51,9 @@
 	return counts
 }
 
-// passEndpoints passes the endpoints to all groups anew.
-func (n *Node) passEndpoints() {
+// passEndpoints passes the endpoints to all groups anew. first is set if they
+// were withheld until now.
+func (n *Node) passEndpoints(first bool) {
 	n.directoryMu.Lock()
 	defer n.directoryMu.Unlock()
 	n.mu.Lock()
@@ -59,8 +61,27 @@
 	endpoints := n.allEndpoints()
 	n.mu.Unlock()
 	for g, r := range runners {
-		r.setEndpoints(endpoints[g])
+		if first {
+			r.setEndpoints(endpoints[g])
+		} else {
+			r.setEvacuated(endpoints[g])
+		}
+	}
+}
+
+// setEvacuated updates which of the endpoints are evacuated.
+func (rn *groupRunner) setEvacuated(all []sched.Endpoint) {
+	var m lead.Evacuated
+	rn.mu.Lock()
+	for _, e := range all {
+		rn.endpoints[e.ID] = e
+		if e.Evacuated {
+			m.Endpoints = append(m.Endpoints, e.ID)
+		}
 	}
+	rn.mu.Unlock()
+	rn.pool.SetEndpoints(all)
+	rn.update(m)
 }
 
 // allEndpoints returns the endpoints of all groups for the runners. The caller
@@ -95,7 +116,7 @@
 	n.mu.Unlock()
 	if due {
 		trace.Event("EvacuationsUnknown", "Waited", evacuationsWait.String())
-		n.passEndpoints()
+		n.passEndpoints(true)
 	}
 }
 
