Check the rate of cold servers after an evacuation

The emulated servers count statements in any second after they return. The soak and a short trial with a real load check that and the time limit.

--- a/cmd/stand/lines.go
+++ b/cmd/stand/lines.go
@@ -38,6 +38,8 @@
 			&cli.IntFlag{Name: "groups", Value: 2, Usage: "number of database groups"},
 			&cli.IntFlag{Name: "servers", Value: 3, Usage: "servers in each group"},
 			&cli.IntFlag{Name: "data-centres", Value: 3, Usage: "data centres in which the servers and instances are, in turn"},
+			&cli.FloatFlag{Name: "cold-rate", Value: 20, Usage: "statements a second that a server tolerates while it is cold, after a restart or an evacuation"},
+			&cli.DurationFlag{Name: "cold-time", Value: 3 * time.Second, Usage: "time for which a server is cold"},
 			&cli.IntFlag{Name: "slots", Value: 2, Usage: "statements that run concurrently on a server"},
 			&cli.IntFlag{Name: "connections", Value: 16, Usage: "maximum number of connections to a server"},
 			&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond, Usage: "run time of a statement"},
@@ -78,6 +80,7 @@
 		Group: emul.GroupConfig{
 			Servers: c.Int("servers"), Slots: c.Int("slots"), MaxConns: c.Int("connections"), Sync: 1,
 			Work: c.Duration("work"), Lag: c.Duration("lag"), PromoteTime: c.Duration("promote-time"), DataCentres: dataCentres(c.Int("data-centres")),
+			ColdRate: c.Float("cold-rate"), ColdTime: c.Duration("cold-time"),
 		},
 	})
 	if err != nil {
--- a/internal/stand/emul/evacuation.go
+++ b/internal/stand/emul/evacuation.go
@@ -9,17 +9,8 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-const (
-	// EvacuateKey is the prefix of the keys in ConfigTable that request
-	// evacuations.
-	EvacuateKey = "evacuate/"
-	// coldOverage and coldSlack are what a cold server tolerates beyond its rate.
-	coldOverage = 1.5
-	coldSlack   = 5
-	// coldStep is the resolution of what an entry says about a cold server, so
-	// that the entry does not change all the time.
-	coldStep = time.Second
-)
+// EvacuateKey is the prefix of the keys in ConfigTable that request evacuations.
+const EvacuateKey = "evacuate/"
 
 // Arrival is a statement that a server has received.
 type Arrival struct {
@@ -53,6 +44,13 @@
 		s.evacuations[i].Withdrawn = time.Now()
 	}
 	s.mu.Unlock()
+	for _, g := range s.groups {
+		for _, server := range g.Servers() {
+			if server.dataCentre == dc {
+				server.set(func() { server.beginCold(false) })
+			}
+		}
+	}
 	s.Drop(ConfigTable, EvacuateKey+string(dc))
 }
 
@@ -125,17 +123,6 @@
 	s.arrivals = append(s.arrivals, Arrival{Server: s.id, ID: id, Text: text, At: time.Now()})
 }
 
-// coldLeft returns for how much longer the server is cold, in whole steps.
-func (s *Server) coldLeft() time.Duration {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	left := time.Until(s.coldUntil)
-	if left <= 0 {
-		return 0
-	}
-	return (left + coldStep - 1).Truncate(coldStep)
-}
-
 // DataCentre returns where the server is, or nothing if the group's configuration
 // places no servers.
 func (s *Server) DataCentre() ident.DataCentre { return s.dataCentre }
--- a/internal/stand/emul/server.go
+++ b/internal/stand/emul/server.go
@@ -32,7 +32,7 @@
 	ran            []Run
 	arrived        map[string]struct{} // IDs of all statements that were received
 	arrivals       []Arrival           // if the server is in a data centre
-	coldUntil      time.Time
+	colds          []coldTime
 }
 
 // Run records one execution of a statement.
@@ -88,7 +88,7 @@
 		s.down, s.unresponsive = false, false
 		s.isPrimary = s.isPrimary && s.term == s.group.term
 		s.sealedTerm = 0
-		s.coldUntil = time.Now().Add(s.group.config.ColdTime)
+		s.beginCold(true)
 	})
 }
 
--- a/internal/stand/lines/evacuate.go
+++ b/internal/stand/lines/evacuate.go
@@ -127,12 +127,15 @@
 	Late []string
 	// Held counts those that a link had held since before the time limit.
 	Held int
+	// Overloaded describes the cold servers that received too many statements
+	// after an evacuation.
+	Overloaded []string
 }
 
 // CheckEvacuations checks that no statement reached a server of an evacuated
-// data centre later than allowed.
+// data centre later than allowed, and no cold one received too many.
 func (d *Deployment) CheckEvacuations() *EvacuationReport {
-	r := &EvacuationReport{Requests: len(d.store.Evacuations())}
+	r := &EvacuationReport{Requests: len(d.store.Evacuations()), Overloaded: d.store.CheckCold()}
 	for _, late := range d.store.CheckEvacuations(evacuationLimit) {
 		if d.links[late.Server].heldBefore(late.At, late.Allowed) {
 			r.Held++
@@ -143,16 +146,19 @@
 	return r
 }
 
-// Violations returns the number of statements that arrived too late.
-func (r *EvacuationReport) Violations() int { return len(r.Late) }
+// Violations returns how often a limit was exceeded.
+func (r *EvacuationReport) Violations() int { return len(r.Late) + len(r.Overloaded) }
 
 // String returns the report, with one line for each violation.
 func (r *EvacuationReport) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "evacuations %d, statements after the time limit %d, held on the way %d\n", r.Requests, len(r.Late), r.Held)
+	fmt.Fprintf(&b, "evacuations %d, statements after the time limit %d, held on the way %d, cold servers overloaded %d\n", r.Requests, len(r.Late), r.Held, len(r.Overloaded))
 	for _, text := range r.Late {
 		fmt.Fprintln(&b, "violation: evacuated:", text)
 	}
+	for _, text := range r.Overloaded {
+		fmt.Fprintln(&b, "violation: cold:", text)
+	}
 	return b.String()
 }
 
--- a/internal/stand/lines/lines_test.go
+++ b/internal/stand/lines/lines_test.go
@@ -68,6 +68,9 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Log(r)
+	evacuations := d.CheckEvacuations()
+	t.Log(evacuations)
+	g.Expect(evacuations.Violations()).To(BeZero())
 	return r, d.Lost()
 }
 
