End calls at endpoints of evacuated data centres

AbortConn closes the connection without a rollback, and the caller is told Aborted. A commit in flight is waited for. An aborted call is no failure of the endpoint.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,11 @@
 	endpoint  ident.Endpoint
 	variables map[string]string
 	prepared  map[engine.StatementTemplate]string
+	// aborted is set when nothing more may be sent. committing is set before a
+	// call that may commit is sent. Each is set before the other one is read, so
+	// a commit is either not sent or waited for.
+	aborted    atomic.Bool
+	committing atomic.Bool
 }
 
 func newEndpointConn(id sched.ConnID, endpoint ident.Endpoint, c Conn) *endpointConn {
@@ -111,8 +117,12 @@
 	return c.exchange(r, deadline)
 }
 
-// exchange sends one request, unless the deadline has passed.
+// exchange sends one request, unless the deadline has passed or the connection
+// was aborted.
 func (c *endpointConn) exchange(r Request, deadline time.Time) (engine.Answer, error) {
+	if c.aborted.Load() {
+		return engine.Answer{}, errAborted
+	}
 	left := deadline.Sub(clock.Now())
 	if left <= 0 {
 		return engine.Answer{}, errors.Wrap(errSetup, "no time is left for the request")
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -195,6 +195,7 @@
 	if firstTry := began.Add(firstReadTimeout); call.Repeatable() && firstTry.Before(deadline) {
 		deadline = firstTry
 	}
+	g.conn.committing.Store(call.MayCommit())
 	a, err := p.send(call, g, deadline)
 	took := clock.Now().Sub(began)
 	if err != nil {
@@ -236,6 +237,9 @@
 // lost discards a connection whose answer is lost and returns the answer for
 // the caller.
 func (p *GroupPool) lost(call *engine.Call, c *endpointConn, err error, took time.Duration) engine.Answer {
+	if a, aborted := p.abortedAnswer(call, c, err, took); aborted {
+		return a
+	}
 	p.failConn(c, sched.EndpointFailure{Endpoint: c.endpoint, Kind: sched.Unresponsive})
 	trace.Failure("EndpointLost", err, "Group", p.group, "Endpoint", c.endpoint, "Request", call.Statement.ID, "Took", took.String())
 	a := call.LostAnswer("the endpoint's answer was lost")
@@ -298,6 +302,7 @@
 		p.release(t.conn, true)
 		return engine.Refuse(engine.Aborted, saturatedPause, "the primary can't acknowledge commits"), 0
 	}
+	t.conn.committing.Store(call.MayCommit())
 	began := clock.Now()
 	a, err := p.runInTx(call, t.conn, began.Add(call.Timeout))
 	if err != nil {
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -63,6 +63,8 @@
 			})
 		case sched.CloseConn:
 			p.removeConn(c.Conn)
+		case sched.AbortConn:
+			p.abortConn(c.Conn)
 		}
 	}
 }
@@ -116,8 +118,13 @@
 }
 
 // release releases a connection, after a rollback if a transaction is open on
-// it. The rollback runs in the background.
+// it. The rollback runs in the background. A connection that was aborted is
+// closed.
 func (p *GroupPool) release(c *endpointConn, rollback bool) {
+	if c.aborted.Load() {
+		p.discardConn(c)
+		return
+	}
 	if !rollback && !c.exhausted() {
 		p.Update(sched.Released{Conn: c.id})
 		return
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -92,7 +92,7 @@
 	rn.mu.Lock()
 	for _, e := range all {
 		rn.endpoints[e.ID] = e
-		d.Endpoints = append(d.Endpoints, lead.Endpoint{ID: e.ID, Draining: e.Draining, IsPrimary: e.IsPrimary, StartedAt: e.StartedAt})
+		d.Endpoints = append(d.Endpoints, lead.Endpoint{ID: e.ID, Draining: e.Draining, Evacuated: e.Evacuated, IsPrimary: e.IsPrimary, StartedAt: e.StartedAt})
 	}
 	rn.mu.Unlock()
 	rn.pool.Update(sched.Directory{Endpoints: all})
