--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -112,10 +111,17 @@
 	if !s.evacuations.any() {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.conns)) {
+	var affected []ConnID
+	for id, c := range s.conns {
+		if s.evacuations.evacuated(c.endpoint) {
+			affected = append(affected, id)
+		}
+	}
+	slices.Sort(affected)
+	for _, id := range affected {
 		c := s.conns[id]
 		switch {
-		case c.state == idle && s.evacuations.evacuated(c.endpoint):
+		case c.state == idle:
 			s.closeConn(c)
 		case c.state == idleInTx && s.evacuationExpired(now, c.endpoint):
 			s.remove(c)
