Keep a promotion pending while a copy of it may arrive late

A promotion without an answer that was repeated and accepted counted as pending for three seconds, although the first copy may take effect for ten. Tests also bound the time until an evacuated primary is replaced.

--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -83,11 +83,14 @@
 // promotionPending reports whether a promotion that this instance requested may
 // still change the primary.
 func (el *Elector) promotionPending(now time.Time) bool {
+	if el.pendingSince.IsZero() {
+		return false
+	}
 	limit := latePromotionLimit
-	if el.accepted {
+	if el.accepted && !now.Before(el.lateUntil) { // no earlier copy may arrive late
 		limit = promotionTimeout
 	}
-	return !el.pendingSince.IsZero() && now.Sub(el.pendingSince) < limit
+	return now.Sub(el.pendingSince) < limit
 }
 
 // settleLatePromotion ends the wait for a Promote without an answer once its
--- a/internal/lead/sim_evacuation_test.go
+++ b/internal/lead/sim_evacuation_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/assert"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -16,10 +17,17 @@
 	evacuated map[ident.Endpoint]bool
 }
 
+// newEvacuationSim returns a simulation with evacuations.
+func newEvacuationSim(t *testing.T, seed uint64) *sim {
+	s := newSim(t, seed)
+	s.evacuations = &simEvacuations{random: rand.New(rand.NewPCG(seed, 11)), evacuated: make(map[ident.Endpoint]bool)}
+	return s
+}
+
 // inject changes the request for the data centre of a random server. Each
 // instance learns of it immediately or with its next directory.
 func (v *simEvacuations) inject(s *sim) {
-	if v == nil || v.random.IntN(100) != 0 {
+	if v == nil || s.quiet || v.random.IntN(100) != 0 {
 		return
 	}
 	id := simIDs[v.random.IntN(len(simIDs))]
@@ -39,6 +47,12 @@
 	}
 }
 
+// request evacuates the data centre of a server. All instances learn of it.
+func (v *simEvacuations) request(s *sim, id ident.Endpoint) {
+	v.evacuated[id] = true
+	s.publishAll()
+}
+
 // contains reports whether the data centre of a server is evacuated.
 func (v *simEvacuations) contains(id ident.Endpoint) bool { return v != nil && v.evacuated[id] }
 
@@ -50,17 +64,59 @@
 	for _, restart := range []bool{false, true} {
 		switches, abandoned := 0, 0
 		for seed := range uint64(simSeeds()) {
-			s := newSim(t, seed)
+			s := newEvacuationSim(t, seed)
 			s.restartWhilePending = restart
-			s.evacuations = &simEvacuations{random: rand.New(rand.NewPCG(seed, 11)), evacuated: map[ident.Endpoint]bool{}}
 			s.run()
 			text := strings.Join(s.log, "\n")
 			switches += strings.Count(text, "its data centre is evacuated")
 			abandoned += strings.Count(text, "the data centre of the successor is evacuated")
 		}
-		t.Logf("%d switches, %d of them abandoned", switches, abandoned)
+		t.Logf("%d switches, %d abandoned targets", switches, abandoned)
 		if switches < simSeeds() || abandoned == 0 {
 			t.Fatalf("only %d switches and %d abandoned targets in %d runs", switches, abandoned, simSeeds())
 		}
 	}
 }
+
+// TestLateCopyOfAcceptedPromotion covers a promotion without an answer that was
+// repeated and accepted, and had no effect because its target crashed. Writes
+// were allowed again while the first copy could still arrive.
+func TestLateCopyOfAcceptedPromotion(t *testing.T) {
+	assert.Fatal()
+	s := newEvacuationSim(t, 1924)
+	s.restartWhilePending = true
+	s.run()
+}
+
+// replacementBound is the time in which an evacuated primary has to be replaced:
+// EvacuationTime less the time for which callers wait for the new primary.
+const replacementBound = 3 * time.Second
+
+// TestEvacuatedPrimaryIsReplacedInTime evacuates the primary of a group without
+// faults, and in half of the runs a replica as well during the switch. It guards
+// against a switch that takes longer than the evacuated primary may be used.
+func TestEvacuatedPrimaryIsReplacedInTime(t *testing.T) {
+	assert.Fatal()
+	var longest time.Duration
+	for seed := range uint64(simSeeds()) {
+		s := newEvacuationSim(t, seed)
+		s.quiet = true
+		for range 100 {
+			s.step()
+		}
+		s.evacuations.request(s, "a")
+		requested, second := s.now, s.now.Add(time.Duration(s.evacuations.random.IntN(600))*time.Millisecond)
+		replica := simIDs[1+s.evacuations.random.IntN(2)]
+		for primary := s.announced[0]; !primary.Usable || s.evacuations.contains(primary.Endpoint); primary = s.announced[0] {
+			if seed%2 == 0 && !s.evacuations.contains(replica) && !s.now.Before(second) {
+				s.evacuations.request(s, replica)
+			}
+			s.step()
+			if took := s.now.Sub(requested); took > replacementBound {
+				t.Fatalf("seed %d: %s is still the primary after %s:\n%s", seed, s.announced[0].Endpoint, took, strings.Join(s.log, "\n"))
+			}
+		}
+		longest = max(longest, s.now.Sub(requested))
+	}
+	t.Logf("an evacuated primary is replaced within %s", longest)
+}
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -39,6 +39,7 @@
 	restartWhilePending bool // sealed servers may restart while a promotion is pending
 	log                 []string
 	evacuations         *simEvacuations // nil for none
+	quiet               bool            // no faults and no losses
 }
 
 var simIDs = []ident.Endpoint{"a", "b", "c"}
@@ -77,29 +78,34 @@
 	s.events = append(s.events, simEvent{at: s.now.Add(d), do: do})
 }
 
-func (s *sim) chance(n int) bool { return s.random.IntN(n) == 0 }
+func (s *sim) chance(n int) bool { return s.random.IntN(n) == 0 && !s.quiet }
 
 // run simulates 30 seconds of faults.
 func (s *sim) run() {
 	for range 1500 {
-		s.now = s.now.Add(simStep)
-		due := s.events
-		s.events = nil
-		for _, e := range due {
-			if e.at.After(s.now) {
-				s.events = append(s.events, e)
-			} else {
-				e.do()
-			}
-		}
-		s.commit()
-		s.injectFault()
-		s.evacuations.inject(s)
-		for i := range s.electors {
-			s.send(i, Tick{})
+		s.step()
+	}
+}
+
+// step simulates one simStep.
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	due := s.events
+	s.events = nil
+	for _, e := range due {
+		if e.at.After(s.now) {
+			s.events = append(s.events, e)
+		} else {
+			e.do()
 		}
-		s.exchangeProgress()
 	}
+	s.commit()
+	s.injectFault()
+	s.evacuations.inject(s)
+	for i := range s.electors {
+		s.send(i, Tick{})
+	}
+	s.exchangeProgress()
 }
 
 // exchangeProgress sends each instance's progress to the other one, once per
@@ -349,13 +355,12 @@
 		}
 		return Accepted
 	}
-	switch s.random.IntN(4) {
-	case 0:
+	if s.chance(4) {
 		s.schedule(time.Duration(s.random.IntN(6000))*time.Millisecond, func() { arrive() })
 		s.schedule(time.Second, func() { s.send(i, Promoted{Endpoint: c.Endpoint, Result: NoAnswer}) })
-	default:
-		s.schedule(20*time.Millisecond, func() { s.send(i, Promoted{Endpoint: c.Endpoint, Result: arrive()}) })
+		return
 	}
+	s.schedule(20*time.Millisecond, func() { s.send(i, Promoted{Endpoint: c.Endpoint, Result: arrive()}) })
 }
 
 // completePromotion makes a server the primary of the next term and checks that
