--- a/internal/sched/cold.go
+++ b/internal/sched/cold.go
@@ -30,9 +30,10 @@
 // coldState limits the calls to an endpoint that is slow after its start or
 // after an evacuation.
 type coldState struct {
-	entry      Endpoint
-	unlistedAt time.Time // zero while the endpoint is listed
-	until      time.Time // the server said that it is slow until then
+	startedAt  int64         // StartedAt of the latest entry
+	left       time.Duration // ColdLeft of the latest entry
+	unlistedAt time.Time     // zero while the endpoint is listed
+	until      time.Time     // the server said that it is slow until then
 	limiting   bool
 	tokens     float64
 	filledAt   time.Time
@@ -62,13 +63,12 @@
 	}
 }
 
-// list applies a directory entry. An entry that is repeated unchanged says
-// nothing new of the time that is left.
+// list applies a directory entry. An entry that states the same remaining time as
+// before was not updated, so the time is counted from the first one.
 func (c *coldState) list(now time.Time, d Endpoint) {
 	c.unlistedAt = time.Time{}
-	d.Evacuated = false // not part of the server's entry
-	if c.entry != d {
-		c.entry, c.until = d, now.Add(d.ColdLeft)
+	if c.startedAt != d.StartedAt || c.left != d.ColdLeft {
+		c.startedAt, c.left, c.until = d.StartedAt, d.ColdLeft, now.Add(d.ColdLeft)
 	}
 }
 
--- a/internal/sched/script_evacuation_test.go
+++ b/internal/sched/script_evacuation_test.go
@@ -42,6 +42,8 @@
 				e.ColdLeft = parseSpan(t, cold)
 			case v == "draining":
 				e.Draining = true
+			case v == "primary":
+				e.IsPrimary = true
 			case v == "evacuated":
 				e.Evacuated = true
 			case v == "restarted":
