--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,7 +2,7 @@
 
 import (
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,10 +28,11 @@
 	endpoint  ident.Endpoint
 	variables map[string]string
 	prepared  map[engine.StatementTemplate]string
-
-	mu         sync.Mutex
-	aborted    bool // nothing more may be sent
-	committing bool // the latest request may commit
+	// aborted is set when nothing more may be sent. committing is set before a
+	// call that may commit is sent. Each is set before the other one is read, so
+	// a commit is either not sent or waited for.
+	aborted    atomic.Bool
+	committing atomic.Bool
 }
 
 func newEndpointConn(id sched.ConnID, endpoint ident.Endpoint, c Conn) *endpointConn {
@@ -92,7 +93,7 @@
 }
 
 func (c *endpointConn) setup(r Request, deadline time.Time) error {
-	a, err := c.exchange(r, deadline, false)
+	a, err := c.exchange(r, deadline)
 	if err != nil {
 		return errors.Wrap(err, "set up session")
 	}
@@ -103,8 +104,8 @@
 }
 
 // run sends one statement. An Execute runs under the endpoint's name of the
-// prepared statement. commits is set if it may commit.
-func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time, commits bool) (engine.Answer, error) {
+// prepared statement.
+func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time) (engine.Answer, error) {
 	r := Request{Statement: s, After: after}
 	if s.Op == engine.Execute {
 		name, err := c.prepare(s.Template, deadline)
@@ -113,19 +114,19 @@
 		}
 		r.PreparedName = name
 	}
-	return c.exchange(r, deadline, commits)
+	return c.exchange(r, deadline)
 }
 
-// exchange sends one request, unless the deadline has passed or nothing more may
-// be sent.
-func (c *endpointConn) exchange(r Request, deadline time.Time, commits bool) (engine.Answer, error) {
+// exchange sends one request, unless the deadline has passed or the connection
+// was aborted.
+func (c *endpointConn) exchange(r Request, deadline time.Time) (engine.Answer, error) {
+	if c.aborted.Load() {
+		return engine.Answer{}, errAborted
+	}
 	left := deadline.Sub(clock.Now())
 	if left <= 0 {
 		return engine.Answer{}, errors.Wrap(errSetup, "no time is left for the request")
 	}
-	if err := c.admit(commits); err != nil {
-		return engine.Answer{}, err
-	}
 	return c.Do(r, left)
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -196,12 +196,9 @@
 	if firstTry := began.Add(firstReadTimeout); call.Repeatable() && firstTry.Before(deadline) {
 		deadline = firstTry
 	}
+	g.conn.committing.Store(call.MayCommit())
 	a, err := p.send(call, g, deadline)
 	took := clock.Now().Sub(began)
-	if err != nil && g.conn.isAborted() {
-		a, retry = p.abortedAnswer(call, g.conn, err)
-		return a, 0, retry
-	}
 	if err != nil {
 		lost := p.lost(call, g.conn, err, took)
 		if errors.Is(err, errSetup) {
@@ -241,6 +238,9 @@
 // lost discards a connection whose answer is lost and returns the answer for
 // the caller.
 func (p *GroupPool) lost(call *engine.Call, c *endpointConn, err error, took time.Duration) engine.Answer {
+	if a, aborted := p.abortedAnswer(call, c, err, took); aborted {
+		return a
+	}
 	p.failConn(c, sched.EndpointFailure{Endpoint: c.endpoint, Kind: sched.Unresponsive})
 	trace.Failure("EndpointLost", err, "Group", p.group, "Endpoint", c.endpoint, "Request", call.Statement.ID, "Took", took.String())
 	a := call.LostAnswer("the endpoint's answer was lost")
@@ -266,13 +266,13 @@
 	}
 	after := g.After
 	if begin, needed := beginFor(call, g.VerifyPrimary); needed {
-		a, err := g.conn.run(begin, after, deadline, false)
+		a, err := g.conn.run(begin, after, deadline)
 		if err != nil || !a.OK() {
 			return a, err
 		}
 		after = ident.LogPosition{}
 	}
-	return g.conn.run(call.Statement, after, deadline, call.MayCommit())
+	return g.conn.run(call.Statement, after, deadline)
 }
 
 // beginFor returns the statement that opens a transaction for the call, if it
@@ -303,13 +303,9 @@
 		p.release(t.conn, true)
 		return engine.Refuse(engine.Aborted, saturatedPause, "the primary can't acknowledge commits"), 0
 	}
+	t.conn.committing.Store(call.MayCommit())
 	began := clock.Now()
 	a, err := p.runInTx(call, t.conn, began.Add(call.Timeout))
-	if err != nil && t.conn.isAborted() {
-		p.removeTx(call.Tx)
-		a, _ = p.abortedAnswer(call, t.conn, err)
-		return a, 0
-	}
 	if err != nil {
 		p.removeTx(call.Tx)
 		return p.lost(call, t.conn, err, clock.Now().Sub(began)), 0
@@ -331,7 +327,7 @@
 		if err := c.applyVariables(call.Variables, deadline); err != nil {
 			return engine.Answer{}, err
 		}
-		a, err := c.run(call.Statement, ident.LogPosition{}, deadline, call.MayCommit())
+		a, err := c.run(call.Statement, ident.LogPosition{}, deadline)
 		if err != nil {
 			return a, err
 		}
--- a/internal/relay/pool_abort_test.go
+++ b/internal/relay/pool_abort_test.go
@@ -102,7 +102,7 @@
 	p.mu.Lock()
 	p.abortConn(1)
 	p.mu.Unlock()
-	p.rollbackAndRelease(c)
+	p.release(c, true)
 	g.Expect(raw.sent).To(BeEmpty())
 	g.Expect(raw.closed).To(BeTrue())
 }
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -119,8 +119,13 @@
 }
 
 // release releases a connection, after a rollback if a transaction is open on
-// it. The rollback runs in the background.
+// it. The rollback runs in the background. A connection that was aborted is
+// closed.
 func (p *GroupPool) release(c *endpointConn, rollback bool) {
+	if c.aborted.Load() {
+		p.discardConn(c)
+		return
+	}
 	if !rollback && !c.exhausted() {
 		p.Update(sched.Released{Conn: c.id})
 		return
@@ -132,10 +137,6 @@
 }
 
 func (p *GroupPool) rollbackAndRelease(c *endpointConn) {
-	if c.admit(false) != nil {
-		p.discardConn(c)
-		return
-	}
 	a, err := c.Do(Request{Statement: engine.Statement{Op: engine.Rollback}}, rollbackTimeout)
 	if err != nil || a.State != engine.Idle || c.exhausted() {
 		p.discardConn(c)
