--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
@@ -231,4 +233,8 @@
 	n.trackDataCentres(now)
 	g.Expect(n.dataCentres.State("z2")).To(Equal(evac.Evacuated))
 	g.Expect(n.dataCentres.State("z1")).To(Equal(evac.InService))
+	var text strings.Builder
+	metrics.WritePrometheus(&text, false)
+	g.Expect(text.String()).To(ContainSubstring(`marjoram_data_centre_state{data_centre="z2",state="Evacuated"} 1`))
+	g.Expect(text.String()).To(ContainSubstring(`marjoram_data_centre_state{data_centre="z2",state="Leaving"} 0`))
 }
