--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -14,6 +14,10 @@
 // awaitPromotion sends the Promote command and waits until the target is the
 // primary.
 func (el *Elector) awaitPromotion(now time.Time) {
+	if el.targetEvacuated() {
+		el.abandonTarget(now)
+		return
+	}
 	if now.Sub(el.stateSince) > promotionTimeout {
 		el.setState(now, Sealing, "the promotion timed out")
 		return
@@ -79,11 +83,14 @@
 // promotionPending reports whether a promotion that this instance requested may
 // still change the primary.
 func (el *Elector) promotionPending(now time.Time) bool {
+	if el.pendingSince.IsZero() {
+		return false
+	}
 	limit := latePromotionLimit
-	if el.accepted {
+	if el.accepted && !now.Before(el.lateUntil) { // no earlier copy may arrive late
 		limit = promotionTimeout
 	}
-	return !el.pendingSince.IsZero() && now.Sub(el.pendingSince) < limit
+	return now.Sub(el.pendingSince) < limit
 }
 
 // settleLatePromotion ends the wait for a Promote without an answer once its
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -30,6 +30,9 @@
 		Leaving{},
 		Last{},
 		CallWithdrawn{Number: 9},
+		EvacuationRequest{Revision: 3},
+		EvacuationList{Revision: 4, DataCentres: []ident.DataCentre{"z1", "z2"}},
+		Heartbeat{Version: 2, Evacuations: 4},
 		LeaseRequest{Nonce: 8, Leases: leaseRefs()},
 		LeasePromise{Nonce: 8, Length: time.Second},
 	}
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -29,8 +29,7 @@
 	MemberRequestKind    Kind = 20
 	MemberListKind       Kind = 21
 	LastKind             Kind = 22
-	// Numbers 23 and 24 are reserved for evacuations.
-	CallWithdrawnKind Kind = 25
+	CallWithdrawnKind    Kind = 25
 
 	kinds = 26
 )
@@ -43,9 +42,9 @@
 		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
 		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
 		"DirectoryAsk", "Directory", "MemberRequest", "MemberList", "Last",
-		25: "CallWithdrawn",
+		"EvacuationRequest", "EvacuationList", "CallWithdrawn",
 	}
-	if int(k) < len(names) && names[k] != "" {
+	if int(k) < len(names) {
 		return names[k]
 	}
 	return names[0]
@@ -54,7 +53,7 @@
 // expectsReply reports whether the recipient replies to messages of this kind.
 func expectsReply(k Kind) bool {
 	switch k {
-	case CallKind, QuotaRequestKind, DocumentRequestKind, DirectoryRequestKind, MemberRequestKind, TokenRequestKind, LeaseRequestKind:
+	case CallKind, QuotaRequestKind, DocumentRequestKind, DirectoryRequestKind, MemberRequestKind, EvacuationRequestKind, TokenRequestKind, LeaseRequestKind:
 		return true
 	}
 	return false
@@ -109,6 +108,10 @@
 		return LastKind
 	case CallWithdrawn:
 		return CallWithdrawnKind
+	case EvacuationRequest:
+		return EvacuationRequestKind
+	case EvacuationList:
+		return EvacuationListKind
 	}
 	return 0
 }
--- a/internal/relay/conn_test.go
+++ b/internal/relay/conn_test.go
@@ -13,6 +13,19 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
+// doEach implements Conn.DoAll for a connection that does not distinguish
+// requests that are sent together.
+func doEach(c Conn, requests []Request, timeout time.Duration) ([]engine.Answer, error) {
+	answers := make([]engine.Answer, len(requests))
+	for i, r := range requests {
+		var err error
+		if answers[i], err = c.Do(r, timeout); err != nil {
+			return nil, err
+		}
+	}
+	return answers, nil
+}
+
 // batchConn records which requests were sent together. It refuses variables
 // with the name refused and loses the answers of batches if lost is set.
 type batchConn struct {
--- a/internal/relay/scheduling_test.go
+++ b/internal/relay/scheduling_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,8 +29,8 @@
 }
 
 // DoAll implements Conn.
-func (openEndpoint) DoAll(requests []Request, _ time.Duration) ([]engine.Answer, error) {
-	return slices.Repeat([]engine.Answer{{Outcome: engine.Answered}}, len(requests)), nil
+func (c openEndpoint) DoAll(requests []Request, timeout time.Duration) ([]engine.Answer, error) {
+	return doEach(c, requests, timeout)
 }
 
 // Close implements Conn.
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -28,7 +28,7 @@
 		return
 	}
 	servable := s.servableAt(now, m.Call)
-	if servable.After(w.deadline) {
+	if s.tooLate(now, w, servable) {
 		s.rejectUnservable(now, w, servable)
 		return
 	}
@@ -137,7 +137,7 @@
 			continue
 		}
 		all.replicas += n
-		if !e.Draining && !now.Before(e.readsPausedUntil) {
+		if !e.leaving() && !now.Before(e.readsPausedUntil) {
 			usable.replicas += n
 		}
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -36,6 +36,8 @@
 	conns       map[ConnID]*conn
 	waiting     []*waiter // by arrival
 	floors      floorTracker
+	evacuations evacuations
+	cold        coldStates
 	primary     Primary
 	owner       bool
 	serviceTime time.Duration // moving average duration of calls that occupied a slot
@@ -56,6 +58,8 @@
 	return &Scheduler{
 		endpoints:   make(map[ident.Endpoint]*endpoint),
 		conns:       make(map[ConnID]*conn),
+		evacuations: make(evacuations),
+		cold:        make(coldStates),
 		serviceTime: initialServiceTime,
 		turns:       newTurns(),
 		lateShare:   1,
@@ -71,6 +75,7 @@
 	s.apply(now, m)
 	s.expire(now)
 	s.dispatch(now)
+	s.leaveEvacuated(now)
 	return s.commands
 }
 
@@ -90,6 +95,7 @@
 		s.updateGranted(now, m.Conn, idleInTx)
 	case Resumed:
 		s.updateGranted(now, m.Conn, running)
+		s.countResumed(now, m.Conn)
 	case EndpointObserved:
 		s.observe(m)
 	case EndpointFailure:
@@ -242,6 +248,8 @@
 }
 
 func (s *Scheduler) setDirectory(now time.Time, m Directory) {
+	s.evacuations.update(now, m.Endpoints)
+	s.cold.update(now, m.Endpoints)
 	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
 	for _, d := range m.Endpoints {
 		seen[d.ID] = true
@@ -252,7 +260,7 @@
 			e.drainingFirst = d.Draining
 			s.endpoints[d.ID] = e
 		}
-		e.Endpoint = d
+		e.Endpoint, e.cold = d, s.cold[d.ID]
 		switch {
 		case !d.Draining:
 			e.drainingSince, e.drainingFirst = time.Time{}, false
--- a/internal/sched/servable.go
+++ b/internal/sched/servable.go
@@ -27,22 +27,28 @@
 		if e.ID == s.primary.Endpoint {
 			at = s.primaryUsableAt(now, c)
 		}
-		if !e.Draining && (earliest.IsZero() || at.Before(earliest)) {
+		if !e.leaving() && (earliest.IsZero() || at.Before(earliest)) {
 			earliest = at
 		}
 	}
+	if s.noReader() {
+		return s.returnExpectedAt(now)
+	}
 	return earliest
 }
 
 // allAvailable reports whether the primary and all endpoints are available.
 func (s *Scheduler) allAvailable(now time.Time) bool {
-	return s.primary.Usable && !slices.ContainsFunc(s.sorted, func(e *endpoint) bool {
+	return s.primary.Usable && !s.evacuationBlocks(now) && !slices.ContainsFunc(s.sorted, func(e *endpoint) bool {
 		return now.Before(e.noDialUntil) || now.Before(e.readsPausedUntil) || e.drainExpired(now, s.limits.DrainTime)
 	})
 }
 
 // primaryUsableAt returns when the primary can serve a call.
 func (s *Scheduler) primaryUsableAt(now time.Time, c *engine.Call) time.Time {
+	if s.noPrimary(now) {
+		return s.returnExpectedAt(now)
+	}
 	if !s.primary.Usable {
 		return s.primary.ExpectedAt
 	}
@@ -50,6 +56,8 @@
 	switch {
 	case e == nil:
 		return now
+	case s.evacuationExpired(now, e):
+		return s.returnExpectedAt(now)
 	case e.drainExpired(now, s.limits.DrainTime):
 		return now.Add(usualSwitchTime)
 	}
--- a/internal/sched/waiter.go
+++ b/internal/sched/waiter.go
@@ -74,10 +74,11 @@
 			if !available {
 				at = s.servableAt(now, w.call)
 			}
-			if at.After(w.deadline) {
+			late := s.tooLate(now, w, at)
+			if late {
 				s.rejectUnservable(now, w, at)
 			}
-			return at.After(w.deadline)
+			return late
 		}
 		s.reject(now, w, s.timeoutReason(w), WaitedTooLong, s.primary.ExpectedAt.Sub(now))
 		return true
