Let trials of the soak reserve their loopback network

Two runs of the whole check at the same time, in two checkouts, reported 2,254 stale reads and 12 lost commits. Cause: the instances of both listened on the same addresses (bind: address already in use), so callers and stores of the two trials met. A trial now reserves a loopback network for its time.

--- a/internal/stand/lines/evacuate_test.go
+++ b/internal/stand/lines/evacuate_test.go
@@ -24,7 +24,7 @@
 func TestGuaranteesDuringEvacuation(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	r, lost := trial{network: 5, group: spreadGroup(), duration: 10 * time.Second, faults: []lines.Fault{
+	r, lost := trial{group: spreadGroup(), duration: 10 * time.Second, faults: []lines.Fault{
 		{At: 2 * time.Second, Kind: "evacuate", DataCentre: "z1"},
 		{At: 8500 * time.Millisecond, Kind: "withdraw", DataCentre: "z1"},
 	}}.run(t)
--- a/internal/stand/lines/lines_test.go
+++ b/internal/stand/lines/lines_test.go
@@ -23,7 +23,6 @@
 
 // trial is a deployment whose instances run in this process.
 type trial struct {
-	network  int // no other trial may use it at the same time
 	group    emul.GroupConfig
 	faults   []lines.Fault
 	seed     uint64 // of random faults, zero for none
@@ -43,7 +42,7 @@
 	g := NewWithT(t)
 	dir := t.TempDir()
 	d, err := lines.Open(t.Context(), lines.DeploymentConfig{
-		Groups: 2, Instances: 3, Accounts: 3, Rate: 1000, Dir: dir, BasePort: basePort, Network: c.network,
+		Groups: 2, Instances: 3, Accounts: 3, Rate: 1000, Dir: dir, BasePort: basePort, Network: reserveNetwork(t),
 		Group: c.group, Faults: c.faults, Seed: c.seed, Length: c.duration,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
@@ -80,7 +79,7 @@
 func TestGuaranteesDuringCrash(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	r, lost := trial{network: 1, group: smallGroup, duration: 5 * time.Second, faults: []lines.Fault{
+	r, lost := trial{group: smallGroup, duration: 5 * time.Second, faults: []lines.Fault{
 		{At: 3 * time.Second, Kind: "crash", Server: "g1-a"},
 		{At: 5 * time.Second, Kind: "restart", Server: "g1-a"},
 	}}.run(t)
@@ -94,7 +93,7 @@
 func TestGuaranteesUnderRandomFaults(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	r, lost := trial{network: 2, group: smallGroup, duration: 24 * time.Second, seed: 4}.run(t)
+	r, lost := trial{group: smallGroup, duration: 24 * time.Second, seed: 4}.run(t)
 	g.Expect(r.Violations()).To(BeZero())
 	g.Expect(lost).To(BeZero())
 }
@@ -110,7 +109,7 @@
 		faults = append(faults, lines.Fault{At: 2 * time.Second, Kind: "deaf", Server: s})
 	}
 	faults = append(faults, lines.Fault{At: 4 * time.Second, Kind: "crash", Server: "g1-a"})
-	r, lost := trial{network: 3, group: group, duration: 7 * time.Second, faults: faults}.run(t)
+	r, lost := trial{group: group, duration: 7 * time.Second, faults: faults}.run(t)
 	NewWithT(t).Expect(r.Violations() + lost).To(BeNumerically(">", 0))
 }
 
--- a/internal/stand/lines/rolling_test.go
+++ b/internal/stand/lines/rolling_test.go
@@ -52,7 +52,7 @@
 	g := NewWithT(t)
 	dir := t.TempDir()
 	d, err := lines.Open(t.Context(), lines.DeploymentConfig{
-		Groups: 1, Instances: 3, Accounts: 4, Rate: 1000, Dir: dir, BasePort: basePort, Network: 4,
+		Groups: 1, Instances: 3, Accounts: 4, Rate: 1000, Dir: dir, BasePort: basePort, Network: reserveNetwork(t),
 		Group: busyGroup, RouteTimeout: 2 * time.Second,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
