--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -79,12 +79,15 @@
 // dispatch grants connections to the waiting calls in their order. One grant in
 // oldestShare goes to the call that has waited longest.
 func (s *Scheduler) dispatch(now time.Time) {
-	if len(s.waiting) == 0 || !slices.ContainsFunc(s.sorted, func(e *endpoint) bool { return e.hasSlot(now) }) {
+	if len(s.waiting) == 0 || !s.hasFreeSlot(now) {
 		return
 	}
 	s.setOrder(now)
 	oldestTried := false
 	for _, w := range slices.SortedFunc(slices.Values(s.waiting), compareOrder) {
+		if !s.hasFreeSlot(now) {
+			break
+		}
 		if s.oldestDue() && !oldestTried {
 			oldestTried = true
 			s.placeOldest(now)
@@ -96,6 +99,11 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool { return w.granted })
 }
 
+// hasFreeSlot reports whether any endpoint can take a call.
+func (s *Scheduler) hasFreeSlot(now time.Time) bool {
+	return slices.ContainsFunc(s.sorted, func(e *endpoint) bool { return e.hasSlot(now) })
+}
+
 // oldestDue reports whether the next grant belongs to the call that has waited
 // longest.
 func (s *Scheduler) oldestDue() bool { return s.grantsInOrder >= oldestShare-1 }
