Refuse writes to a primary whose accepted successor is still pending

A late copy of an earlier promotion began a term while a promotion of another replica was accepted and had not taken effect.

--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -36,7 +36,7 @@
 			el.unsealedTerm = 0
 		}
 		el.promoteSentAt, el.pendingSince, el.accepted = now, now, false
-		el.pendingTarget = el.target
+		el.pendingTarget, el.sentTerm = el.target, el.newestTerm
 		el.emit(Promote{Endpoint: el.target, Epoch: el.epoch})
 		el.emit(BroadcastProgress{})
 	}
@@ -46,7 +46,7 @@
 func (el *Elector) promotionResult(now time.Time, m Promoted) {
 	switch m.Result {
 	case Accepted:
-		el.accepted = true
+		el.accepted, el.acceptedTarget = true, m.Endpoint
 		if !el.answerMissing {
 			el.pendingTarget = ""
 		}
@@ -165,14 +165,22 @@
 	if t < el.newestTerm {
 		return t <= el.unsealedTerm
 	}
-	return t == el.newestTerm && (el.sealsBroken(now) || el.peerPromotionPending(now))
+	return t == el.newestTerm && (el.sealsBroken(now) || el.peerPromotionPending(now) || el.overtaken(now))
 }
 
 // writesContested reports whether a pending promotion may drop commits of the
 // present primary. During a planned switch the seals make sure that it does
 // not.
 func (el *Elector) writesContested(now time.Time) bool {
-	return el.peerPromotionPending(now) || el.sealsBroken(now) || el.state != Promoting && el.mustFinishPromotion(now)
+	return el.peerPromotionPending(now) || el.sealsBroken(now) || el.overtaken(now) || el.state != Promoting && el.mustFinishPromotion(now)
+}
+
+// overtaken reports whether a promotion of this instance was accepted and may
+// still take effect, although a later term has begun by another promotion. The
+// seals of the accepted one do not keep commits of that term from being
+// acknowledged.
+func (el *Elector) overtaken(now time.Time) bool {
+	return el.accepted && el.promotionPending(now) && el.newestTerm > el.sentTerm && el.primary != el.acceptedTarget
 }
 
 // updateWrites refuses writes to the present primary while a pending promotion
--- a/internal/lead/sim_evacuation_test.go
+++ b/internal/lead/sim_evacuation_test.go
@@ -78,14 +78,17 @@
 	}
 }
 
-// TestLateCopyOfAcceptedPromotion covers a promotion without an answer that was
-// repeated and accepted, and had no effect because its target crashed. Writes
-// were allowed again while the first copy could still arrive.
-func TestLateCopyOfAcceptedPromotion(t *testing.T) {
+// TestEvacuationRegressionSeeds runs seeds that lost commits in earlier versions.
+func TestEvacuationRegressionSeeds(t *testing.T) {
 	assert.Fatal()
-	s := newEvacuationSim(t, 1924)
-	s.restartWhilePending = true
-	s.run()
+	for _, seed := range []uint64{
+		1924, // a repeated promotion was accepted without effect, and its first copy took effect later
+		3026, // an accepted promotion took effect after a late copy of an earlier one with another target
+	} {
+		s := newEvacuationSim(t, seed)
+		s.restartWhilePending = true
+		s.run()
+	}
 }
 
 // replacementBound is the time in which an evacuated primary has to be replaced:
