--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -31,7 +31,7 @@
 		Last{},
 		EvacuationRequest{Revision: 3},
 		EvacuationList{Revision: 4, DataCentres: []ident.DataCentre{"z1", "z2"}},
-		Heartbeat{Version: 2, Evacuations: 4},
+		Heartbeat{Version: 2, Evacuations: 4, Returned: []DataCentreReturn{{DataCentre: "z1", Age: time.Second}}},
 		LeaseRequest{Nonce: 8, Leases: leaseRefs()},
 		LeasePromise{Nonce: 8, Length: time.Second},
 	}
--- a/internal/peer/evacuation.go
+++ b/internal/peer/evacuation.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/marjoramrudder/marjoramrudder/pkg/ident"
+import (
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
 
 // The message types for evacuations. An older instance does not know them: it
 // reports no revision, so no such message is sent to it.
@@ -20,5 +24,13 @@
 	DataCentres []ident.DataCentre
 }
 
+// DataCentreReturn is a data centre that returned from an evacuation, and how long
+// ago.
+type DataCentreReturn struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre ident.DataCentre
+	Age        time.Duration
+}
+
 func (EvacuationRequest) message() {}
 func (EvacuationList) message()    {}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -171,6 +171,10 @@
 	// Evacuations is the revision of the sender's set of evacuated data centres,
 	// zero if it knows none.
 	Evacuations ident.Revision `cbor:",omitempty"`
+	// Returned are the data centres that returned from an evacuation a short time
+	// ago. They are part of the first heartbeat on a link, because an instance that
+	// has just started can't know them.
+	Returned []DataCentreReturn `cbor:",omitempty"`
 	// Members are instances that are missing from the list of members: the
 	// sender in the first heartbeat on a link, and others that the sender has
 	// learned of from their heartbeats only.
--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -101,9 +101,12 @@
 	if !n.evacuations.settled() {
 		return nil
 	}
-	all := slices.Clone(n.endpoints[g])
+	all, coldTime := slices.Clone(n.endpoints[g]), n.catalog.Load().Groups[g].ColdTime
 	for i := range all {
 		all[i].Evacuated = n.evacuations.includes(all[i].DataCentre)
+		if left := coldTime - n.evacuations.returns.age(clock.Now(), all[i].DataCentre); left > all[i].ColdLeft {
+			all[i].ColdLeft = left
+		}
 	}
 	return all
 }
--- a/internal/relay/evacuation_list.go
+++ b/internal/relay/evacuation_list.go
@@ -44,6 +44,7 @@
 	dataCentres  []ident.DataCentre
 	fetch        fetcher[ident.Revision]
 	sourceAt     time.Time // of the latest heartbeat of a follower that knows the set
+	returns      returns
 }
 
 // replace applies a set unless a newer one is known. It reports whether that
@@ -69,6 +70,7 @@
 	if !l.known || revision > l.revision {
 		l.fetch.received(now, revision)
 	}
+	l.returns.update(now, l.dataCentres, e.DataCentres)
 	l.known, l.revision, l.dataCentres = true, max(revision, l.revision), e.DataCentres
 	return differs
 }
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -144,7 +144,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			l := evacuationList{enabled: true}
+			l := evacuationList{enabled: true, returns: make(returns)}
 			for _, e := range c.sets {
 				l.replace(now, e)
 			}
@@ -159,7 +159,7 @@
 func TestRefusedEvacuationsAreNotRequestedAgain(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	l := evacuationList{enabled: true}
+	l := evacuationList{enabled: true, returns: make(returns)}
 	l.replace(now, read(5, 9))
 	l.observe(now, versionSource{instance: "other"}, peer.Heartbeat{Evacuations: 7})
 	now = now.Add(time.Minute)
--- a/internal/relay/heartbeat.go
+++ b/internal/relay/heartbeat.go
@@ -45,6 +45,7 @@
 	h := n.localState()
 	n.mu.Lock()
 	h.Members = []peer.Member{peerMember(n.config.Self)}
+	h.Returned = n.evacuations.returns.recent(clock.Now())
 	for _, m := range n.roster.Members() {
 		if since, ok := n.unlisted[m.Instance]; ok && since.IsZero() && m.Instance != n.config.Self.Instance {
 			h.Members = append(h.Members, peerMember(m))
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -126,7 +126,7 @@
 		config:    c, tasks: tasks.New(ctx), roster: roster.New(c.Self),
 		runners: make(map[ident.Group]*groupRunner), unreachable: make(map[ident.Group]bool), endpoints: make(map[ident.Group][]sched.Endpoint),
 		unlisted: make(unlisted), departures: roster.NewDepartures(),
-		evacuations: evacuationList{enabled: c.EvacuationTime > 0}, dataCentres: evac.New(),
+		evacuations: evacuationList{enabled: c.EvacuationTime > 0, returns: make(returns)}, dataCentres: evac.New(),
 	}
 	n.catalog.Store(emptyCatalog())
 	n.publish()
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -73,11 +73,15 @@
 	n.directoryFetch.observe(now, source, m.Directory)
 	n.memberFetch.observe(now, source, m.Roster)
 	n.evacuations.observe(now, source, m)
+	returned := n.evacuations.enabled && n.evacuations.returns.learn(now, m.Returned)
 	n.roster.Heard(now, from)
 	changed := n.roster.SetState(from, roster.State{
 		Version: m.Version, Serving: m.Serving, Leaving: m.Leaving, UnreachableGroups: m.UnreachableGroups, Store: roster.StoreState(m.Store),
 	})
 	n.mu.Unlock()
+	if returned {
+		n.passEndpoints(false)
+	}
 	if changed || added {
 		n.assignGroups()
 		n.planLinks()
