Eject endpoints from reads that fail more calls than the rest of their group

An endpoint that fails its statements quickly looked cheap to the scheduler, so it received most reads. The pool now reports how each statement ended. The scheduler counts the outcomes of one second, ejects an outlier for 1 s to 8 s, and returns it after three successful calls, one at a time. Refusals of lagging endpoints and of endpoints without the primary role do not count; a refusal as busy counts if the endpoint should have a free slot.

The duration of a failed statement no longer counts as service time, because a fast failure would make its endpoint look faster.

The loads in testdata serve the scheduler's grants as the endpoints' behaviour says. failing_replica, failing_share, busy_replica, hanging_replica, busy_when_full and last_endpoint fail when the outcomes are ignored. The earlier scripts are unchanged.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -197,6 +197,7 @@
 	}
 	a, err := p.send(call, g, deadline)
 	took := clock.Now().Sub(began)
+	p.reportOutcome(call, g.Endpoint, a, err)
 	if err != nil {
 		lost := p.lost(call, g.conn, err, took)
 		if errors.Is(err, errSetup) {
@@ -300,6 +301,7 @@
 	}
 	began := clock.Now()
 	a, err := p.runInTx(call, t.conn, began.Add(call.Timeout))
+	p.reportOutcome(call, t.conn.endpoint, a, err)
 	if err != nil {
 		p.removeTx(call.Tx)
 		return p.lost(call, t.conn, err, clock.Now().Sub(began)), 0
@@ -338,7 +340,7 @@
 func (p *GroupPool) observed(e ident.Endpoint, x exchange, a engine.Answer) {
 	m := sched.EndpointObserved{
 		Endpoint: e, Began: x.began, Took: x.took, Position: a.Position,
-		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered,
+		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered && a.Reason != engine.Failed,
 	}
 	p.Update(m)
 	p.observe(m)
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -63,6 +63,8 @@
 			})
 		case sched.CloseConn:
 			p.removeConn(c.Conn)
+		case sched.EndpointEjected, sched.EndpointReturned:
+			p.logEjection(c)
 		}
 	}
 }
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -47,6 +47,8 @@
 	drainingSince    time.Time // zero while the endpoint is not draining
 	drainingFirst    bool      // it was draining when it was first listed, since an unknown time
 	removed          bool
+	outcomes         outcomeWindow
+	ejection         ejection
 }
 
 func newEndpoint() *endpoint { return &endpoint{conns: make(map[ConnID]*conn)} }
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -45,6 +45,9 @@
 	}
 	if c := e.idleConn(w.call.Account); c != nil {
 		s.setState(now, c, running)
+		if !required.verifyPrimary {
+			e.ejection.readGranted(c)
+		}
 		s.emit(Grant{
 			Waiter: w.id, Conn: c.id, Endpoint: e.ID,
 			After: required.minPosition, VerifyPrimary: required.verifyPrimary, FloorAge: required.floorAge, Waited: now.Sub(w.since),
@@ -113,7 +116,7 @@
 		return false
 	case now.Before(e.behindUntil) && !e.position.Covers(required.minPosition):
 		return false
-	case e.ID == s.primary.Endpoint && !s.primary.Usable:
+	case e.ID == s.primary.Endpoint && !s.primary.Usable, s.refusesReads(now, e, w):
 		return false
 	}
 	return e.idleConn(w.call.Account) != nil || s.canDial(now, e, w)
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -69,6 +69,8 @@
 			Primary{Endpoint: e, Usable: true}, Primary{Endpoint: e}, CloseIdleConn{Endpoint: e},
 			EndpointObserved{Endpoint: e, Began: d.now, Position: ident.LogPosition{Term: 1, Position: 5}, WasPrimary: true},
 			Directory{Endpoints: []Endpoint{{ID: "a", Slots: testSlots}, {ID: e, Slots: testSlots}}},
+			EndpointOutcome{Endpoint: e, Account: "x", Result: Succeeded}, EndpointOutcome{Endpoint: e, Account: "y", Result: FailedCall},
+			EndpointOutcome{Endpoint: e, Account: "x", Result: NoFreeSlot}, EndpointOutcome{Endpoint: e, Account: "y", Result: NoAnswer},
 		}).Draw(d.t, "event"))
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -88,6 +88,8 @@
 		if e := s.endpoints[m.Endpoint]; e != nil {
 			e.recordFailure(m.Kind, now)
 		}
+	case EndpointOutcome:
+		s.recordOutcome(now, m)
 	case Directory:
 		s.setDirectory(now, m)
 	case Limits:
--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -21,6 +21,9 @@
 	grants    map[WaiterID]Grant
 	// slow leaves dials pending until the command dialled.
 	slow bool
+	// behaviours and lastLoad belong to the loads of load_test.go.
+	behaviours map[ident.Endpoint]*behaviour
+	lastLoad   WaiterID
 }
 
 // TestScripts runs the scenarios in testdata. Each file holds one load and the
@@ -28,7 +31,7 @@
 func TestScripts(t *testing.T) {
 	assert.Fatal()
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{scheduler: New(), now: time.Unix(1000, 0), grants: map[WaiterID]Grant{}}
+		s := &script{scheduler: New(), now: time.Unix(1000, 0), grants: map[WaiterID]Grant{}, behaviours: map[ident.Endpoint]*behaviour{}}
 		s.scheduler.Update(s.now, Limits{MaxConns: 16})
 		s.scheduler.Update(s.now, Ownership{Owner: true})
 		datadriven.RunTest(t, path, s.command)
@@ -77,6 +80,12 @@
 			t.Fatal(err)
 		}
 		fmt.Fprint(&out, s.update(Limits{MaxConns: 16, DrainTime: limit}))
+	case "behave":
+		fmt.Fprint(&out, s.behave(t, d))
+	case "load":
+		fmt.Fprint(&out, s.load(t, d))
+	case "outcome":
+		fmt.Fprint(&out, s.outcome(t, d))
 	case "slowdials":
 		s.slow = true
 	case "dialled":
@@ -178,6 +187,10 @@
 			}
 		case CloseConn:
 			fmt.Fprintf(&out, "close a connection\n")
+		case EndpointEjected:
+			fmt.Fprintf(&out, "%s ejected for %s: %+v, the rest %+v\n", c.Endpoint, c.For, c.Own, c.Rest)
+		case EndpointReturned:
+			fmt.Fprintf(&out, "%s returned: %+v, the rest %+v\n", c.Endpoint, c.Own, c.Rest)
 		}
 	}
 	return out.String()
