Switch over from a primary that fails most calls of several accounts

Only the primary runs writes and current reads, so ejecting it from reads does not help them. The scheduler reports a primary of which more than half of at least ten statements in a second failed, from three accounts or more, while another endpoint does not fail. The elector then switches over as from a draining primary, at most once in 10 s.

All replicas must answer before the switch starts, because it needs a seal from each of them. If the promotion is refused or the successor does not catch up, the primary stays in place. Replicas that such a switch left sealed receive nothing, so the switch is attempted again after 10 s.

EndpointFailure of the elector has a kind instead of the flag NotPrimary; the earlier scripts are unchanged.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -125,9 +125,10 @@
 	case s == nil || !s.departedAt.IsZero():
 		el.setState(now, Doubting, "it left the directory")
 		el.emit(AskPeers{Endpoint: el.primary})
+	case el.mustReplaceFailing(now):
+		el.startSwitch(now, "it fails most calls", true)
 	case s.Draining && el.successor() != nil && el.epoch != 0:
-		el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
-		el.setState(now, Switching, "it is draining")
+		el.startSwitch(now, "it is draining", false)
 	case now.Sub(el.provedAt) > idleProbeDelay:
 		el.probe(now, s, probeInterval)
 	}
@@ -301,12 +302,12 @@
 	return 1
 }
 
-// successor returns the replica that takes over from a draining primary: the
-// most advanced one that is neither draining nor departed.
+// successor returns the replica that takes over from a primary that still
+// answers: the most advanced one that is neither draining nor departed nor unfit.
 func (el *Elector) successor() *server {
 	var best *server
 	for id, s := range el.sortedServers() {
-		if id == el.primary || s.Draining || !s.departedAt.IsZero() {
+		if id == el.primary || s.Draining || !s.departedAt.IsZero() || el.unfit(id) {
 			continue
 		}
 		if best == nil || comparePositions(s.lastResult.Received, best.lastResult.Received) > 0 ||
--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -118,6 +118,7 @@
 	unreplicatedSince time.Time
 	unusableSince     time.Time // zero while a primary is usable
 	expectedAt        time.Time // when a usable primary was announced to be expected
+	failing           failingPrimary
 	commands          []Command
 }
 
--- /dev/null
+++ b/internal/lead/failing.go
@@ -0,0 +1,110 @@
+package lead
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+const (
+	// failingValidity is how long a report counts that the primary fails most
+	// calls. While it fails them, the report is repeated several times in this
+	// period.
+	failingValidity = 200 * time.Millisecond
+	// failingSwitchPause is the minimum time between a change of primary, or an
+	// attempt at one, and a switch because the primary fails calls. If every
+	// endpoint fails as primary, the group does not switch all the time.
+	failingSwitchPause = 10 * time.Second
+)
+
+// failingPrimary is what is known of a primary that answers control statements
+// and fails most calls.
+type failingPrimary struct {
+	since, reportedAt time.Time
+	unfit             []ident.Endpoint // replicas that fail calls themselves
+	// switchedAt is when the primary last changed or a switch because of its
+	// failures was last attempted.
+	switchedAt time.Time
+	// switching is set from the start of such a switch until the primary
+	// changes.
+	switching bool
+}
+
+func (f *failingPrimary) reported(now time.Time) bool {
+	return !f.reportedAt.IsZero() && now.Sub(f.reportedAt) <= failingValidity
+}
+
+// primaryFailing records a report that the primary fails most calls.
+func (el *Elector) primaryFailing(now time.Time, m EndpointFailure) {
+	if m.Endpoint != el.primary {
+		return
+	}
+	if !el.failing.reported(now) {
+		el.failing.since = now
+	}
+	el.failing.reportedAt, el.failing.unfit = now, m.Unfit
+}
+
+// mustReplaceFailing reports whether a primary that fails most calls is to be
+// replaced now. It probes the replicas first: the switch needs a seal from each
+// of them, and seals of a switch that is not completed stay in place.
+func (el *Elector) mustReplaceFailing(now time.Time) bool {
+	paused := !el.failing.switchedAt.IsZero() && now.Sub(el.failing.switchedAt) < failingSwitchPause
+	if !paused && el.leftSealed() {
+		el.primaryFailing(now, EndpointFailure{Endpoint: el.primary, Kind: FailsCalls, Unfit: el.failing.unfit})
+	}
+	if !el.failing.reported(now) {
+		el.failing.unfit = nil
+		return false
+	}
+	if paused {
+		return false
+	}
+	el.probeAll(now)
+	for id, s := range el.sortedServers() {
+		if id != el.primary && !s.answeredSince(el.failing.since) {
+			return false
+		}
+	}
+	return el.successor() != nil && el.epoch != 0
+}
+
+// leftSealed reports whether an attempt to replace a failing primary was
+// abandoned after it had sealed replicas. They receive nothing until the next
+// promotion, so the switch is attempted again.
+func (el *Elector) leftSealed() bool {
+	if !el.failing.switching {
+		return false
+	}
+	for id, s := range el.sortedServers() {
+		if id != el.primary && s.sealedTerm >= el.sealTerm() {
+			return true
+		}
+	}
+	return false
+}
+
+// unfit reports whether a replica may not become the primary because it fails
+// calls itself.
+func (el *Elector) unfit(id ident.Endpoint) bool { return slices.Contains(el.failing.unfit, id) }
+
+// startSwitch starts to replace a primary that still answers.
+func (el *Elector) startSwitch(now time.Time, reason string, failing bool) {
+	el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
+	el.failing.switching = failing
+	if failing {
+		el.failing.switchedAt = now
+	}
+	el.setState(now, Switching, reason)
+}
+
+// afterRefusal returns the state after a refused promotion: a primary that
+// answers control statements and was to be replaced because of its failures
+// stays in place.
+func (el *Elector) afterRefusal() State {
+	if el.failing.switching && el.unusableSince.IsZero() {
+		return Doubting
+	}
+	return Sealing
+}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -63,13 +63,29 @@
 	PromotionPending bool
 }
 
-// EndpointFailure reports that an endpoint did not answer, or that it refused,
-// as a replica, a request that only a primary runs.
+// EndpointFailure reports a failure that shows in an endpoint's calls.
 type EndpointFailure struct {
-	Endpoint   ident.Endpoint
-	NotPrimary bool
+	Endpoint ident.Endpoint
+	Kind     FailureKind
+	// Unfit are the replicas that fail calls themselves. It is set with
+	// FailsCalls.
+	Unfit []ident.Endpoint
 }
 
+// FailureKind is the kind of an endpoint failure.
+type FailureKind uint8
+
+const (
+	// Unanswered means that the endpoint did not answer.
+	Unanswered FailureKind = iota + 1
+	// NotPrimary means that it refused, as a replica, a request that only a
+	// primary runs.
+	NotPrimary
+	// FailsCalls means that it answers, but fails most calls of several
+	// accounts.
+	FailsCalls
+)
+
 // ProbeResult is the answer to a Probe or Seal. Failed is set when there was no
 // answer.
 type ProbeResult struct {
--- a/internal/lead/observe.go
+++ b/internal/lead/observe.go
@@ -24,6 +24,9 @@
 	if t <= el.newestTerm {
 		return
 	}
+	if el.newestTerm != 0 {
+		el.failing.switchedAt, el.failing.switching = now, false
+	}
 	el.newestTerm = t
 	if !now.Before(el.lateUntil) {
 		el.clearPromotion()
@@ -54,10 +57,14 @@
 }
 
 func (el *Elector) endpointFailure(now time.Time, m EndpointFailure) {
-	if m.Endpoint != el.primary || el.state != Steady || now.Sub(el.steadySince) < recoveryGrace && !m.NotPrimary {
+	if m.Kind == FailsCalls {
+		el.primaryFailing(now, m)
+		return
+	}
+	if m.Endpoint != el.primary || el.state != Steady || now.Sub(el.steadySince) < recoveryGrace && m.Kind != NotPrimary {
 		return
 	}
-	if m.NotPrimary {
+	if m.Kind == NotPrimary {
 		if s := el.servers[m.Endpoint]; s != nil {
 			s.IsPrimary = false
 		}
@@ -76,7 +83,7 @@
 	}
 	if m.Failed {
 		s.failedAt = now
-		el.endpointFailure(now, EndpointFailure{Endpoint: m.Endpoint})
+		el.endpointFailure(now, EndpointFailure{Endpoint: m.Endpoint, Kind: Unanswered})
 		return
 	}
 	s.lastResult, s.answeredAt = m, now
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -61,7 +61,7 @@
 		el.epoch, el.epochRequestedAt = 0, time.Time{}
 		el.refusedTarget = m.Endpoint
 		el.promoteSentAt = time.Time{}
-		el.setState(now, Sealing, "the promotion was refused")
+		el.setState(now, el.afterRefusal(), "the promotion was refused")
 	case NoAnswer:
 		el.promoteSentAt = time.Time{} // the same request is repeated
 	}
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -69,9 +69,15 @@
 	case "uncertain":
 		return fmt.Sprintln(s.elector.CommitUncertain(s.now, ident.Term(term)))
 	case "noanswer":
-		return s.send(EndpointFailure{Endpoint: name()})
+		return s.send(EndpointFailure{Endpoint: name(), Kind: Unanswered})
 	case "notprimary":
-		return s.send(EndpointFailure{Endpoint: name(), NotPrimary: true})
+		return s.send(EndpointFailure{Endpoint: name(), Kind: NotPrimary})
+	case "failing":
+		m := EndpointFailure{Endpoint: name(), Kind: FailsCalls}
+		for _, a := range d.CmdArgs[1:] {
+			m.Unfit = append(m.Unfit, ident.Endpoint(a.Vals[0]))
+		}
+		return s.send(m)
 	case "result":
 		return s.send(ProbeResult{
 			Endpoint: name(), SentAt: s.now, Failed: d.HasArg("failed"), IsPrimary: d.HasArg("primary"),
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -36,6 +36,8 @@
 	uncertain           int         // commits that a replica holds and that were not acknowledged to the caller
 	promotions          int
 	pending             int  // promotions that have not taken effect yet
+	callsFail           bool // the primary fails calls at random times
+	failing             bool // it fails them now
 	restartWhilePending bool // sealed servers may restart while a promotion is pending
 	log                 []string
 }
@@ -93,6 +95,7 @@
 		}
 		s.commit()
 		s.injectFault()
+		s.failCalls()
 		for i := range s.electors {
 			s.send(i, Tick{})
 		}
@@ -128,10 +131,10 @@
 		case primary == nil || !s.announced[i].Usable || s.announced[i].NoWrites:
 		case s.cut[key(i, id)] || primary.down:
 			if s.chance(10) {
-				s.send(i, EndpointFailure{Endpoint: id})
+				s.send(i, EndpointFailure{Endpoint: id, Kind: Unanswered})
 			}
 		case !primary.isPrimary:
-			s.send(i, EndpointFailure{Endpoint: id, NotPrimary: true})
+			s.send(i, EndpointFailure{Endpoint: id, Kind: NotPrimary})
 		default:
 			s.commitAt(i, primary)
 		}
@@ -236,6 +239,22 @@
 	}
 }
 
+// failCalls reports to the owners that the primary fails most calls, for some
+// time.
+func (s *sim) failCalls() {
+	if !s.callsFail {
+		return
+	}
+	if s.chance(100) {
+		s.failing = !s.failing
+	}
+	for i := range s.electors {
+		if s.failing {
+			s.send(i, EndpointFailure{Endpoint: s.announced[i].Endpoint, Kind: FailsCalls})
+		}
+	}
+}
+
 func (s *sim) down() int {
 	n := 0
 	for _, v := range s.servers {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -65,6 +65,7 @@
 	lastTx      engine.TxID
 	idleTxLimit time.Duration
 	abandoned   bool
+	failingAt   time.Time // when the primary was last reported as failing most calls
 
 	commitUncertain func(t ident.Term) bool
 }
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -289,5 +289,6 @@
 func (p *GroupPool) Tick(now time.Time) {
 	p.Update(sched.Tick{})
 	p.reportOverdue(now)
+	p.reportFailing(now)
 	p.rollbackIdle(now)
 }
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -168,9 +168,14 @@
 			rn.update(lead.PrimaryProof{Endpoint: m.Endpoint, Term: m.Position.Term, Wrote: m.Wrote, Position: m.Position})
 		}
 	case sched.EndpointFailure:
-		if m.Kind == sched.Unresponsive || m.Kind == sched.Slow || m.Kind == sched.NotPrimary {
-			rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, NotPrimary: m.Kind == sched.NotPrimary})
+		switch m.Kind {
+		case sched.Unresponsive, sched.Slow:
+			rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, Kind: lead.Unanswered})
+		case sched.NotPrimary:
+			rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, Kind: lead.NotPrimary})
 		}
+	case sched.PrimaryFailing:
+		rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, Kind: lead.FailsCalls, Unfit: m.Unfit})
 	}
 }
 
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -91,6 +91,8 @@
 	calls  map[WaiterID]*loadCall
 	next   WaiterID
 	served map[ident.Endpoint]int
+	// reported is set once the primary was reported as failing most calls.
+	reported bool
 	// What the callers got. total is the time of all answered calls.
 	answered, failed, rejected int
 	total                      time.Duration
@@ -176,6 +178,10 @@
 func (l *load) tick() {
 	now := l.script.now
 	l.update(Tick{})
+	if m, failing := l.script.scheduler.FailingPrimary(now); failing && !l.reported {
+		l.reported = true
+		l.logf("primary %s fails: %+v of %d accounts, unfit %v", m.Endpoint, m.Outcomes, m.Accounts, m.Unfit)
+	}
 	l.update(EndpointObserved{Endpoint: l.script.scheduler.primary.Endpoint, Began: now, Position: ident.LogPosition{Term: 1, Position: 1}, WasPrimary: true})
 }
 
