Place reads by the expected time until an answer

The scheduler compared endpoints by calls per slot and preferred a slow or distant replica over a primary nearby with a free slot. It now estimates the time until the answer: the calls at the slots by the endpoint's own work time, the round trips that the call needs, and the cost of a connection. The weights of calls, dials, evictions and the primary keep their proportions, so the choice is unchanged where the round trip is small.

The round trip is the smallest recent duration of a BEGIN or of half a dial.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -187,6 +187,7 @@
 	took       time.Duration
 	wasPrimary bool // the endpoint proved that it is the primary
 	wrote      bool // the answer acknowledges a commit
+	roundTrips int  // see roundTrips
 }
 
 // attempt runs a call on a granted connection. retry is set when nothing of the
@@ -196,7 +197,9 @@
 	if firstTry := began.Add(firstReadTimeout); call.Repeatable() && firstTry.Before(deadline) {
 		deadline = firstTry
 	}
+	state := g.conn.sessionState()
 	a, err := p.send(call, g, deadline)
+	trips := roundTrips(call, g.VerifyPrimary, g.conn.sessionState() != state)
 	took := clock.Now().Sub(began)
 	p.reportOutcome(call, g.Endpoint, a, err)
 	if err != nil {
@@ -207,7 +210,7 @@
 		return lost, 0, call.Repeatable() || errors.Is(err, errSetup)
 	}
 	if a.OK() && call.Phase == engine.First && call.Statement.Op != engine.Commit {
-		p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary}, a)
+		p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary, roundTrips: trips}, a)
 		return a, p.holdTx(g.conn, origin, call.Statement.Writes()), false
 	}
 	p.release(g.conn, a.State != engine.Idle)
@@ -220,7 +223,7 @@
 	}
 	wrote := call.Phase == engine.Single && call.Statement.Writes()
 	a = p.confirmCommit(a, wrote)
-	p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary || wrote, wrote: wrote}, a)
+	p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary || wrote, wrote: wrote, roundTrips: trips}, a)
 	return a, 0, a.Reason == engine.Failed && call.Phase == engine.Single && call.Repeatable()
 }
 
@@ -263,10 +266,12 @@
 	}
 	after := g.After
 	if begin, needed := beginFor(call, g.VerifyPrimary); needed {
+		began := clock.Now()
 		a, err := g.conn.run(begin, after, deadline)
 		if err != nil || !a.OK() {
 			return a, err
 		}
+		p.measured(g.Endpoint, began)
 		after = ident.LogPosition{}
 	}
 	return g.conn.run(call.Statement, after, deadline)
@@ -320,7 +325,7 @@
 
 func (p *GroupPool) runInTx(call *engine.Call, c *endpointConn, deadline time.Time) (engine.Answer, error) {
 	for {
-		began := clock.Now()
+		began, state := clock.Now(), c.sessionState()
 		if err := c.applyVariables(call.Variables, deadline); err != nil {
 			return engine.Answer{}, err
 		}
@@ -333,6 +338,7 @@
 			continue
 		}
 		x := exchange{began: began, took: clock.Now().Sub(began), wasPrimary: call.PrimaryOnly && call.Statement.Op != engine.Commit}
+		x.roundTrips = roundTrips(call, false, c.sessionState() != state)
 		p.observed(c.endpoint, x, a)
 		return a, nil
 	}
@@ -342,6 +348,7 @@
 	m := sched.EndpointObserved{
 		Endpoint: e, Began: x.began, Took: x.took, Position: a.Position,
 		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered && a.Reason != engine.Failed,
+		Exchanges: x.roundTrips,
 	}
 	p.Update(m)
 	p.observe(m)
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -88,7 +88,9 @@
 func (p *GroupPool) dial(ctx context.Context, d sched.Dial) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := clock.Now()
 	raw, err := p.dialer.Dial(ctx, p.group, d.Endpoint, d.Account)
+	roundTrip := clock.Now().Sub(began) / dialRoundTrips
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.abandoned {
@@ -99,6 +101,7 @@
 	}
 	if err == nil {
 		p.conns[d.Conn] = newEndpointConn(d.Conn, d.Endpoint.ID, raw)
+		p.update(clock.Now(), sched.EndpointObserved{Endpoint: d.Endpoint.ID, Began: began, RoundTrip: roundTrip})
 		p.update(clock.Now(), sched.DialDone{Conn: d.Conn, Result: sched.Connected})
 		return
 	}
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -25,9 +25,6 @@
 	// failure, up to maxDialBackoff.
 	dialBackoff    = 200 * time.Millisecond
 	maxDialBackoff = 800 * time.Millisecond
-	// latencyWeight is the weight of one answer in an endpoint's moving average
-	// latency.
-	latencyWeight = 0.1
 )
 
 // endpoint is the state of one server of the group.
@@ -43,7 +40,8 @@
 	failedDials      int       // dials that failed one after the other
 	connLimitUntil   time.Time // connLimit applies until then
 	connLimit        int       // connections allowed until connLimitUntil
-	latency          time.Duration
+	work             workTime
+	roundTrip        roundTrip
 	drainingSince    time.Time // zero while the endpoint is not draining
 	drainingFirst    bool      // it was draining when it was first listed, since an unknown time
 	removed          bool
@@ -107,13 +105,6 @@
 	if m.Position.Covers(e.position) || m.Position.Term > e.position.Term {
 		e.position = m.Position
 	}
-	if !m.UsedSlot {
-		return
-	}
-	if e.latency == 0 {
-		e.latency = m.Took
-	}
-	e.latency += time.Duration(latencyWeight * float64(m.Took-e.latency))
 }
 
 func (e *endpoint) recordFailure(kind FailureKind, now time.Time) {
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -206,7 +206,12 @@
 		case Dial:
 			// A connection takes two round trips to open.
 			span := 2 * l.script.behaviour(c.Endpoint.ID).roundTrip
-			l.at(l.script.now.Add(span), func() { l.update(DialDone{Conn: c.Conn, Result: Connected}) })
+			l.at(l.script.now.Add(span), func() {
+				if span > 0 {
+					l.update(EndpointObserved{Endpoint: c.Endpoint.ID, RoundTrip: span / 2})
+				}
+				l.update(DialDone{Conn: c.Conn, Result: Connected})
+			})
 		case EndpointEjected:
 			l.logf("%s ejected for %s: %+v, the rest %+v", c.Endpoint, c.For, c.Own, c.Rest)
 		case EndpointReturned:
@@ -255,7 +260,7 @@
 	}
 	switch result {
 	case Succeeded:
-		l.update(EndpointObserved{Endpoint: g.Endpoint, Began: began, Took: now.Sub(began), UsedSlot: true, Wrote: c.call.Statement.Writes()})
+		l.update(EndpointObserved{Endpoint: g.Endpoint, Began: began, Took: now.Sub(began), UsedSlot: true, Exchanges: 1})
 		l.answered++
 		l.total += now.Sub(c.arrived)
 		return
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -107,6 +107,12 @@
 	// UsedSlot is set when the request occupied a slot, so that Took measures
 	// the endpoint's latency.
 	UsedSlot bool
+	// Exchanges is the number of round trips in Took, zero if Took includes more
+	// than them and the endpoint's own work.
+	Exchanges int
+	// RoundTrip is the duration of an exchange that waited for no slot, zero if
+	// none was measured.
+	RoundTrip time.Duration
 }
 
 // EndpointFailure reports a call that an endpoint failed to serve.
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -8,15 +8,6 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// The costs by which endpoints are compared, in units of calls waiting for a
-// slot.
-const (
-	costDial    = 0.8 // dialling occupies a slot
-	costEvict   = 1.5 // dialling plus the loss of another account's connection
-	costPrimary = 0.4 // the primary's slots also serve writes
-	costSlow    = 0.5 // for each multiple of the group's average service time
-)
-
 const (
 	// dialWait is how long a call waits for the connection that is being opened
 	// for it before it tries another endpoint. It is several times the usual
@@ -75,19 +66,20 @@
 	return requirements{minPosition: position, floorAge: age}
 }
 
-// choose returns the cheapest endpoint that can take the call now, or nil.
+// choose returns the endpoint that can take the call now and is expected to answer
+// it first, or nil.
 func (s *Scheduler) choose(now time.Time, w *waiter, required requirements) *endpoint {
 	if required.verifyPrimary {
 		return s.choosePrimary(now, w)
 	}
 	var best *endpoint
-	bestCost := 0.0
+	var bestTime time.Duration
 	for _, e := range s.sorted {
 		if !s.eligible(now, e, w, required) {
 			continue
 		}
-		if cost := s.cost(e, w.call.Account); best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		if expected := s.expectedTime(now, e, w.call); best == nil || expected < bestTime {
+			best, bestTime = e, expected
 		}
 	}
 	if best == nil && len(w.avoid) > 0 {
@@ -122,23 +114,6 @@
 	return e.idleConn(w.call.Account) != nil || s.canDial(now, e, w)
 }
 
-func (s *Scheduler) cost(e *endpoint, account ident.Account) float64 {
-	cost := float64(e.active) / float64(max(1, e.Slots)) * 2
-	if e.ID == s.primary.Endpoint {
-		cost += costPrimary
-	}
-	if e.idleConn(account) == nil {
-		cost += costDial
-		if len(e.conns) >= s.connShare() {
-			cost += costEvict - costDial
-		}
-	}
-	if e.latency > s.serviceTime {
-		cost += costSlow * (float64(e.latency)/float64(s.serviceTime) - 1)
-	}
-	return cost
-}
-
 // canDial reports whether a connection can be opened for w, evicting an idle
 // connection of another account if necessary.
 func (s *Scheduler) canDial(now time.Time, e *endpoint, w *waiter) bool {
--- /dev/null
+++ b/internal/sched/roundtrip.go
@@ -0,0 +1,59 @@
+package sched
+
+import "time"
+
+const (
+	// roundTripSpan is the period of which the smallest exchange is kept. Two
+	// periods count, so that a single slow exchange is no estimate for long.
+	roundTripSpan = 5 * time.Second
+	// roundTripValidity is how long an estimate counts after the latest answer.
+	// An endpoint whose only exchange was slow, because of a lost packet, gets
+	// another chance then.
+	roundTripValidity = time.Minute
+)
+
+// roundTrip estimates the round trip to an endpoint.
+type roundTrip struct {
+	current, previous time.Duration // smallest exchange of two periods, zero for none
+	since             time.Time     // start of the current period
+	heardAt           time.Time     // time of the latest answer
+}
+
+// record records the duration of an exchange that waits for no slot.
+func (r *roundTrip) record(now time.Time, took time.Duration) {
+	if age := now.Sub(r.since); age >= roundTripSpan {
+		r.previous = r.current
+		if age >= 2*roundTripSpan {
+			r.previous = 0
+		}
+		r.current, r.since = 0, now
+	}
+	r.current, r.heardAt = smallest(r.current, took), now
+}
+
+// heard records an answer that took at least the given number of round trips.
+func (r *roundTrip) heard(now time.Time, took time.Duration, exchanges int) {
+	r.heardAt = now
+	if bound := took / time.Duration(exchanges); r.current != 0 || r.previous != 0 {
+		if bound < smallest(r.current, r.previous) {
+			r.record(now, bound)
+		}
+	}
+}
+
+// estimate returns the round trip, or zero if it is not known.
+func (r *roundTrip) estimate(now time.Time) time.Duration {
+	if now.Sub(r.heardAt) > roundTripValidity {
+		return 0
+	}
+	return smallest(r.current, r.previous)
+}
+
+// smallest returns the smaller one of two durations that are known, which means
+// above zero.
+func smallest(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -41,6 +41,7 @@
 	primary     Primary
 	owner       bool
 	serviceTime time.Duration // moving average duration of calls that occupied a slot
+	work        workTime
 	lastConn    ConnID
 	nextArrival uint64
 	commands    []Command
@@ -83,7 +84,7 @@
 	case Resumed:
 		s.updateGranted(now, m.Conn, running)
 	case EndpointObserved:
-		s.observe(m)
+		s.observe(now, m)
 	case EndpointFailure:
 		if e := s.endpoints[m.Endpoint]; e != nil {
 			e.recordFailure(m.Kind, now)
@@ -224,7 +225,7 @@
 	}
 }
 
-func (s *Scheduler) observe(m EndpointObserved) {
+func (s *Scheduler) observe(now time.Time, m EndpointObserved) {
 	e := s.endpoints[m.Endpoint]
 	if e == nil {
 		return
@@ -233,7 +234,11 @@
 	if m.WasPrimary {
 		s.floors.record(m.Began, m.Position)
 	}
+	if m.RoundTrip > 0 {
+		e.roundTrip.record(now, m.RoundTrip)
+	}
 	if m.UsedSlot {
+		s.recordWork(now, e, m)
 		s.serviceTime += (m.Took - s.serviceTime) / 16
 	}
 }
