--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -42,9 +42,11 @@
 // fails most calls is logged again.
 const failingLogPause = time.Second
 
-// reportFailing reports a primary that fails most calls.
+// reportFailing reports a primary that fails most calls, and updates the gauge
+// of ejected endpoints.
 func (p *GroupPool) reportFailing(now time.Time) {
 	p.mu.Lock()
+	p.updateEjected()
 	m, failing := p.scheduler.FailingPrimary(now)
 	logged := now.Sub(p.failingAt) < failingLogPause
 	if failing {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -66,6 +66,8 @@
 	idleTxLimit time.Duration
 	abandoned   bool
 	failingAt   time.Time // when the primary was last reported as failing most calls
+	// hadEjections is set once an endpoint of the group was ejected.
+	hadEjections bool
 
 	commitUncertain func(t ident.Term) bool
 }
@@ -139,6 +141,9 @@
 	for _, c := range p.conns {
 		_ = c.Close()
 	}
+	if p.hadEjections {
+		p.ejectedGauge().Set(0)
+	}
 	return err
 }
 
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -64,7 +64,7 @@
 		case sched.CloseConn:
 			p.removeConn(c.Conn)
 		case sched.EndpointEjected, sched.EndpointReturned:
-			p.logEjection(c)
+			p.recordEjection(c)
 		}
 	}
 }
