--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -127,8 +127,9 @@
 		el.setState(now, Doubting, "it left the directory")
 		el.emit(AskPeers{Endpoint: el.primary})
 	case s.leaving() && el.successor() != nil && el.epoch != 0:
-		el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
-		el.setState(now, Switching, s.leavingReason())
+		el.startSwitch(now, s.leavingReason(), false)
+	case el.mustReplaceFailing(now):
+		el.startSwitch(now, "it fails most calls", true)
 	case now.Sub(el.provedAt) > idleProbeDelay:
 		el.probe(now, s, probeInterval)
 	}
@@ -303,13 +304,13 @@
 	return 1
 }
 
-// successor returns the replica that takes over from a draining or evacuated
-// primary: the most advanced one that is neither draining nor evacuated nor
-// departed.
+// successor returns the replica that takes over from a primary that still
+// answers: the most advanced one that is neither draining nor evacuated nor
+// departed nor unfit.
 func (el *Elector) successor() *server {
 	var best *server
 	for id, s := range el.sortedServers() {
-		if id == el.primary || s.leaving() || !s.departedAt.IsZero() {
+		if id == el.primary || s.leaving() || !s.departedAt.IsZero() || el.unfit(id) {
 			continue
 		}
 		if best == nil || comparePositions(s.lastResult.Received, best.lastResult.Received) > 0 ||
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -28,6 +28,7 @@
 	endpoint  ident.Endpoint
 	variables map[string]string
 	prepared  map[engine.StatementTemplate]string
+	setups    int // exchanges that set up a session's state
 	// aborted is set when nothing more may be sent. committing is set before a
 	// call that may commit is sent. Each is set before the other one is read, so
 	// a commit is either not sent or waited for.
@@ -87,6 +88,7 @@
 	if len(requests) == 0 {
 		return nil
 	}
+	c.setups++
 	left := deadline.Sub(clock.Now())
 	if left <= 0 {
 		return errors.Wrap(errSetup, "no time is left for the request")
--- /dev/null
+++ b/internal/relay/outcome.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
+	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/trace"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// callResult returns what the answer to a statement, or its loss, says about the
+// endpoint. A statement that was not sent, and a refusal that any healthy
+// endpoint may give, say nothing.
+func callResult(a engine.Answer, err error) (sched.CallResult, bool) {
+	switch {
+	case errors.Is(err, errSetup):
+		return 0, false
+	case err != nil, a.Outcome == engine.Unknown:
+		return sched.NoAnswer, true
+	case a.Outcome == engine.Answered && a.Reason == engine.Failed:
+		return sched.FailedCall, true
+	case a.Outcome == engine.Answered:
+		return sched.Succeeded, true
+	case a.Reason == engine.Overloaded:
+		return sched.NoFreeSlot, true
+	}
+	return 0, false
+}
+
+// reportOutcome reports how an endpoint served a statement, unless the pool
+// itself gave up the answer. The connection still counts as in use.
+func (p *GroupPool) reportOutcome(call *engine.Call, e ident.Endpoint, a engine.Answer, err error) {
+	if r, ok := callResult(a, err); ok && !p.isAbandoned() {
+		p.Update(sched.EndpointOutcome{Endpoint: e, Account: call.Account, Result: r})
+	}
+}
+
+// failingLogPause is the period without a report after which a primary that
+// fails most calls is logged again.
+const failingLogPause = time.Second
+
+// reportFailing reports a primary that fails most calls, and updates the gauge
+// of ejected endpoints.
+func (p *GroupPool) reportFailing(now time.Time) {
+	p.mu.Lock()
+	p.updateEjected()
+	m, failing := p.scheduler.FailingPrimary(now)
+	logged := now.Sub(p.failingAt) < failingLogPause
+	if failing {
+		p.failingAt = now
+	}
+	p.mu.Unlock()
+	if !failing {
+		return
+	}
+	if !logged {
+		trace.Event("PrimaryFailing", "Group", p.group, "Endpoint", m.Endpoint, "Outcomes", m.Outcomes, "Accounts", m.Accounts, "Unfit", m.Unfit)
+	}
+	p.observe(m)
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -66,7 +66,10 @@
 	idleTxLimit time.Duration
 	abandoned   bool
 	gauges      waitingGauges
-	evacuated   bool // an endpoint is in an evacuated data centre
+	evacuated   bool      // an endpoint is in an evacuated data centre
+	failingAt   time.Time // when the primary was last reported as failing most calls
+	// hadEjections is set once an endpoint of the group was ejected.
+	hadEjections bool
 
 	commitUncertain func(t ident.Term) bool
 }
@@ -140,6 +143,9 @@
 	for _, c := range p.conns {
 		_ = c.Close()
 	}
+	if p.hadEjections {
+		p.ejectedGauge().Set(0)
+	}
 	return err
 }
 
@@ -189,6 +195,7 @@
 	wasPrimary bool // the endpoint proved that it is the primary
 	wrote      bool // the answer acknowledges a commit
 	kind       sched.CallKind
+	roundTrips int // see roundTrips
 }
 
 // attempt runs a call on a granted connection. retry is set when nothing of the
@@ -199,8 +206,11 @@
 		deadline = firstTry
 	}
 	g.conn.committing.Store(call.MayCommit())
+	setups := g.conn.setups
 	a, err := p.send(call, g, deadline)
+	trips := roundTrips(call, g.VerifyPrimary, g.conn.setups != setups)
 	took := clock.Now().Sub(began)
+	p.reportOutcome(call, g.Endpoint, a, err)
 	if err != nil {
 		lost := p.lost(call, g.conn, err, took)
 		if errors.Is(err, errSetup) {
@@ -209,7 +219,7 @@
 		return lost, 0, call.Repeatable() || errors.Is(err, errSetup)
 	}
 	if a.OK() && call.Phase == engine.First && call.Statement.Op != engine.Commit {
-		p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary, kind: kind}, a)
+		p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary, kind: kind, roundTrips: trips}, a)
 		return a, p.holdTx(g.conn, origin, call.Statement.Writes()), false
 	}
 	p.release(g.conn, a.State != engine.Idle)
@@ -222,7 +232,7 @@
 	}
 	wrote := call.Phase == engine.Single && call.Statement.Writes()
 	a = p.confirmCommit(a, wrote)
-	p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary || wrote, wrote: wrote, kind: kind}, a)
+	p.observed(g.Endpoint, exchange{began: began, took: took, wasPrimary: g.VerifyPrimary || wrote, wrote: wrote, kind: kind, roundTrips: trips}, a)
 	return a, 0, a.Reason == engine.Failed && call.Phase == engine.Single && call.Repeatable()
 }
 
@@ -268,10 +278,12 @@
 	}
 	after := g.After
 	if begin, needed := beginFor(call, g.VerifyPrimary); needed {
+		began := clock.Now()
 		a, err := g.conn.run(begin, after, deadline)
 		if err != nil || !a.OK() {
 			return a, err
 		}
+		p.measured(g.Endpoint, began)
 		after = ident.LogPosition{}
 	}
 	return g.conn.run(call.Statement, after, deadline)
@@ -308,6 +320,7 @@
 	t.conn.committing.Store(call.MayCommit())
 	began := clock.Now()
 	a, err := p.runInTx(call, t.conn, began.Add(call.Timeout))
+	p.reportOutcome(call, t.conn.endpoint, a, err)
 	if err != nil {
 		p.removeTx(call.Tx)
 		return p.lost(call, t.conn, err, clock.Now().Sub(began)), 0
@@ -325,7 +338,7 @@
 
 func (p *GroupPool) runInTx(call *engine.Call, c *endpointConn, deadline time.Time) (engine.Answer, error) {
 	for {
-		began := clock.Now()
+		began, setups := clock.Now(), c.setups
 		if err := c.apply(call.Variables, call.Statement, deadline); err != nil {
 			return engine.Answer{}, err
 		}
@@ -338,6 +351,7 @@
 			continue
 		}
 		x := exchange{began: began, took: clock.Now().Sub(began), wasPrimary: call.PrimaryOnly && call.Statement.Op != engine.Commit, kind: sched.KindOf(call)}
+		x.roundTrips = roundTrips(call, false, c.setups != setups)
 		p.observed(c.endpoint, x, a)
 		return a, nil
 	}
@@ -346,7 +360,8 @@
 func (p *GroupPool) observed(e ident.Endpoint, x exchange, a engine.Answer) {
 	m := sched.EndpointObserved{
 		Endpoint: e, Began: x.began, Took: x.took, Position: a.Position,
-		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered, Kind: x.kind,
+		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered && a.Reason != engine.Failed,
+		Kind: x.kind, Exchanges: x.roundTrips,
 	}
 	p.Update(m)
 	p.observe(m)
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -67,6 +67,8 @@
 			p.removeConn(c.Conn)
 		case sched.AbortConn:
 			p.abortConn(c.Conn)
+		case sched.EndpointEjected, sched.EndpointReturned:
+			p.recordEjection(c)
 		}
 	}
 }
@@ -90,7 +92,9 @@
 func (p *GroupPool) dial(ctx context.Context, d sched.Dial) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := clock.Now()
 	raw, err := p.dialer.Dial(ctx, p.group, d.Endpoint, d.Account)
+	roundTrip := clock.Now().Sub(began) / dialRoundTrips
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.abandoned {
@@ -101,6 +105,7 @@
 	}
 	if err == nil {
 		p.conns[d.Conn] = newEndpointConn(d.Conn, d.Endpoint.ID, raw)
+		p.update(clock.Now(), sched.EndpointObserved{Endpoint: d.Endpoint.ID, Began: began, RoundTrip: roundTrip})
 		p.update(clock.Now(), sched.DialDone{Conn: d.Conn, Result: sched.Connected})
 		return
 	}
@@ -297,5 +302,6 @@
 	p.Update(sched.Tick{})
 	p.recordWaiting(now)
 	p.reportOverdue(now)
+	p.reportFailing(now)
 	p.rollbackIdle(now)
 }
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -109,6 +109,12 @@
 	UsedSlot bool
 	// Kind is the kind of the call, if UsedSlot is set.
 	Kind CallKind
+	// Exchanges is the number of round trips in Took, zero if Took includes more
+	// than them and the endpoint's own work.
+	Exchanges int
+	// RoundTrip is the duration of an exchange that waited for no slot, zero if
+	// none was measured.
+	RoundTrip time.Duration
 }
 
 // EndpointFailure reports a call that an endpoint failed to serve.
--- a/internal/sched/placement.go
+++ b/internal/sched/placement.go
@@ -8,15 +8,6 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// The costs by which endpoints are compared, in units of calls waiting for a
-// slot.
-const (
-	costDial    = 0.8 // dialling occupies a slot
-	costEvict   = 1.5 // dialling plus the loss of another account's connection
-	costPrimary = 0.4 // the primary's slots also serve writes
-	costSlow    = 0.5 // for each multiple of the group's average service time
-)
-
 const (
 	// dialWait is how long a call waits for the connection that is being opened
 	// for it before it tries another endpoint. It is several times the usual
@@ -46,6 +37,9 @@
 	if c := e.idleConn(w.call.Account); c != nil {
 		s.setState(now, c, running)
 		s.countCold(now, e)
+		if !required.verifyPrimary {
+			e.ejection.readGranted(c)
+		}
 		s.emit(Grant{
 			Waiter: w.id, Conn: c.id, Endpoint: e.ID,
 			After: required.minPosition, VerifyPrimary: required.verifyPrimary, FloorAge: required.floorAge, Waited: now.Sub(w.since),
@@ -73,19 +67,20 @@
 	return requirements{minPosition: position, floorAge: age}
 }
 
-// choose returns the cheapest endpoint that can take the call now, or nil.
+// choose returns the endpoint that can take the call now and is expected to answer
+// it first, or nil.
 func (s *Scheduler) choose(now time.Time, w *waiter, required requirements) *endpoint {
 	if required.verifyPrimary {
 		return s.choosePrimary(now, w)
 	}
 	var best *endpoint
-	bestCost := 0.0
+	var bestTime time.Duration
 	for _, e := range s.sorted {
 		if !s.eligible(now, e, w, required) {
 			continue
 		}
-		if cost := s.cost(e, w.call.Account); best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		if expected := s.expectedTime(now, e, w.call); best == nil || expected < bestTime {
+			best, bestTime = e, expected
 		}
 	}
 	if best == nil && len(w.avoid) > 0 {
@@ -116,29 +111,12 @@
 		return false
 	case now.Before(e.behindUntil) && !e.position.Covers(required.minPosition):
 		return false
-	case e.ID == s.primary.Endpoint && !s.primary.Usable:
+	case e.ID == s.primary.Endpoint && !s.primary.Usable, s.refusesReads(now, e, w):
 		return false
 	}
 	return e.idleConn(w.call.Account) != nil || s.canDial(now, e, w)
 }
 
-func (s *Scheduler) cost(e *endpoint, account ident.Account) float64 {
-	cost := float64(e.active) / float64(max(1, e.Slots)) * 2
-	if e.ID == s.primary.Endpoint {
-		cost += costPrimary
-	}
-	if e.idleConn(account) == nil {
-		cost += costDial
-		if len(e.conns) >= s.connShare() {
-			cost += costEvict - costDial
-		}
-	}
-	if e.latency > s.serviceTime {
-		cost += costSlow * (float64(e.latency)/float64(s.serviceTime) - 1)
-	}
-	return cost
-}
-
 // canDial reports whether a connection can be opened for w, evicting an idle
 // connection of another account if necessary.
 func (s *Scheduler) canDial(now time.Time, e *endpoint, w *waiter) bool {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -41,6 +41,7 @@
 	primary     Primary
 	owner       bool
 	serviceTime time.Duration // moving average duration of calls that occupied a slot
+	work        workTime
 	lastConn    ConnID
 	nextArrival uint64
 	commands    []Command
@@ -97,11 +98,13 @@
 		s.updateGranted(now, m.Conn, running)
 		s.countResumed(now, m.Conn)
 	case EndpointObserved:
-		s.observe(m)
+		s.observe(now, m)
 	case EndpointFailure:
 		if e := s.endpoints[m.Endpoint]; e != nil {
 			e.recordFailure(m.Kind, now)
 		}
+	case EndpointOutcome:
+		s.recordOutcome(now, m)
 	case Directory:
 		s.setDirectory(now, m)
 	case Weights:
@@ -232,7 +235,7 @@
 	}
 }
 
-func (s *Scheduler) observe(m EndpointObserved) {
+func (s *Scheduler) observe(now time.Time, m EndpointObserved) {
 	e := s.endpoints[m.Endpoint]
 	if e == nil {
 		return
@@ -241,8 +244,12 @@
 	if m.WasPrimary {
 		s.floors.record(m.Began, m.Position)
 	}
+	if m.RoundTrip > 0 {
+		e.roundTrip.record(now, m.RoundTrip)
+	}
 	if m.UsedSlot {
 		s.services.observe(m.Kind, m.Took, s.serviceTime)
+		s.recordWork(now, e, m)
 		s.serviceTime += (m.Took - s.serviceTime) / 16
 	}
 }
