--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -254,12 +254,19 @@
 	if old != nil && !old.IsPrimary && el.term == el.newestTerm {
 		el.recordTerm(now, el.term+1) // the old primary lost its role, so a later term has begun
 	}
-	if el.state == Searching || (el.state == Steady || el.state == Doubting) && (old == nil || !old.IsPrimary) {
+	if el.state == Searching || (el.state == Steady || el.state == Doubting) && el.lostRole(old) {
 		el.primary = primaries[0]
 		el.setState(now, Steady, "the directory lists it as primary")
 	}
 }
 
+// lostRole reports whether the believed primary, which is nil if it is not known
+// any more, is no longer the primary: it says so itself, or it has left the
+// directory and a later term has begun.
+func (el *Elector) lostRole(old *server) bool {
+	return old == nil || !old.IsPrimary || !old.departedAt.IsZero() && el.term < el.newestTerm
+}
+
 func (el *Elector) setOwner(now time.Time, owner bool) {
 	if owner == el.owner {
 		return
