--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -141,16 +141,18 @@
 	el.probeAll(now)
 	primary := el.servers[el.primary]
 	answered := primary != nil && primary.answeredSince(el.stateSince)
+	if answered && el.replicationStalled(now) {
+		el.replaceStalled(now)
+	}
+	if el.state != Doubting {
+		return
+	}
 	if answered && now.Sub(primary.answeredAt) >= primaryTimeout {
 		el.peerReaches = false // the others may have reached it before it stopped
 		el.setState(now, Doubting, "it has stopped answering")
 		el.emit(AskPeers{Endpoint: el.primary})
 		return
 	}
-	if answered && el.replicationStalled(now) {
-		el.replaceStalled(now)
-		return
-	}
 	if answered || now.Sub(el.stateSince) < primaryTimeout {
 		return
 	}
