--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -84,6 +84,12 @@
 		fmt.Fprint(&out, s.behave(t, d))
 	case "load":
 		fmt.Fprint(&out, s.load(t, d))
+	case "roundtrip":
+		span, err := time.ParseDuration(d.CmdArgs[1].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(&out, s.update(EndpointObserved{Endpoint: ident.Endpoint(d.CmdArgs[0].Key), RoundTrip: span}))
 	case "outcome":
 		fmt.Fprint(&out, s.outcome(t, d))
 	case "slowdials":
