--- a/internal/stand/emul/cold.go
+++ b/internal/stand/emul/cold.go
@@ -59,7 +59,8 @@
 		for _, server := range g.Servers() {
 			for _, c := range server.coldTimes() {
 				if n := server.busiest(c.since, c.until); !c.restarted && n > limit {
-					out = append(out, fmt.Sprintf("%d statements in a second at %s, cold for %s, at most %d allowed", n, server.id, c.until.Sub(c.since), limit))
+					out = append(out, fmt.Sprintf("%d statements in a second at %s, cold for %s from %s, at most %d allowed",
+						n, server.id, c.until.Sub(c.since), c.since.UTC().Format(time.RFC3339Nano), limit))
 				}
 			}
 		}
