--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -26,7 +26,7 @@
 		n.mu.Unlock()
 		return
 	}
-	revision, dataCentres, counts := l.revision, slices.Clone(l.dataCentres), n.countEndpoints()
+	revision, dataCentres, counts := l.revision, append([]ident.DataCentre{}, l.dataCentres...), n.countEndpoints()
 	n.mu.Unlock()
 	affected := 0
 	for _, dc := range dataCentres {
