--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -78,8 +78,8 @@
 			t.Fatal(err)
 		}
 		fmt.Fprint(&out, s.update(Limits{MaxConns: 16, DrainTime: limit}))
-	case "load":
-		fmt.Fprint(&out, s.runLoad(t, d))
+	case "streams":
+		fmt.Fprint(&out, s.runStreams(t, d))
 	case "weights":
 		m := Weights{Rates: map[ident.Account]float64{}}
 		for _, a := range d.CmdArgs {
--- a/internal/sched/load_test.go
+++ b/internal/sched/streams_test.go
@@ -14,8 +14,8 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// loadStep is the resolution of a simulated load.
-const loadStep = time.Millisecond
+// streamStep is the resolution of the simulation.
+const streamStep = time.Millisecond
 
 // stream is a series of calls of one account, with the bounds that its callers
 // need.
@@ -58,8 +58,8 @@
 	value float64
 }
 
-// loadCall is one simulated call.
-type loadCall struct {
+// streamCall is one simulated call.
+type streamCall struct {
 	stream  *stream
 	arrival time.Time
 	service time.Duration
@@ -67,37 +67,37 @@
 	repeats int // so far
 }
 
-// loadReturn is a rejected call that is sent again.
-type loadReturn struct {
+// streamReturn is a rejected call that is sent again.
+type streamReturn struct {
 	at   time.Time
-	call *loadCall
+	call *streamCall
 }
 
-// loadRun simulates the endpoints of a group under load. An endpoint runs as many
+// streamRun simulates the endpoints of a group under load. An endpoint runs as many
 // calls at once as it has slots. Further ones wait there.
-type loadRun struct {
+type streamRun struct {
 	scheduler *Scheduler
 	now       time.Time
 	start     time.Time
 	last      WaiterID
-	calls     map[WaiterID]*loadCall
+	calls     map[WaiterID]*streamCall
 	slots     map[ident.Endpoint][]time.Time // when each slot becomes free
-	ends      []loadEnd
-	returns   []loadReturn
+	ends      []streamEnd
+	returns   []streamReturn
 }
 
-// loadEnd is the end of a running call.
-type loadEnd struct {
+// streamEnd is the end of a running call.
+type streamEnd struct {
 	at    time.Time
 	began time.Time
-	call  *loadCall
+	call  *streamCall
 	grant Grant
 }
 
-// runLoad simulates the streams in the lines of a test and checks their bounds:
+// runStreams simulates the streams in the lines of a test and checks their bounds:
 // shop rate=1600 until=1s service=15ms timeout=800ms target=150ms in_time>=0.4.
-func (s *script) runLoad(t *testing.T, d *datadriven.TestData) string {
-	r := &loadRun{scheduler: s.scheduler, now: s.now, start: s.now, calls: map[WaiterID]*loadCall{}, slots: map[ident.Endpoint][]time.Time{}, last: 100000}
+func (s *script) runStreams(t *testing.T, d *datadriven.TestData) string {
+	r := &streamRun{scheduler: s.scheduler, now: s.now, start: s.now, calls: map[WaiterID]*streamCall{}, slots: map[ident.Endpoint][]time.Time{}, last: 100000}
 	var streams []*stream
 	end := time.Duration(0)
 	for _, line := range strings.Split(d.Input, "\n") {
@@ -105,7 +105,7 @@
 		streams = append(streams, st)
 		end = max(end, st.until+st.timeout*time.Duration(2*st.repeats+1))
 	}
-	for ; r.now.Sub(r.start) <= end; r.now = r.now.Add(loadStep) {
+	for ; r.now.Sub(r.start) <= end; r.now = r.now.Add(streamStep) {
 		r.step(streams)
 	}
 	s.now = r.now
@@ -183,7 +183,7 @@
 }
 
 // step ends the calls that are due, and starts those that arrive.
-func (r *loadRun) step(streams []*stream) {
+func (r *streamRun) step(streams []*stream) {
 	r.end()
 	if r.now.Sub(r.start)%(20*time.Millisecond) == 0 {
 		r.update(EndpointObserved{Endpoint: "a", Began: r.now, Position: ident.LogPosition{Term: 1, Position: 10}, WasPrimary: true})
@@ -195,15 +195,15 @@
 		if elapsed < st.from || elapsed >= st.until {
 			continue
 		}
-		for st.arrived += st.perSecond * loadStep.Seconds(); st.arrived >= 1; st.arrived-- {
+		for st.arrived += st.perSecond * streamStep.Seconds(); st.arrived >= 1; st.arrived-- {
 			r.arrive(st, elapsed >= st.measureFrom)
 		}
 	}
 }
 
 // arrive starts a new call of a stream.
-func (r *loadRun) arrive(st *stream, counts bool) {
-	c := &loadCall{stream: st, arrival: r.now, service: st.service, counts: counts}
+func (r *streamRun) arrive(st *stream, counts bool) {
+	c := &streamCall{stream: st, arrival: r.now, service: st.service, counts: counts}
 	if st.slow && int(r.last)%slowEvery == 0 {
 		c.service *= slowFactor
 	}
@@ -213,7 +213,7 @@
 	r.acquire(c)
 }
 
-func (r *loadRun) acquire(c *loadCall) {
+func (r *streamRun) acquire(c *streamCall) {
 	r.last++
 	r.calls[r.last] = c
 	call := c.stream.call
@@ -221,7 +221,7 @@
 }
 
 // repeat sends the rejected calls again that are due.
-func (r *loadRun) repeat() {
+func (r *streamRun) repeat() {
 	pending := r.returns
 	r.returns = nil
 	for _, l := range pending {
@@ -233,8 +233,8 @@
 	}
 }
 
-func (r *loadRun) end() {
-	slices.SortStableFunc(r.ends, func(a, b loadEnd) int { return a.at.Compare(b.at) })
+func (r *streamRun) end() {
+	slices.SortStableFunc(r.ends, func(a, b streamEnd) int { return a.at.Compare(b.at) })
 	for len(r.ends) > 0 && !r.ends[0].at.After(r.now) {
 		e := r.ends[0]
 		r.ends = r.ends[1:]
@@ -251,7 +251,7 @@
 	}
 }
 
-func (r *loadRun) update(m Message) {
+func (r *streamRun) update(m Message) {
 	for _, c := range r.scheduler.Update(r.now, m) {
 		switch c := c.(type) {
 		case Grant:
@@ -265,7 +265,7 @@
 }
 
 // grant starts a call at the first slot of the endpoint that becomes free.
-func (r *loadRun) grant(g Grant) {
+func (r *streamRun) grant(g Grant) {
 	c := r.calls[g.Waiter]
 	if r.slots[g.Endpoint] == nil {
 		r.slots[g.Endpoint] = make([]time.Time, r.scheduler.endpoints[g.Endpoint].Slots)
@@ -286,14 +286,14 @@
 		c.stream.granted++
 		c.stream.longest = max(c.stream.longest, g.Waited)
 	}
-	r.ends = append(r.ends, loadEnd{at: slots[first], began: r.now, call: c, grant: g})
+	r.ends = append(r.ends, streamEnd{at: slots[first], began: r.now, call: c, grant: g})
 }
 
-func (r *loadRun) reject(j Reject) {
+func (r *streamRun) reject(j Reject) {
 	c := r.calls[j.Waiter]
 	if c.repeats < c.stream.repeats {
 		c.repeats++
-		r.returns = append(r.returns, loadReturn{at: r.now.Add(j.RetryIn), call: c})
+		r.returns = append(r.returns, streamReturn{at: r.now.Add(j.RetryIn), call: c})
 	}
 	if !c.counts {
 		return
