Promote after withdrawn evacuations if the successor lacks commits

Two data centres are evacuated during a planned switch, so that replicas are sealed for both targets, and both requests are withdrawn. targetCutOff acted only while an endpoint was evacuated. The old primary was announced as taking writes, and no commit was acknowledged until the switch timed out.

--- a/internal/lead/evacuation.go
+++ b/internal/lead/evacuation.go
@@ -30,13 +30,9 @@
 
 // targetCutOff reports whether the target of a planned switch lacks commits that
 // it can't receive, because it was sealed for an earlier target. Only a promotion
-// removes the seal.
+// removes the seal, so this also holds after the evacuations are withdrawn.
 func (el *Elector) targetCutOff(primary, target *server) bool {
-	evacuated := false
-	for _, s := range el.sortedServers() {
-		evacuated = evacuated || s.Evacuated
-	}
-	return evacuated && target.sealedTerm >= el.sealTerm() &&
+	return target.sealedTerm >= el.sealTerm() &&
 		!primary.lastResult.SentAt.Before(el.othersSealedAt) && !target.lastResult.SentAt.Before(el.othersSealedAt) &&
 		!target.lastResult.Received.Covers(primary.lastResult.Received)
 }
