Ask the scheduler before each request to an evacuated endpoint

A request was sent unless an update of the scheduler had aborted its connection. With no tick for 2 s, the request after the set-up of a session was sent after the time of the endpoint, and so were a rollback and a statement that the endpoint had refused because it had no free slot.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -34,12 +34,16 @@
 	// a commit is either not sent or waited for.
 	aborted    atomic.Bool
 	committing atomic.Bool
+	// mayUse reports whether a request may be sent now. It is asked before each
+	// one, because no Tick sets aborted while the process is frozen.
+	mayUse func() bool
 }
 
 func newEndpointConn(id sched.ConnID, endpoint ident.Endpoint, c Conn) *endpointConn {
 	return &endpointConn{
 		Conn: c, id: id, endpoint: endpoint,
 		variables: make(map[string]string), prepared: make(map[engine.StatementTemplate]string),
+		mayUse: func() bool { return true },
 	}
 }
 
@@ -89,9 +93,9 @@
 		return nil
 	}
 	c.setups++
-	left := deadline.Sub(clock.Now())
-	if left <= 0 {
-		return errors.Wrap(errSetup, "no time is left for the request")
+	left, err := c.timeLeft(deadline)
+	if err != nil {
+		return err
 	}
 	answers, err := c.DoAll(requests, left)
 	if err != nil {
@@ -115,17 +119,27 @@
 	return c.exchange(r, deadline)
 }
 
-// exchange sends one request, unless the deadline has passed or the connection
-// was aborted.
+// exchange sends one request, unless the deadline has passed or nothing more may
+// be sent on the connection.
 func (c *endpointConn) exchange(r Request, deadline time.Time) (engine.Answer, error) {
-	if c.aborted.Load() {
-		return engine.Answer{}, errAborted
+	left, err := c.timeLeft(deadline)
+	if err != nil {
+		return engine.Answer{}, err
+	}
+	return c.Do(r, left)
+}
+
+// timeLeft returns the time that is left for a request that is sent now. It
+// returns an error if the request may not be sent.
+func (c *endpointConn) timeLeft(deadline time.Time) (time.Duration, error) {
+	if !c.mayUse() || c.aborted.Load() {
+		return 0, errAborted
 	}
 	left := deadline.Sub(clock.Now())
 	if left <= 0 {
-		return engine.Answer{}, errors.Wrap(errSetup, "no time is left for the request")
+		return 0, errors.Wrap(errSetup, "no time is left for the request")
 	}
-	return c.Do(r, left)
+	return left, nil
 }
 
 // exhausted reports whether the connection holds too many prepared statements
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -104,7 +104,9 @@
 		return
 	}
 	if err == nil {
-		p.conns[d.Conn] = newEndpointConn(d.Conn, d.Endpoint.ID, raw)
+		c := newEndpointConn(d.Conn, d.Endpoint.ID, raw)
+		c.mayUse = func() bool { return p.mayUse(c.id) }
+		p.conns[d.Conn] = c
 		p.update(clock.Now(), sched.EndpointObserved{Endpoint: d.Endpoint.ID, Began: began, RoundTrip: roundTrip})
 		p.update(clock.Now(), sched.DialDone{Conn: d.Conn, Result: sched.Connected})
 		return
@@ -143,7 +145,7 @@
 }
 
 func (p *GroupPool) rollbackAndRelease(c *endpointConn) {
-	a, err := c.Do(Request{Statement: engine.Statement{Op: engine.Rollback}}, rollbackTimeout)
+	a, err := c.exchange(Request{Statement: engine.Statement{Op: engine.Rollback}}, clock.Now().Add(rollbackTimeout))
 	if err != nil || a.State != engine.Idle || c.exhausted() {
 		p.discardConn(c)
 		return
--- a/internal/relay/pool_evacuation.go
+++ b/internal/relay/pool_evacuation.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/internal/trace"
@@ -14,6 +15,20 @@
 // sent to the endpoint.
 var errAborted = errors.Wrap(errSetup, "connection aborted")
 
+// mayUse reports whether a request may be sent on a connection now. If the time
+// of its endpoint is over, the scheduler aborts it and all others there, as it
+// does on a Tick.
+func (p *GroupPool) mayUse(id sched.ConnID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	if p.scheduler.MayUse(now, id) {
+		return true
+	}
+	p.update(now, sched.Tick{})
+	return false
+}
+
 // abortConn ends what runs on a connection whose endpoint may not be used any
 // more. The endpoint rolls back when the connection closes, so no rollback is
 // sent. Only a commit in flight keeps the connection open until its answer. The
--- a/internal/relay/pool_evacuation_test.go
+++ b/internal/relay/pool_evacuation_test.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	took     time.Duration // duration of each statement
 	reason   engine.Reason // of each answer
+	state    engine.TxState
 	sent     map[ident.Endpoint][]engine.Op
 	closed   map[ident.Endpoint]int
 	failures []sched.EndpointFailure // other than those of slow statements
@@ -84,14 +85,14 @@
 func (c *recordedConn) Do(q Request, _ time.Duration) (engine.Answer, error) {
 	c.recorder.mu.Lock()
 	c.recorder.sent[c.endpoint] = append(c.recorder.sent[c.endpoint], q.Statement.Op)
-	took, reason := c.recorder.took, c.recorder.reason
+	took, reason, state := c.recorder.took, c.recorder.reason, c.recorder.state
 	c.recorder.mu.Unlock()
 	select {
 	case <-c.done:
 		return engine.Answer{}, errors.New("connection closed")
 	case <-time.After(took):
 	}
-	return engine.Answer{Outcome: engine.Answered, Reason: reason, Position: ident.LogPosition{Term: 1, Position: 9}}, nil
+	return engine.Answer{Outcome: engine.Answered, Reason: reason, State: state, Position: ident.LogPosition{Term: 1, Position: 9}}, nil
 }
 
 func (c *recordedConn) Close() error {
@@ -280,3 +281,72 @@
 		g.Expect(r.failed()).To(BeEmpty())
 	})
 }
+
+// The process is frozen while the first request of a call runs, so that no Tick
+// notices that the time is over. The next request must not follow it to the
+// endpoint, neither after the session's variables nor after the begin.
+func TestFrozenPoolSendsNoLateStatement(t *testing.T) {
+	for first, variables := range map[engine.Op][]engine.Variable{
+		engine.Begin: nil,
+		engine.Set:   {{Name: "a", Value: "b"}},
+	} {
+		evacuatedPool(t, 2*time.Second, func(g *WithT, p *GroupPool, r *recorder) {
+			p.Update(sched.Directory{Endpoints: poolEndpoints(true)})
+			time.Sleep(testEvacuationTime - 100*time.Millisecond)
+			answered := make(chan engine.Answer, 1)
+			go func() {
+				a, _ := p.Run(context.Background(), "i", &engine.Call{
+					Group: "db", Phase: engine.First, PrimaryOnly: true, Timeout: 5 * time.Second, Variables: variables,
+					Begin: engine.Statement{Op: engine.Begin}, Statement: engine.Statement{Op: engine.Write},
+				})
+				answered <- a
+			}()
+			time.Sleep(2100 * time.Millisecond)
+			g.Expect(r.ops("a")).To(Equal([]engine.Op{first}))
+			r.slow(time.Millisecond)
+			p.Update(sched.Primary{Endpoint: "b", Usable: true})
+			a := <-answered
+			g.Expect(a.OK()).To(BeTrue())
+			g.Expect(a.Endpoint).To(Equal(ident.Endpoint("b")))
+			g.Expect(r.failed()).To(BeEmpty())
+		})
+	}
+}
+
+// An endpoint without a free slot refuses a statement of a transaction, and the
+// process is frozen meanwhile. The statement must not be sent again.
+func TestFrozenPoolSendsNoStatementAgain(t *testing.T) {
+	evacuatedPool(t, time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
+		tx := begin(g, p)
+		before := r.ops("a")
+		p.Update(sched.Directory{Endpoints: poolEndpoints(true)})
+		time.Sleep(testEvacuationTime - 100*time.Millisecond)
+		r.mu.Lock()
+		r.took, r.reason, r.state = 2*time.Second, engine.Overloaded, engine.InTx
+		r.mu.Unlock()
+		a, _ := p.Run(context.Background(), "i", next(tx, engine.Write))
+		g.Expect(r.ops("a")).To(Equal(append(before, engine.Write)))
+		g.Expect(a.Outcome).To(Equal(engine.NotRun))
+		g.Expect(a.Reason).To(Equal(engine.Aborted))
+		g.Expect(a.State).To(Equal(engine.FailedTx))
+		g.Expect(r.failed()).To(BeEmpty())
+		g.Expect(p.idle()).To(BeTrue())
+	})
+}
+
+// The time passes without a Tick before the session's variables are set, or
+// before a transaction is rolled back. Neither request may be sent.
+func TestFrozenPoolSendsNoSetupOrRollback(t *testing.T) {
+	evacuatedPool(t, time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
+		rolledBack, open := p.resumeTx(begin(g, p)), p.resumeTx(begin(g, p))
+		before := r.ops("a")
+		p.Update(sched.Directory{Endpoints: poolEndpoints(true)})
+		time.Sleep(testEvacuationTime)
+		p.release(rolledBack.conn, true)
+		synctest.Wait()
+		variables := []engine.Variable{{Name: "a", Value: "b"}}
+		err := open.conn.apply(variables, engine.Statement{Op: engine.Write}, clock.Now().Add(time.Second))
+		g.Expect(err).To(MatchError(errAborted))
+		g.Expect(r.ops("a")).To(Equal(before))
+	})
+}
--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -99,6 +99,14 @@
 	return limited && !now.Before(end)
 }
 
+// MayUse reports whether a request may be sent on a connection, as far as
+// evacuations are concerned. Between two updates, the time of an endpoint may
+// pass unnoticed.
+func (s *Scheduler) MayUse(now time.Time, id ConnID) bool {
+	c := s.conns[id]
+	return c == nil || !s.evacuationExpired(now, c.endpoint)
+}
+
 // expired reports whether the endpoint has been draining or evacuated for too
 // long and may no longer be used.
 func (s *Scheduler) expired(now time.Time, e *endpoint) bool {
