Reject calls that find too many tokens of a cold endpoint waited for

Calls beyond the token rate of a cold primary waited for their whole share of the timeout and were then all told to retry in 25 ms. The expected wait now includes the tokens of the calls before a new one, and the retry times are spaced by the token rate.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -66,11 +66,12 @@
 }
 
 // expectedWait estimates how long a new call would wait for the calls that run
-// before it. A call that would miss its target meanwhile is served after the
-// calls that can meet theirs.
+// before it, and for a token if the endpoints that can run it are cold. A call
+// that would miss its target meanwhile is served after the calls that can meet
+// theirs.
 func (s *Scheduler) expectedWait(now time.Time, w *waiter) time.Duration {
 	if len(s.waiting) == 0 {
-		return 0
+		return s.tokenWait(now, w)
 	}
 	s.setOrder(now)
 	service := s.expectedService(w)
@@ -103,7 +104,8 @@
 	}
 	slots := s.slotsFor(now, w.call)
 	wait := slots.time(w.call, before) + time.Duration(float64(slots.time(w.call, late))/s.lateShare.value())
-	return wait + min(wait/(oldestShare-1), slots.time(w.call, behind))
+	wait += min(wait/(oldestShare-1), slots.time(w.call, behind))
+	return max(wait, s.tokenWait(now, w))
 }
 
 // work is the time that a set of calls occupies slots.
--- a/internal/sched/reject.go
+++ b/internal/sched/reject.go
@@ -53,7 +53,8 @@
 }
 
 // reject rejects a waiting or newly arrived call. A retry is expected to succeed
-// from earliest on.
+// from earliest on. Retries of calls that were rejected because of the load follow
+// the tokens of cold endpoints.
 func (s *Scheduler) reject(now time.Time, w *waiter, reason engine.Reason, cause RejectCause, earliest time.Duration) {
 	key := newRetryKey(w, cause)
 	plan := s.retries[key]
@@ -62,6 +63,10 @@
 		s.retries[key] = plan
 	}
 	spacing := s.slotsFor(now, w.call).spacing(w.call, s.expectedService(w))
+	if key.cause == QueueTooLong {
+		tokens := s.tokensFor(now, w.call)
+		spacing, earliest = max(spacing, tokens.spacing()), max(earliest, tokens.after(1))
+	}
 	retryIn := plan.reserve(now, retry{earliest: max(minRetry, earliest), spacing: spacing, timeout: w.timeout})
 	s.emit(Reject{Waiter: w.id, Reason: reason, Cause: cause, RetryIn: retryIn, Detail: causeTexts[cause].detail, Waited: now.Sub(w.since)})
 }
