--- a/internal/lead/sim_evacuation_test.go
+++ b/internal/lead/sim_evacuation_test.go
@@ -53,6 +53,14 @@
 	s.publishAll()
 }
 
+// withdrawAll withdraws all requests. All instances learn of it.
+func (v *simEvacuations) withdrawAll(s *sim) {
+	if len(v.evacuated) > 0 {
+		clear(v.evacuated)
+		s.publishAll()
+	}
+}
+
 // contains reports whether the data centre of a server is evacuated.
 func (v *simEvacuations) contains(id ident.Endpoint) bool { return v != nil && v.evacuated[id] }
 
@@ -123,3 +131,47 @@
 	}
 	t.Logf("an evacuated primary is replaced within %s", longest)
 }
+
+// withdrawnBound is the longest time without an acknowledged commit while
+// evacuations are requested and withdrawn: a promotion after a switch that was
+// given up.
+const withdrawnBound = time.Second
+
+// TestWithdrawnEvacuationsKeepWrites evacuates the primary and a replica of a
+// group without faults, and withdraws both requests during the switch. It guards
+// against replicas that stay sealed while the primary is announced as taking
+// writes.
+func TestWithdrawnEvacuationsKeepWrites(t *testing.T) {
+	assert.Fatal()
+	var longest time.Duration
+	for seed := range uint64(simSeeds()) {
+		s := newEvacuationSim(t, seed)
+		s.quiet = true
+		random := s.evacuations.random
+		for range 100 {
+			s.step()
+		}
+		s.evacuations.request(s, "a")
+		second := s.now.Add(time.Duration(random.IntN(600)) * time.Millisecond)
+		withdrawn := second.Add(time.Duration(random.IntN(800)) * time.Millisecond)
+		replica := simIDs[1+random.IntN(2)]
+		acked, ackedAt := len(s.acked), s.now
+		for end := withdrawn.Add(5 * time.Second); s.now.Before(end); {
+			s.step()
+			switch {
+			case !s.now.Before(withdrawn):
+				s.evacuations.withdrawAll(s)
+			case !s.now.Before(second) && !s.evacuations.contains(replica):
+				s.evacuations.request(s, replica)
+			}
+			if len(s.acked) > acked {
+				acked, ackedAt = len(s.acked), s.now
+			}
+			longest = max(longest, s.now.Sub(ackedAt))
+			if longest > withdrawnBound {
+				t.Fatalf("seed %d: no commit was acknowledged for %s:\n%s", seed, longest, strings.Join(s.log, "\n"))
+			}
+		}
+	}
+	t.Logf("a commit is acknowledged every %s", longest)
+}
