Name and describe the scheduler's limits by what they are

Divisors are no longer called shares, round trips have one name, and the comments on turns, targets and evacuations state units and conditions.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -361,7 +361,7 @@
 	m := sched.EndpointObserved{
 		Endpoint: e, Began: x.began, Took: x.took, Position: a.Position,
 		WasPrimary: x.wasPrimary && a.OK(), Wrote: x.wrote && a.OK(), UsedSlot: a.Outcome == engine.Answered && a.Reason != engine.Failed,
-		Kind: x.kind, Exchanges: x.roundTrips,
+		Kind: x.kind, RoundTrips: x.roundTrips,
 	}
 	p.Update(m)
 	p.observe(m)
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -28,7 +28,7 @@
 		return
 	}
 	servable := s.servableAt(now, m.Call)
-	if s.tooLate(now, w, servable) {
+	if s.unservable(now, w, servable) {
 		s.rejectUnservable(now, w, servable)
 		return
 	}
@@ -104,7 +104,7 @@
 	}
 	slots := s.slotsFor(now, w.call)
 	wait := slots.time(w.call, before) + time.Duration(float64(slots.time(w.call, late))/s.lateShare.value())
-	wait += min(wait/(oldestShare-1), slots.time(w.call, behind))
+	wait += min(wait/(oldestGrantInterval-1), slots.time(w.call, behind))
 	return max(wait, s.tokenWait(now, w))
 }
 
--- a/internal/sched/cold.go
+++ b/internal/sched/cold.go
@@ -14,10 +14,11 @@
 	// nonOwnerColdShare is the share that another instance spends at a cold
 	// primary. It sends nothing to a cold replica.
 	nonOwnerColdShare = 0.1
-	// coldBurst is the time for which unused calls to a cold endpoint are saved.
+	// coldBurst is the time whose tokens a cold endpoint's bucket holds at most, but
+	// it holds at least one token.
 	coldBurst = 100 * time.Millisecond
-	// maxColdDebt is the time for which calls may be sent in advance. The
-	// platform counts the calls in any second.
+	// maxColdDebt is the time whose tokens may be taken in advance. The platform
+	// counts the calls in any second.
 	maxColdDebt = time.Second
 	// tokenEpsilon absorbs rounding errors, so that a token is available
 	// exactly when its time has come.
@@ -34,9 +35,9 @@
 	left       time.Duration // ColdLeft of the latest entry
 	unlistedAt time.Time     // zero while the endpoint is listed
 	until      time.Time     // the server said that it is slow until then
-	limiting   bool
-	tokens     float64
-	filledAt   time.Time
+	limiting   bool          // the tokens limit the calls
+	tokens     float64       // calls that may be sent now, negative after calls in advance
+	refilledAt time.Time
 }
 
 // coldStates holds the state of the endpoints that are listed or were recently.
@@ -50,7 +51,7 @@
 		if cs[d.ID] == nil {
 			cs[d.ID] = &coldState{}
 		}
-		cs[d.ID].list(now, d)
+		cs[d.ID].setEntry(now, d)
 	}
 	for id, c := range cs {
 		switch {
@@ -63,24 +64,24 @@
 	}
 }
 
-// list applies a directory entry. An entry that states the same remaining time as
+// setEntry applies a directory entry. An entry that states the same remaining time as
 // before was not updated, so the time is counted from the first one.
-func (c *coldState) list(now time.Time, d Endpoint) {
+func (c *coldState) setEntry(now time.Time, d Endpoint) {
 	c.unlistedAt = time.Time{}
 	if c.startedAt != d.StartedAt || c.left != d.ColdLeft {
 		c.startedAt, c.left, c.until = d.StartedAt, d.ColdLeft, now.Add(d.ColdLeft)
 	}
 }
 
-// fill adds the tokens of the time since the latest call, at the given rate of
+// refill adds the tokens of the time since the last refill, at the given rate of
 // calls a second. A bucket starts with one token.
-func (c *coldState) fill(now time.Time, rate float64) {
+func (c *coldState) refill(now time.Time, rate float64) {
 	if !c.limiting {
-		c.limiting, c.tokens, c.filledAt = true, 1, now
+		c.limiting, c.tokens, c.refilledAt = true, 1, now
 		return
 	}
-	c.tokens = min(c.tokens+rate*now.Sub(c.filledAt).Seconds(), max(1, rate*coldBurst.Seconds()))
-	c.filledAt = now
+	c.tokens = min(c.tokens+rate*now.Sub(c.refilledAt).Seconds(), max(1, rate*coldBurst.Seconds()))
+	c.refilledAt = now
 }
 
 // isCold reports whether the endpoint is slow after its start, or has returned
@@ -111,7 +112,7 @@
 	if rate == 0 {
 		return false
 	}
-	e.cold.fill(now, rate)
+	e.cold.refill(now, rate)
 	return e.cold.tokens >= 1-tokenEpsilon
 }
 
--- a/internal/sched/coldwait.go
+++ b/internal/sched/coldwait.go
@@ -11,8 +11,8 @@
 // in advance. A rate of zero means that tokens do not limit the calls.
 type tokenSupply struct{ left, rate float64 }
 
-// after returns the time until the given number of calls have a token.
-func (t tokenSupply) after(calls float64) time.Duration {
+// timeUntil returns the time until the given number of calls have a token.
+func (t tokenSupply) timeUntil(calls float64) time.Duration {
 	if t.rate == 0 {
 		return 0
 	}
@@ -103,5 +103,5 @@
 		}
 	}
 	calls := before + late/s.lateShare.value()
-	return supply.after(calls + min(calls/(oldestShare-1), behind) + 1)
+	return supply.timeUntil(calls + min(calls/(oldestGrantInterval-1), behind) + 1)
 }
--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// evacuatedShare is the time that evacuated endpoints have been out of use
-	// divided by the retry time of calls that only they could run.
-	evacuatedShare = 3
-	// maxEvacuatedRetry limits that retry time, so that callers notice within
-	// moments that the request has been withdrawn.
+	// A call that only evacuated endpoints could run is told to retry after the
+	// time that they have been out of use, divided by evacuatedRetryDivisor.
+	evacuatedRetryDivisor = 3
+	// maxEvacuatedRetry limits that retry time, so that callers notice soon
+	// that the request has been withdrawn.
 	maxEvacuatedRetry = 2 * time.Second
 )
 
@@ -22,7 +22,7 @@
 // may restart or be unlisted in the meantime.
 type evacuation struct {
 	since      time.Time // when Evacuated was first seen, zero while the data centre is in service
-	unknown    bool      // Evacuated was set from the start, so it was requested at an unknown time
+	unknown    bool      // Evacuated was set when the data centre was first listed, so since is later than the request
 	returnedAt time.Time // when the latest evacuation ended, zero before the first one
 }
 
@@ -99,9 +99,9 @@
 	return limited && !now.Before(end)
 }
 
-// MayUse reports whether a request may be sent on a connection, as far as
-// evacuations are concerned. Between two updates, the time of an endpoint may
-// pass unnoticed.
+// MayUse reports whether the evacuations permit a request on a connection. The
+// time limit of an endpoint may pass between two calls of Update, so the caller
+// asks before each request.
 func (s *Scheduler) MayUse(now time.Time, id ConnID) bool {
 	c := s.conns[id]
 	return c == nil || !s.evacuationExpired(now, c.endpoint)
@@ -171,15 +171,14 @@
 	return evacuated
 }
 
-// tooLate reports whether w has to be rejected, because at, when it can be
-// served at the earliest, is after its deadline, or because evacuations leave no
-// endpoint for it.
-func (s *Scheduler) tooLate(now time.Time, w *waiter, at time.Time) bool {
-	return at.After(w.deadline) || s.evacuations.any() && s.evacuatedFor(now, w.call)
+// unservable reports whether w has to be rejected: it can't be served before at,
+// which is after its deadline, or evacuations leave no endpoint for it.
+func (s *Scheduler) unservable(now time.Time, w *waiter, at time.Time) bool {
+	return at.After(w.deadline) || s.evacuations.any() && s.evacuationsExclude(now, w.call)
 }
 
-// evacuatedFor reports whether evacuations leave no endpoint for a call.
-func (s *Scheduler) evacuatedFor(now time.Time, c *engine.Call) bool {
+// evacuationsExclude reports whether evacuations leave no endpoint for a call.
+func (s *Scheduler) evacuationsExclude(now time.Time, c *engine.Call) bool {
 	if s.requirements(now, c).verifyPrimary {
 		return s.noPrimary(now)
 	}
@@ -213,5 +212,5 @@
 			latest = end
 		}
 	}
-	return now.Add(min(max(usualSwitchTime, now.Sub(latest)/evacuatedShare), maxEvacuatedRetry))
+	return now.Add(min(max(usualSwitchTime, now.Sub(latest)/evacuatedRetryDivisor), maxEvacuatedRetry))
 }
--- a/internal/sched/expected.go
+++ b/internal/sched/expected.go
@@ -23,16 +23,16 @@
 	// answer. A slow endpoint gets no calls at low load, so that only time tells
 	// that it may have recovered.
 	workValidity = 10 * time.Second
-	// dialExchanges is the number of round trips until a connection is open: one
+	// dialRoundTrips is the number of round trips until a connection is open: one
 	// of the transport and one of the protocol.
-	dialExchanges = 2
-	// txExchanges is the least number of round trips of a transaction: its
+	dialRoundTrips = 2
+	// txRoundTrips is the least number of round trips of a transaction: its
 	// begin, one statement and its end.
-	txExchanges = 3
+	txRoundTrips = 3
 )
 
 // workTime is the moving average time that calls take at an endpoint or in a
-// group, without the round trips.
+// group, without the round trips. The service times include them.
 type workTime struct {
 	average time.Duration
 	at      time.Time // time of the latest answer
@@ -48,11 +48,11 @@
 
 // recordWork records the duration of a call that used a slot.
 func (s *Scheduler) recordWork(now time.Time, e *endpoint, m EndpointObserved) {
-	if m.Exchanges == 0 {
+	if m.RoundTrips == 0 {
 		return
 	}
-	e.roundTrip.heard(now, m.Took, m.Exchanges)
-	took := max(0, m.Took-e.roundTrip.estimate(now)*time.Duration(m.Exchanges))
+	e.roundTrip.recordAnswer(now, m.Took, m.RoundTrips)
+	took := max(0, m.Took-e.roundTrip.estimate(now)*time.Duration(m.RoundTrips))
 	e.work.record(now, took, workWeight)
 	s.work.record(now, took, groupWorkWeight)
 }
@@ -93,15 +93,15 @@
 	default:
 		units += costDial
 	}
-	network := e.roundTrip.estimate(now) * time.Duration(exchanges(call, connected))
+	network := e.roundTrip.estimate(now) * time.Duration(roundTripsOf(call, connected))
 	return queue + work + network + time.Duration(units*float64(s.averageWork()))
 }
 
-// exchanges returns how many round trips a call takes.
-func exchanges(call *engine.Call, connected bool) int {
+// roundTripsOf returns how many round trips a call takes.
+func roundTripsOf(call *engine.Call, connected bool) int {
 	n := 1
 	if call.Phase == engine.First {
-		n = txExchanges
+		n = txRoundTrips
 	}
 	if connected {
 		return n
@@ -112,5 +112,5 @@
 	if call.Statement.Op == engine.Execute {
 		n++
 	}
-	return n + dialExchanges
+	return n + dialRoundTrips
 }
--- a/internal/sched/failing.go
+++ b/internal/sched/failing.go
@@ -49,7 +49,7 @@
 		case o == e:
 		case o.failsCalls(now):
 			m.Unfit = append(m.Unfit, o.ID)
-		case !o.Draining && !o.Evacuated:
+		case !o.leaving():
 			fit++
 		}
 	}
@@ -57,9 +57,9 @@
 }
 
 // failsCalls reports whether the endpoint is ejected, can't be reached, or
-// fails a considerable share of its statements.
+// fails at least one of failureShareDivisor statements.
 func (e *endpoint) failsCalls(now time.Time) bool {
 	own := e.outcomes.counts(now)
 	failed := own.Failed + own.Unanswered
-	return e.ejection.ejected() || now.Before(e.readsPausedUntil) || failed > 0 && failed*minFailureShare >= own.Calls()
+	return e.ejection.ejected() || now.Before(e.readsPausedUntil) || failed > 0 && failed*failureShareDivisor >= own.Calls()
 }
--- a/internal/sched/lateshare.go
+++ b/internal/sched/lateshare.go
@@ -22,7 +22,7 @@
 
 // value returns the share. The grants to the calls that have waited longest are a
 // lower bound.
-func (l lateShare) value() float64 { return max(1.0/oldestShare, float64(l)) }
+func (l lateShare) value() float64 { return max(1.0/oldestGrantInterval, float64(l)) }
 
 // onTimeWaiting reports whether a call that can still meet its target is waiting.
 func (s *Scheduler) onTimeWaiting() bool {
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -109,9 +109,9 @@
 	UsedSlot bool
 	// Kind is the kind of the call, if UsedSlot is set.
 	Kind CallKind
-	// Exchanges is the number of round trips in Took, zero if Took includes more
-	// than them and the endpoint's own work.
-	Exchanges int
+	// RoundTrips is the number of round trips in Took. It is zero if Took also
+	// includes something other than round trips and the endpoint's own work.
+	RoundTrips int
 	// RoundTrip is the duration of an exchange that waited for no slot, zero if
 	// none was measured.
 	RoundTrip time.Duration
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -8,13 +8,13 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// oldestShare is the number of grants of which one goes to the call that has
-// waited longest. It bounds the wait of calls that others always precede.
-const oldestShare = 8
+// oldestGrantInterval is the number of grants of which one goes to the call that
+// has waited longest. It bounds the wait of calls that others always precede.
+const oldestGrantInterval = 8
 
 // compareOrder compares two waiting calls by the order in which they are
-// served: those that can still meet their target, then by priority, by the
-// turns of their accounts, and by arrival.
+// served: first the calls that can still meet their target, then by priority,
+// lowest number first, by their turns, and by arrival.
 func compareOrder(a, b *waiter) int {
 	return cmp.Or(compareLate(a, b), cmp.Compare(a.call.Priority, b.call.Priority), cmp.Compare(a.turn, b.turn), cmp.Compare(a.arrival, b.arrival))
 }
@@ -52,8 +52,8 @@
 	}
 }
 
-// nextTurn returns the turn of a further call of an account. setOrder has to be
-// called before.
+// nextTurn returns the turn that a further call of an account would get behind the
+// account's waiting calls. setOrder has to be called before.
 func (s *Scheduler) nextTurn(k accountClass) *float64 {
 	next := s.nextTurns[k]
 	if next == nil {
@@ -77,7 +77,7 @@
 }
 
 // dispatch grants connections to the waiting calls in their order. One grant in
-// oldestShare goes to the call that has waited longest.
+// oldestGrantInterval goes to the call that has waited longest.
 func (s *Scheduler) dispatch(now time.Time) {
 	if len(s.waiting) == 0 || !s.hasFreeSlot(now) {
 		return
@@ -106,7 +106,7 @@
 
 // oldestDue reports whether the next grant belongs to the call that has waited
 // longest.
-func (s *Scheduler) oldestDue() bool { return s.grantsInOrder >= oldestShare-1 }
+func (s *Scheduler) oldestDue() bool { return s.grantsInOrder >= oldestGrantInterval-1 }
 
 // placeOldest grants or opens a connection for the call that has waited longest
 // of those that an endpoint can take. The waiting calls are kept by arrival.
--- a/internal/sched/outcome.go
+++ b/internal/sched/outcome.go
@@ -57,7 +57,8 @@
 func (EndpointEjected) command()  {}
 func (EndpointReturned) command() {}
 
-// OutcomeCounts counts outcomes by their result.
+// OutcomeCounts counts outcomes by their result: Failed counts FailedCall,
+// Unanswered counts NoAnswer, and Busy counts NoFreeSlot.
 type OutcomeCounts struct{ Succeeded, Failed, Unanswered, Busy int }
 
 func (c *OutcomeCounts) count(r CallResult) {
@@ -87,12 +88,13 @@
 func (c OutcomeCounts) Failures() int { return c.Failed + c.Unanswered + c.Busy }
 
 // worseThan reports whether the share of failures is at least factor times that
-// of the other counts. Nothing is worse than counts without a success.
+// of the other counts. If they contain no success, it is not: the whole group then
+// fails.
 func (c OutcomeCounts) worseThan(other OutcomeCounts, factor int) bool {
 	return other.Succeeded > 0 && c.Failures()*other.Calls() >= factor*other.Failures()*c.Calls()
 }
 
-// outcomeWindow counts the outcomes of the latest outcomeSpan.
+// outcomeWindow counts the outcomes of the latest outcomeSpan in a ring of slices.
 type outcomeWindow struct {
 	slices [outcomeSlices]OutcomeCounts
 	latest int64 // number of the newest slice since the Unix epoch
--- a/internal/sched/outlier.go
+++ b/internal/sched/outlier.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// minFailures is the number of failures, and minFailureShare the divisor of
-	// the calls, that an endpoint must reach to be ejected.
-	minFailures     = 5
-	minFailureShare = 5
+	// An endpoint is only ejected after minFailures failures that are at least one
+	// of failureShareDivisor calls.
+	minFailures         = 5
+	failureShareDivisor = 5
 	// outlierFactor is how many times higher its share of failures must be than
 	// that of the rest of the group. A fault that all endpoints share, such as a
 	// faulty program of an account, then ejects none.
@@ -26,7 +26,7 @@
 	until      time.Time // when the trial begins, zero while the endpoint is in use
 	length     time.Duration
 	returnedAt time.Time
-	decided    OutcomeCounts // the endpoint's outcomes that led to the ejection
+	cause      OutcomeCounts // the endpoint's outcomes that led to the ejection
 	passed     int           // successful calls in a row during the trial
 	trial      *conn         // connection of the latest read of the trial
 	trialSince time.Time     // when that read was granted
@@ -44,7 +44,7 @@
 	} else {
 		x.length = firstEjection
 	}
-	x.until, x.passed, x.decided = now.Add(x.length), 0, own
+	x.until, x.passed, x.cause = now.Add(x.length), 0, own
 }
 
 func (x *ejection) end(now time.Time) {
@@ -135,7 +135,7 @@
 
 func (s *Scheduler) ejectOutlier(now time.Time, e *endpoint) {
 	own, rest := e.outcomes.counts(now), s.restOutcomes(now, e)
-	if own.Failures() < minFailures || own.Failures()*minFailureShare < own.Calls() {
+	if own.Failures() < minFailures || own.Failures()*failureShareDivisor < own.Calls() {
 		return
 	}
 	if own.worseThan(rest, outlierFactor) && s.othersInUse(now, e) {
@@ -175,7 +175,7 @@
 		if !e.ejection.ejected() || e.ejection.onTrial(now) {
 			continue
 		}
-		if rest := s.restOutcomes(now, e); rest.Failures() >= minFailures && !e.ejection.decided.worseThan(rest, outlierFactor) {
+		if rest := s.restOutcomes(now, e); rest.Failures() >= minFailures && !e.ejection.cause.worseThan(rest, outlierFactor) {
 			e.ejection.until = now
 		}
 	}
--- a/internal/sched/outlier_load_test.go
+++ b/internal/sched/outlier_load_test.go
@@ -260,7 +260,7 @@
 	}
 	switch result {
 	case Succeeded:
-		l.update(EndpointObserved{Endpoint: g.Endpoint, Began: began, Took: now.Sub(began), UsedSlot: true, Exchanges: 1})
+		l.update(EndpointObserved{Endpoint: g.Endpoint, Began: began, Took: now.Sub(began), UsedSlot: true, RoundTrips: 1})
 		l.answered++
 		l.total += now.Sub(c.arrived)
 		return
--- a/internal/sched/reject.go
+++ b/internal/sched/reject.go
@@ -65,7 +65,7 @@
 	spacing := s.slotsFor(now, w.call).spacing(w.call, s.expectedService(w))
 	if key.cause == QueueTooLong {
 		tokens := s.tokensFor(now, w.call)
-		spacing, earliest = max(spacing, tokens.spacing()), max(earliest, tokens.after(1))
+		spacing, earliest = max(spacing, tokens.spacing()), max(earliest, tokens.timeUntil(1))
 	}
 	retryIn := plan.reserve(now, retry{earliest: max(minRetry, earliest), spacing: spacing, timeout: w.timeout})
 	s.emit(Reject{Waiter: w.id, Reason: reason, Cause: cause, RetryIn: retryIn, Detail: causeTexts[cause].detail, Waited: now.Sub(w.since)})
--- a/internal/sched/roundtrip.go
+++ b/internal/sched/roundtrip.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// roundTripSpan is the period of which the smallest exchange is kept. Two
-	// periods count, so that a single slow exchange is no estimate for long.
+	// roundTripSpan is the length of a period. The estimate is the shortest exchange
+	// of the current and the previous period, so that a single slow exchange does not
+	// determine it for long.
 	roundTripSpan = 5 * time.Second
 	// roundTripValidity is how long an estimate counts after the latest answer.
 	// An endpoint whose only exchange was slow, because of a lost packet, gets
@@ -14,9 +15,9 @@
 
 // roundTrip estimates the round trip to an endpoint.
 type roundTrip struct {
-	current, previous time.Duration // smallest exchange of two periods, zero for none
+	current, previous time.Duration // shortest exchange of each period, zero for none
 	since             time.Time     // start of the current period
-	heardAt           time.Time     // time of the latest answer
+	answeredAt        time.Time     // time of the latest answer
 }
 
 // record records the duration of an exchange that waits for no slot.
@@ -28,13 +29,13 @@
 		}
 		r.current, r.since = 0, now
 	}
-	r.current, r.heardAt = smallest(r.current, took), now
+	r.current, r.answeredAt = smallest(r.current, took), now
 }
 
-// heard records an answer that took at least the given number of round trips.
-func (r *roundTrip) heard(now time.Time, took time.Duration, exchanges int) {
-	r.heardAt = now
-	if bound := took / time.Duration(exchanges); r.current != 0 || r.previous != 0 {
+// recordAnswer records an answer that took at least the given number of round trips.
+func (r *roundTrip) recordAnswer(now time.Time, took time.Duration, roundTrips int) {
+	r.answeredAt = now
+	if bound := took / time.Duration(roundTrips); r.current != 0 || r.previous != 0 {
 		if bound < smallest(r.current, r.previous) {
 			r.record(now, bound)
 		}
@@ -43,7 +44,7 @@
 
 // estimate returns the round trip, or zero if it is not known.
 func (r *roundTrip) estimate(now time.Time) time.Duration {
-	if now.Sub(r.heardAt) > roundTripValidity {
+	if now.Sub(r.answeredAt) > roundTripValidity {
 		return 0
 	}
 	return smallest(r.current, r.previous)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -41,16 +41,16 @@
 	primary     Primary
 	owner       bool
 	serviceTime time.Duration // moving average duration of calls that occupied a slot
-	work        workTime
+	work        workTime      // of all endpoints together
 	lastConn    ConnID
 	nextArrival uint64
 	commands    []Command
 
 	turns         turns
-	nextTurns     map[accountClass]*float64 // after the waiting calls, see setOrder
+	nextTurns     map[accountClass]*float64 // turns behind the waiting calls, set by setOrder
 	grantsInOrder int                       // since the latest grant to the call that had waited longest
 	lateShare     lateShare
-	services      serviceTimes
+	services      serviceTimes // like serviceTime, by kind of call
 	retries       map[retryKey]*retryPlan
 }
 
@@ -250,7 +250,7 @@
 	if m.UsedSlot {
 		s.services.observe(m.Kind, m.Took, s.serviceTime)
 		s.recordWork(now, e, m)
-		s.serviceTime += (m.Took - s.serviceTime) / 16
+		s.serviceTime += (m.Took - s.serviceTime) / serviceSamples
 	}
 }
 
--- a/internal/sched/servable.go
+++ b/internal/sched/servable.go
@@ -8,7 +8,8 @@
 )
 
 // usualSwitchTime is the usual time until a primary that has drained for too
-// long is replaced.
+// long is replaced. It is also the least retry time of calls that evacuations
+// leave no endpoint for.
 const usualSwitchTime = 500 * time.Millisecond
 
 // servableAt returns when a call can be served at the earliest, disregarding the
--- a/internal/sched/servicetime.go
+++ b/internal/sched/servicetime.go
@@ -6,8 +6,8 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 )
 
-// serviceSamples is the number of calls whose durations dominate the moving
-// average of a kind.
+// serviceSamples is the number of calls whose durations dominate a moving average
+// of service times. The latest call has a weight of 1/serviceSamples.
 const serviceSamples = 16
 
 // CallKind is what the expected service time of a call depends on.
--- a/internal/sched/starvation_test.go
+++ b/internal/sched/starvation_test.go
@@ -18,7 +18,7 @@
 }
 
 // No call starves, whatever the priorities, targets and weights of the calls that
-// keep arriving: of oldestShare grants, one goes to the call that has waited
+// keep arriving: of oldestGrantInterval grants, one goes to the call that has waited
 // longest. The endpoint never runs more than its slots and slotSlack.
 func TestNoCallStarves(t *testing.T) {
 	assert.Fatal()
@@ -39,7 +39,7 @@
 					running = append(running, c.Conn)
 					for id, w := range waiting {
 						w.granted++
-						if limit := oldestShare * (w.ahead + 1); w.granted > limit {
+						if limit := oldestGrantInterval * (w.ahead + 1); w.granted > limit {
 							t.Fatalf("call %d still waits after %d grants, the limit is %d", id, w.granted, limit)
 						}
 					}
--- a/internal/sched/turns.go
+++ b/internal/sched/turns.go
@@ -14,7 +14,8 @@
 
 // turns shares the grants of each class between the accounts that have calls
 // waiting, in proportion to their weights (start-time fair queueing). An account
-// gains no credit while it has no calls waiting.
+// gains no credit while it has no calls waiting. A turn is the virtual start time
+// of a call, in grants of an account with the mean weight.
 type turns struct {
 	weights map[ident.Account]float64 // relative to the mean rate
 	classes map[class]*classTurns
@@ -22,8 +23,8 @@
 
 // classTurns are the turns in one class.
 type classTurns struct {
-	current float64 // turn of the latest grant
-	next    map[ident.Account]float64
+	current float64                   // turn of the latest grant
+	next    map[ident.Account]float64 // turn after the account's latest grant
 }
 
 func newTurns() turns { return turns{classes: make(map[class]*classTurns)} }
--- a/internal/sched/waiter.go
+++ b/internal/sched/waiter.go
@@ -27,10 +27,10 @@
 	since    time.Time
 	timeout  time.Duration // from since until the caller stops waiting
 	deadline time.Time     // when the call leaves the queue
-	target   time.Time     // when the call misses its target, zero if it can't
+	target   time.Time     // by when the call has to be answered, zero if it has no target before its deadline
 	arrival  uint64
-	late     bool    // see setOrder
-	turn     float64 // see setOrder
+	late     bool    // its target can't be met any more, set by setOrder
+	turn     float64 // its place among the calls of its class (see turns), set by setOrder
 	granted  bool    // it has left the queue
 	dial     ConnID  // the connection most recently opened for this call
 }
@@ -74,7 +74,7 @@
 			if !available {
 				at = s.servableAt(now, w.call)
 			}
-			late := s.tooLate(now, w, at)
+			late := s.unservable(now, w, at)
 			if late {
 				s.rejectUnservable(now, w, at)
 			}
