--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -118,8 +118,8 @@
 	return n
 }
 
-// monitorPrimary starts the replacement of a primary that is draining, evacuated
-// or gone.
+// monitorPrimary starts the replacement of a primary that is draining or evacuated,
+// has left the directory, or fails most calls. An idle primary is probed.
 func (el *Elector) monitorPrimary(now time.Time) {
 	s := el.servers[el.primary]
 	switch {
--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -99,9 +99,9 @@
 	// accepted it.
 	pendingSince time.Time
 	accepted     bool
-	// sentTerm is the newest term when the pending Promote was sent, and
+	// termAtPromote is the newest term when the pending Promote was sent, and
 	// acceptedTarget its target once it is accepted.
-	sentTerm       ident.Term
+	termAtPromote  ident.Term
 	acceptedTarget ident.Endpoint
 	// unsealedTerm is the term in which a replica lost the seal that a pending
 	// promotion depends on, so that the promotion may drop commits of the term.
--- a/internal/lead/evacuated.go
+++ b/internal/lead/evacuated.go
@@ -6,9 +6,9 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// Evacuated replaces the set of endpoints whose data centre is evacuated. A
-// Directory would do the same, but it would also repeat which endpoints were
-// listed as primary, which may be out of date.
+// Evacuated replaces the set of endpoints whose data centre is evacuated. It is
+// separate from Directory, which would also repeat which endpoints were listed as
+// primary, and that may be out of date.
 type Evacuated struct{ Endpoints []ident.Endpoint }
 
 func (Evacuated) message() {}
--- a/internal/lead/evacuation.go
+++ b/internal/lead/evacuation.go
@@ -15,8 +15,8 @@
 	return "it is draining"
 }
 
-// targetEvacuated reports whether the data centre of a planned switch's target
-// is evacuated and its promotion was not requested yet.
+// targetEvacuated reports whether the target of a planned switch is in an evacuated
+// data centre and its promotion was not requested yet.
 func (el *Elector) targetEvacuated() bool {
 	s := el.servers[el.target]
 	return s != nil && s.Evacuated && el.unusableSince.IsZero() && el.promoteSentAt.IsZero() && el.pendingTarget != el.target
--- a/internal/lead/failing.go
+++ b/internal/lead/failing.go
@@ -12,17 +12,18 @@
 	// calls. While it fails them, the report is repeated several times in this
 	// period.
 	failingValidity = 200 * time.Millisecond
-	// failingSwitchPause is the minimum time between a change of primary, or an
-	// attempt at one, and a switch because the primary fails calls. If every
-	// endpoint fails as primary, the group does not switch all the time.
+	// failingSwitchPause is the minimum time from a change of primary, or the
+	// latest attempt of such a switch, to a switch because the primary fails calls.
+	// It limits the switches of a group in which every endpoint fails as primary.
 	failingSwitchPause = 10 * time.Second
 )
 
 // failingPrimary is what is known of a primary that answers control statements
 // and fails most calls.
 type failingPrimary struct {
-	since, reportedAt time.Time
-	unfit             []ident.Endpoint // replicas that fail calls themselves
+	since      time.Time        // first report after a period without a valid one
+	reportedAt time.Time        // latest report, zero before the first one
+	unfit      []ident.Endpoint // replicas that fail calls themselves
 	// switchedAt is when the primary last changed or a switch because of its
 	// failures was last attempted.
 	switchedAt time.Time
@@ -31,6 +32,7 @@
 	switching bool
 }
 
+// reported reports whether the latest report is still valid.
 func (f *failingPrimary) reported(now time.Time) bool {
 	return !f.reportedAt.IsZero() && now.Sub(f.reportedAt) <= failingValidity
 }
@@ -48,7 +50,8 @@
 
 // mustReplaceFailing reports whether a primary that fails most calls is to be
 // replaced now. It probes the replicas first: the switch needs a seal from each
-// of them, and seals of a switch that is not completed stay in place.
+// of them, and seals of a switch that is not completed stay in place. If such
+// seals are left, the latest report stays valid.
 func (el *Elector) mustReplaceFailing(now time.Time) bool {
 	paused := !el.failing.switchedAt.IsZero() && now.Sub(el.failing.switchedAt) < failingSwitchPause
 	if !paused && el.leftSealed() {
@@ -89,7 +92,8 @@
 // calls itself.
 func (el *Elector) unfit(id ident.Endpoint) bool { return slices.Contains(el.failing.unfit, id) }
 
-// startSwitch starts to replace a primary that still answers.
+// startSwitch starts to replace a primary that still answers. failing is set if
+// the reason is that it fails most calls.
 func (el *Elector) startSwitch(now time.Time, reason string, failing bool) {
 	el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
 	el.failing.switching = failing
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -75,6 +75,7 @@
 // FailureKind is the kind of an endpoint failure.
 type FailureKind uint8
 
+// The kinds of endpoint failure.
 const (
 	// Unanswered means that the endpoint did not answer.
 	Unanswered FailureKind = iota + 1
--- a/internal/lead/observe.go
+++ b/internal/lead/observe.go
@@ -100,8 +100,8 @@
 	if m.Endpoint == el.primary {
 		el.provedAt = now
 	}
-	replaced := el.state == Doubting && m.Endpoint != el.primary
-	if m.Term > el.term && (el.state == Sealing || replaced) {
+	replacesDoubted := el.state == Doubting && m.Endpoint != el.primary
+	if m.Term > el.term && (el.state == Sealing || replacesDoubted) {
 		el.primary, el.term = m.Endpoint, m.Term
 		el.settleLatePromotion()
 		if !el.mustFinishPromotion(now) {
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -36,7 +36,7 @@
 			el.unsealedTerm = 0
 		}
 		el.promoteSentAt, el.pendingSince, el.accepted = now, now, false
-		el.pendingTarget, el.sentTerm = el.target, el.newestTerm
+		el.pendingTarget, el.termAtPromote = el.target, el.newestTerm
 		el.emit(Promote{Endpoint: el.target, Epoch: el.epoch})
 		el.emit(BroadcastProgress{})
 	}
@@ -87,8 +87,8 @@
 		return false
 	}
 	limit := latePromotionLimit
-	if el.accepted && !now.Before(el.lateUntil) { // no earlier copy may arrive late
-		limit = promotionTimeout
+	if el.accepted && !now.Before(el.lateUntil) {
+		limit = promotionTimeout // no earlier copy can still take effect
 	}
 	return now.Sub(el.pendingSince) < limit
 }
@@ -177,10 +177,10 @@
 
 // overtaken reports whether a promotion of this instance was accepted and may
 // still take effect, although a later term has begun by another promotion. The
-// seals of the accepted one do not keep commits of that term from being
-// acknowledged.
+// seals of the accepted one do not prevent commits of that term from being
+// acknowledged, so it may drop them.
 func (el *Elector) overtaken(now time.Time) bool {
-	return el.accepted && el.promotionPending(now) && el.newestTerm > el.sentTerm && el.primary != el.acceptedTarget
+	return el.accepted && el.promotionPending(now) && el.newestTerm > el.termAtPromote && el.primary != el.acceptedTarget
 }
 
 // updateWrites refuses writes to the present primary while a pending promotion
--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -20,8 +20,8 @@
 	Sealing
 	// Promoting means that a replica is being promoted.
 	Promoting
-	// Switching means that a draining or evacuated primary is being replaced
-	// while it serves.
+	// Switching means that a primary that still answers is being replaced: it is
+	// draining or evacuated, or fails most calls.
 	Switching
 )
 
