--- a/internal/evac/tracker.go
+++ b/internal/evac/tracker.go
@@ -52,16 +52,18 @@
 func (Requested) message()   {}
 func (Connections) message() {}
 
-// Changed is an output of Tracker.Update: the state of a data centre changed,
-// after it had been in the state Before for After.
+// Changed is an output of Tracker.Update: the state of a data centre changed from
+// Before to State.
 type Changed struct {
 	DataCentre ident.DataCentre
 	State      State
 	Before     State
-	After      time.Duration
+	// BeforeFor is how long it was in that state, zero if it was in service.
+	BeforeFor time.Duration
 }
 
-// Tracker holds the states of the data centres that are not simply in service.
+// Tracker holds the states of the data centres. It stores none for those that are
+// in service.
 type Tracker struct {
 	states map[ident.DataCentre]entry
 }
@@ -78,8 +80,8 @@
 // State returns the state of a data centre.
 func (t *Tracker) State(dc ident.DataCentre) State { return t.states[dc].state }
 
-// Active reports whether a data centre may change its state by itself, so that
-// Connections are needed.
+// Active reports whether a data centre may change its state without a new request,
+// so that Connections are needed.
 func (t *Tracker) Active() bool {
 	for _, e := range t.states {
 		if e.state != Evacuated {
@@ -135,7 +137,7 @@
 	before := t.states[dc]
 	c := Changed{DataCentre: dc, State: s, Before: before.state}
 	if !before.since.IsZero() {
-		c.After = now.Sub(before.since)
+		c.BeforeFor = now.Sub(before.since)
 	}
 	t.states[dc] = entry{state: s, since: now}
 	if s == InService {
--- a/internal/evac/tracker_test.go
+++ b/internal/evac/tracker_test.go
@@ -46,7 +46,7 @@
 			}
 			var out strings.Builder
 			for _, c := range changes {
-				fmt.Fprintf(&out, "%s: %s, was %s for %s\n", c.DataCentre, c.State, c.Before, c.After)
+				fmt.Fprintf(&out, "%s: %s, was %s for %s\n", c.DataCentre, c.State, c.Before, c.BeforeFor)
 			}
 			return out.String()
 		})
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -28,7 +28,7 @@
 	endpoint  ident.Endpoint
 	variables map[string]string
 	prepared  map[engine.StatementTemplate]string
-	setups    int // exchanges that set up a session's state
+	setups    int // number of exchanges that set up a session's state
 	// aborted is set when nothing more may be sent. committing is set before a
 	// call that may commit is sent. Each is set before the other one is read, so
 	// a commit is either not sent or waited for.
@@ -47,11 +47,11 @@
 	}
 }
 
-// apply sets the session's variables on the connection and prepares the
+// setUp sets the session's variables on the connection and prepares the
 // statement, by the deadline of the call. All requests are sent together, which
 // takes one round trip. None of them reads or changes data, so nothing has run
 // if one of them fails.
-func (c *endpointConn) apply(variables []engine.Variable, s engine.Statement, deadline time.Time) error {
+func (c *endpointConn) setUp(variables []engine.Variable, s engine.Statement, deadline time.Time) error {
 	var requests []Request
 	if c.hasStaleVariables(variables) {
 		requests = append(requests, Request{Control: Reset})
@@ -86,14 +86,14 @@
 	return shared < len(c.variables)
 }
 
-// sendSetup sends the requests of apply. After an error the connection must not
+// sendSetup sends the requests of setUp. After an error the connection must not
 // be used again, because the endpoint's state is not known.
 func (c *endpointConn) sendSetup(requests []Request, deadline time.Time) error {
 	if len(requests) == 0 {
 		return nil
 	}
 	c.setups++
-	left, err := c.timeLeft(deadline)
+	left, err := c.sendTimeout(deadline)
 	if err != nil {
 		return err
 	}
@@ -110,7 +110,7 @@
 }
 
 // run sends one statement. An Execute runs under the endpoint's name of the
-// prepared statement, which apply has prepared.
+// prepared statement, which setUp has prepared.
 func (c *endpointConn) run(s engine.Statement, after ident.LogPosition, deadline time.Time) (engine.Answer, error) {
 	r := Request{Statement: s, After: after}
 	if s.Op == engine.Execute {
@@ -122,16 +122,17 @@
 // exchange sends one request, unless the deadline has passed or nothing more may
 // be sent on the connection.
 func (c *endpointConn) exchange(r Request, deadline time.Time) (engine.Answer, error) {
-	left, err := c.timeLeft(deadline)
+	left, err := c.sendTimeout(deadline)
 	if err != nil {
 		return engine.Answer{}, err
 	}
 	return c.Do(r, left)
 }
 
-// timeLeft returns the time that is left for a request that is sent now. It
-// returns an error if the request may not be sent.
-func (c *endpointConn) timeLeft(deadline time.Time) (time.Duration, error) {
+// sendTimeout returns the time until the deadline, for a request that is sent now.
+// It returns an error if the deadline has passed or nothing more may be sent on the
+// connection.
+func (c *endpointConn) sendTimeout(deadline time.Time) (time.Duration, error) {
 	if !c.mayUse() || c.aborted.Load() {
 		return 0, errAborted
 	}
--- a/internal/relay/conn_test.go
+++ b/internal/relay/conn_test.go
@@ -63,7 +63,7 @@
 func runOn(c *endpointConn, variables ...engine.Variable) error {
 	s := engine.Statement{ID: "r1", Op: engine.Execute, Template: engine.StatementTemplate{Access: engine.ReadAccess, Text: "q"}, Argument: "1"}
 	deadline := clock.Now().Add(time.Second)
-	if err := c.apply(variables, s, deadline); err != nil {
+	if err := c.setUp(variables, s, deadline); err != nil {
 		return err
 	}
 	_, err := c.run(s, ident.LogPosition{}, deadline)
--- a/internal/relay/datacentre.go
+++ b/internal/relay/datacentre.go
@@ -19,7 +19,8 @@
 	reportDataCentres(changes)
 }
 
-// trackDataCentres reports what has changed since the last call.
+// trackDataCentres passes the number of connections to each data centre to the
+// tracker.
 func (n *Node) trackDataCentres(now time.Time) {
 	n.mu.Lock()
 	if !n.dataCentres.Active() {
@@ -27,15 +28,15 @@
 		return
 	}
 	m := evac.Connections{Count: make(map[ident.DataCentre]int)}
-	places := make(map[ident.Endpoint]ident.DataCentre, len(n.directoryEntries))
+	dataCentres := make(map[ident.Endpoint]ident.DataCentre, len(n.directoryEntries))
 	for _, e := range n.directoryEntries {
-		places[e.Endpoint.ID] = e.Endpoint.DataCentre
+		dataCentres[e.Endpoint.ID] = e.Endpoint.DataCentre
 	}
 	for _, limits := range n.catalog.Load().Groups {
 		m.ColdTime = max(m.ColdTime, limits.ColdTime)
 	}
 	for _, r := range n.runners {
-		r.pool.countConns(places, m.Count)
+		r.pool.countConns(dataCentres, m.Count)
 	}
 	changes := n.dataCentres.Update(now, m)
 	n.mu.Unlock()
@@ -43,11 +44,11 @@
 }
 
 // countConns adds the connections to the endpoints of each data centre to count.
-func (p *GroupPool) countConns(places map[ident.Endpoint]ident.DataCentre, count map[ident.DataCentre]int) {
+func (p *GroupPool) countConns(dataCentres map[ident.Endpoint]ident.DataCentre, count map[ident.DataCentre]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
-		if dc, ok := places[c.endpoint]; ok {
+		if dc, ok := dataCentres[c.endpoint]; ok {
 			count[dc]++
 		}
 	}
@@ -64,7 +65,7 @@
 			metrics.GetOrCreateGauge(name, nil).Set(value)
 		}
 		if c.State == evac.Evacuated {
-			trace.Event("DataCentreEmpty", "DataCentre", c.DataCentre, "Took", c.After.String())
+			trace.Event("DataCentreEmpty", "DataCentre", c.DataCentre, "Took", c.BeforeFor.String())
 		}
 	}
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -34,11 +34,11 @@
 		}
 	}
 	runners := maps.Clone(n.runners)
-	entries = n.allEndpoints()
+	endpoints := n.allEndpoints()
 	n.mu.Unlock()
 	trace.Event("DirectoryInForce", "Revision", revision, "Before", before, "Source", source, "Endpoints", len(all))
 	for g, r := range runners {
-		r.setEndpoints(entries[g])
+		r.setEndpoints(endpoints[g])
 	}
 	n.announceVersions() // the other instances may not be following the store
 }
--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -21,7 +21,7 @@
 	now := clock.Now()
 	n.mu.Lock()
 	l := &n.evacuations
-	before, first := l.revision, !l.settled()
+	before, first := l.revision, !l.ready()
 	if !l.enabled || !l.replace(now, e) {
 		n.mu.Unlock()
 		return
@@ -98,7 +98,7 @@
 // while the evacuations are not known, because nothing may reach an endpoint that
 // was evacuated before this instance started. The caller holds the mutex.
 func (n *Node) endpointsOf(g ident.Group) []sched.Endpoint {
-	if !n.evacuations.settled() {
+	if !n.evacuations.ready() {
 		return nil
 	}
 	all, coldTime := slices.Clone(n.endpoints[g]), n.catalog.Load().Groups[g].ColdTime
@@ -152,8 +152,8 @@
 	}
 }
 
-// receiveEvacuations applies a set of another instance, which may be one without
-// a revision only by mistake.
+// receiveEvacuations applies a set of another instance. A set without a revision is
+// invalid and ignored, because an instance that knows no set sends none.
 func (n *Node) receiveEvacuations(from ident.Instance, m peer.EvacuationList) {
 	if m.Revision != 0 {
 		n.SetEvacuations(Evacuations{Revision: m.Revision, DataCentres: m.DataCentres}, string(from))
--- a/internal/relay/evacuation_list.go
+++ b/internal/relay/evacuation_list.go
@@ -36,11 +36,11 @@
 type evacuationList struct {
 	enabled bool
 	known   bool // a set has been received
-	// proceeding is set if the instance serves although it knows no set.
-	proceeding   bool
+	// proceeded is set once the instance serves although it knows no set.
+	proceeded    bool
 	configuredAt time.Time // when the wait for the set began
 	revision     ident.Revision
-	read         ident.Revision // the store's version of its latest answer
+	read         ident.Revision // the newest version of the store that this instance has read
 	dataCentres  []ident.DataCentre
 	fetch        fetcher[ident.Revision]
 	sourceAt     time.Time // of the latest heartbeat of a follower that knows the set
@@ -63,7 +63,7 @@
 		// A peer's set was wrong, and the peers have to learn of the right one.
 		revision = e.Read
 	case l.known && !fromStore && (revision <= l.revision || revision <= l.read):
-		// The store would have told this instance of a change that old.
+		// This instance has read the store at or after the peer's revision.
 		l.fetch.received(now, max(revision, l.revision))
 		return false
 	}
@@ -92,19 +92,20 @@
 	return now.Sub(l.sourceAt) < evacuationSourceTimeout
 }
 
-// settled reports whether endpoints may be used.
-func (l *evacuationList) settled() bool { return !l.enabled || l.known || l.proceeding }
+// ready reports whether endpoints may be used: the set is known, evacuations are
+// ignored, or the instance has waited long enough for the set.
+func (l *evacuationList) ready() bool { return !l.enabled || l.known || l.proceeded }
 
 // proceed reports, once, that the instance has waited long enough for the set.
 func (l *evacuationList) proceed(now time.Time, configured bool) bool {
 	switch {
-	case l.settled() || !configured:
+	case l.ready() || !configured:
 		return false
 	case l.configuredAt.IsZero():
 		l.configuredAt = now
 	}
-	l.proceeding = now.Sub(l.configuredAt) >= evacuationsWait
-	return l.proceeding
+	l.proceeded = now.Sub(l.configuredAt) >= evacuationsWait
+	return l.proceeded
 }
 
 func (l *evacuationList) includes(dc ident.DataCentre) bool {
--- a/internal/relay/evacuation_returns.go
+++ b/internal/relay/evacuation_returns.go
@@ -14,22 +14,24 @@
 const maxReturnAge = 2 * time.Minute
 
 // returns holds when data centres returned from an evacuation. An instance that
-// starts learns it from its peers: it would otherwise send as much to the cold
-// endpoints there as to others, and may become the owner at once.
+// starts learns of returns from its peers, because it may become the owner of a
+// group at once and would otherwise send as much to the cold endpoints there as to
+// others.
 type returns map[ident.DataCentre]returned
 
-// returned is one return. The schedulers know of it already if this instance saw
-// it itself.
+// returned is one return from an evacuation.
 type returned struct {
-	at   time.Time
-	seen bool
+	at time.Time
+	// observed is set if this instance saw the data centre leave the set. Its
+	// schedulers then know of the return without this entry.
+	observed bool
 }
 
 // update records the data centres that are missing from a newer set.
 func (r returns) update(now time.Time, before, after []ident.DataCentre) {
 	for _, dc := range before {
 		if !slices.Contains(after, dc) {
-			r[dc] = returned{at: now, seen: true}
+			r[dc] = returned{at: now, observed: true}
 		}
 	}
 	for _, dc := range after {
@@ -37,7 +39,8 @@
 	}
 }
 
-// learn records what a peer reports. It reports whether that is new.
+// learn records the returns that a peer reports. It returns whether one of them is
+// new.
 func (r returns) learn(now time.Time, all []peer.DataCentreReturn) bool {
 	changed := false
 	for _, p := range all {
@@ -63,10 +66,10 @@
 	return all
 }
 
-// age returns how long ago a data centre returned, according to a peer. It is very
-// large for one that did not.
+// age returns how long ago a data centre returned, according to a peer. It is the
+// longest duration if no peer reported a return or this instance saw it.
 func (r returns) age(now time.Time, dc ident.DataCentre) time.Duration {
-	if p, ok := r[dc]; ok && !p.seen {
+	if p, ok := r[dc]; ok && !p.observed {
 		return now.Sub(p.at)
 	}
 	return math.MaxInt64
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -120,7 +120,7 @@
 	}
 	defer f.closeCaller(c, s.id)
 	defer f.removeSession(s)
-	ctx, cancel := s.untilCallerLeft(ctx)
+	ctx, cancel := s.contextUntilCallerLeft(ctx)
 	defer cancel()
 	if err := c.FinishLogin(engine.NoReason); err != nil {
 		return errors.Wrap(err, "accept login")
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -195,7 +195,7 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.catalog.Load().Version > 0 && n.directoryLoaded && n.evacuations.settled() && !n.leaving
+	return n.catalog.Load().Version > 0 && n.directoryLoaded && n.evacuations.ready() && !n.leaving
 }
 
 // ConfigVersion returns the version of the configuration in force.
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -31,7 +31,8 @@
 }
 
 // reportOutcome reports how an endpoint served a statement, unless the pool
-// itself gave up the answer. The connection still counts as in use.
+// itself gave up the answer. It has to be called before the connection is released,
+// because the scheduler compares a missing slot with its count of running calls.
 func (p *GroupPool) reportOutcome(call *engine.Call, e ident.Endpoint, a engine.Answer, err error) {
 	if r, ok := callResult(a, err); ok && !p.isAbandoned() {
 		p.Update(sched.EndpointOutcome{Endpoint: e, Account: call.Account, Result: r})
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -103,8 +103,8 @@
 	config, configDue := n.configFetch.due(now)
 	directory, directoryDue := n.directoryFetch.due(now)
 	members, membersDue := n.memberFetch.due(now)
-	evacuations := n.evacuations.revision
-	informed, evacuationsDue := n.evacuations.fetch.due(now)
+	evacuationRevision := n.evacuations.revision
+	evacuationSource, evacuationsDue := n.evacuations.fetch.due(now)
 	n.mu.Unlock()
 	if configDue {
 		n.mesh.Offer(config, peer.DocumentRequest{Version: version})
@@ -116,7 +116,7 @@
 		n.mesh.Offer(members, peer.MemberRequest{Revision: roster})
 	}
 	if evacuationsDue {
-		n.mesh.Offer(informed, peer.EvacuationRequest{Revision: evacuations})
+		n.mesh.Offer(evacuationSource, peer.EvacuationRequest{Revision: evacuationRevision})
 	}
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -273,7 +273,7 @@
 // send sends the call's requests one after the other, so that no statement
 // follows one that was refused.
 func (p *GroupPool) send(call *engine.Call, g grant, deadline time.Time) (engine.Answer, error) {
-	if err := g.conn.apply(call.Variables, call.Statement, deadline); err != nil {
+	if err := g.conn.setUp(call.Variables, call.Statement, deadline); err != nil {
 		return engine.Answer{}, err
 	}
 	after := g.After
@@ -283,7 +283,7 @@
 		if err != nil || !a.OK() {
 			return a, err
 		}
-		p.measured(g.Endpoint, began)
+		p.reportRoundTrip(g.Endpoint, began)
 		after = ident.LogPosition{}
 	}
 	return g.conn.run(call.Statement, after, deadline)
@@ -339,7 +339,7 @@
 func (p *GroupPool) runInTx(call *engine.Call, c *endpointConn, deadline time.Time) (engine.Answer, error) {
 	for {
 		began, setups := clock.Now(), c.setups
-		if err := c.apply(call.Variables, call.Statement, deadline); err != nil {
+		if err := c.setUp(call.Variables, call.Statement, deadline); err != nil {
 			return engine.Answer{}, err
 		}
 		a, err := c.run(call.Statement, ident.LogPosition{}, deadline)
--- a/internal/relay/pool_evacuation.go
+++ b/internal/relay/pool_evacuation.go
@@ -16,8 +16,8 @@
 var errAborted = errors.Wrap(errSetup, "connection aborted")
 
 // mayUse reports whether a request may be sent on a connection now. If the time
-// of its endpoint is over, the scheduler aborts it and all others there, as it
-// does on a Tick.
+// limit of its evacuated endpoint has passed, the scheduler aborts all connections
+// to the endpoint, as it does on a Tick.
 func (p *GroupPool) mayUse(id sched.ConnID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/pool_evacuation_test.go
+++ b/internal/relay/pool_evacuation_test.go
@@ -345,7 +345,7 @@
 		p.release(rolledBack.conn, true)
 		synctest.Wait()
 		variables := []engine.Variable{{Name: "a", Value: "b"}}
-		err := open.conn.apply(variables, engine.Statement{Op: engine.Write}, clock.Now().Add(time.Second))
+		err := open.conn.setUp(variables, engine.Statement{Op: engine.Write}, clock.Now().Add(time.Second))
 		g.Expect(err).To(MatchError(errAborted))
 		g.Expect(r.ops("a")).To(Equal(before))
 	})
--- a/internal/relay/roundtrip.go
+++ b/internal/relay/roundtrip.go
@@ -13,9 +13,9 @@
 // for the first exchange of the protocol.
 const dialRoundTrips = 2
 
-// measured reports the round trip of an exchange that began at the given time
+// reportRoundTrip reports the round trip of an exchange that began at the given time
 // and took no slot.
-func (p *GroupPool) measured(e ident.Endpoint, began time.Time) {
+func (p *GroupPool) reportRoundTrip(e ident.Endpoint, began time.Time) {
 	p.Update(sched.EndpointObserved{Endpoint: e, Began: began, RoundTrip: clock.Now().Sub(began)})
 }
 
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -133,6 +133,7 @@
 	defer r.abandon(number, target, call, answer)
 	timer := time.NewTimer(call.Timeout + answerMargin)
 	defer timer.Stop()
+	// After a withdrawal, done is nil and only the answer is waited for.
 	for done := ctx.Done(); ; done = nil {
 		select {
 		case m, ok := <-answer:
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -23,10 +23,10 @@
 	location TxLocation
 	id       ident.Session
 
-	writing sync.Mutex // held while an answer is written
-	mu      sync.Mutex
-	open    *openStatement          // the statement that has been read and not been answered, or nil
-	leave   context.CancelCauseFunc // ends the calls of a caller that has left, nil once called
+	writing     sync.Mutex // held while an answer is written
+	mu          sync.Mutex
+	open        *openStatement          // the statement that has been read and not been answered, or nil
+	cancelCalls context.CancelCauseFunc // ends the calls of a caller that has left, nil once called
 }
 
 // openStatement is a statement that has been read and not been answered.
--- a/internal/relay/withdraw.go
+++ b/internal/relay/withdraw.go
@@ -85,7 +85,7 @@
 	f.mu.Unlock()
 	for _, s := range waiting {
 		if s.caller.Disconnected() {
-			s.callerLeft()
+			s.withdrawCalls()
 		}
 	}
 }
@@ -95,26 +95,26 @@
 func (s *session) waitingSince(at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open != nil && s.open.call != nil && s.open.began.Before(at) && s.leave != nil
+	return s.open != nil && s.open.call != nil && s.open.began.Before(at) && s.cancelCalls != nil
 }
 
-// untilCallerLeft returns a context that ends when the caller is found to have
-// left.
-func (s *session) untilCallerLeft(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, leave := context.WithCancelCause(parent)
+// contextUntilCallerLeft returns a context that ends when the caller is found to
+// have left.
+func (s *session) contextUntilCallerLeft(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leave = leave
-	return ctx, func() { leave(nil) }
+	s.cancelCalls = cancel
+	return ctx, func() { cancel(nil) }
 }
 
-// callerLeft ends the context of the session.
-func (s *session) callerLeft() {
+// withdrawCalls ends the context of a session whose caller has disconnected, once.
+func (s *session) withdrawCalls() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leave != nil {
+	if s.cancelCalls != nil {
 		callersLeft.Inc()
-		s.leave(errCallerLeft)
-		s.leave = nil
+		s.cancelCalls(errCallerLeft)
+		s.cancelCalls = nil
 	}
 }
