--- a/internal/quota/ahead.go
+++ b/internal/quota/ahead.go
@@ -6,16 +6,17 @@
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
-// aheadStep is by how much the limit grows when a grant was used whole. Small
-// steps keep the share of operations that expire unused small.
+// aheadStep is by how many operations the limit grows each time that all granted
+// operations were used. Small steps keep the share of operations that expire unused
+// small.
 const aheadStep = 0.25
 
 // aheadLimit limits how many operations are requested at once after some of
 // them expired unused. The zero value does not limit.
 type aheadLimit struct {
-	granted ident.Tokens // since none were left
+	granted ident.Tokens // operations granted since none were left
 	limited bool
-	size    float64
+	size    float64 // the limit in operations, if limited is set
 }
 
 // receive records a grant. left operations were available before.
@@ -35,8 +36,8 @@
 	l.limited = true
 }
 
-// useUp records that no granted operation is left.
-func (l *aheadLimit) useUp() { l.size += aheadStep }
+// recordUsedUp records that no granted operation is left.
+func (l *aheadLimit) recordUsedUp() { l.size += aheadStep }
 
 // apply limits a number of operations. The limit ends when it exceeds the number
 // that is expected.
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -108,7 +108,7 @@
 	}
 	a.count--
 	if a.count == 0 {
-		a.ahead.useUp()
+		a.ahead.recordUsedUp()
 	}
 	return Decision{Result: Spent, Request: a.requestAhead(now, a.count)}, true
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -54,7 +54,7 @@
 	tokens    tokenBucket // updatedAt is zero until the first grant
 	quota     engine.Quota
 	plan      plan
-	refusedAt time.Time
+	refusedAt time.Time // when a request was last granted nothing, zero before the first one
 }
 
 // NewBucket returns a bucket that has granted nothing yet.
@@ -125,7 +125,8 @@
 	t.refill(now, q.Rate, math.Max(q.Burst, 1))
 }
 
-// untilNextToken returns the time until the bucket holds one token.
+// untilNextToken returns the time until the bucket holds one token. It is negative
+// if it holds more, and a second if the bucket does not refill.
 func untilNextToken(level, rate float64) time.Duration {
 	if rate <= 0 {
 		return time.Second
--- a/internal/quota/fallback.go
+++ b/internal/quota/fallback.go
@@ -16,15 +16,16 @@
 	// fallbackMemory is how long an instance remembers what it has spent of its
 	// share.
 	fallbackMemory = time.Second
-	// fallbackRetry is the shortest retry time of an operation that is refused
-	// meanwhile. A lost packet is sent again after 200 ms.
+	// fallbackRetry is the shortest retry time of an operation that is refused while
+	// the quota owner does not answer, unless the next token is due earlier. A lost
+	// packet is sent again after 200 ms.
 	fallbackRetry = 250 * time.Millisecond
 	// recentAnswer is how long the quota owner counts as reachable after its
 	// latest reply. One reply that is missing is then a lost message.
 	recentAnswer = time.Second
-	// wholeStart is the largest number of instances, as a fraction of the burst,
-	// that may start with a whole operation each.
-	wholeStart = 0.25
+	// wholeStartShare is the fraction of the burst that all instances together may
+	// start with if each of them starts with a whole operation.
+	wholeStartShare = 0.25
 )
 
 // fallback spends an instance's even share of the rate while the quota owner
@@ -42,8 +43,8 @@
 func (f *fallback) spend(now time.Time, q engine.Quota, instances int, whole bool) Decision {
 	rate := q.Rate * fallbackShare / float64(max(1, instances))
 	if now.Sub(f.tokens.updatedAt) > fallbackMemory {
-		f.tokens = tokenBucket{level: scatter(now), updatedAt: now.Add(-fallbackMemory)}
-		if whole || float64(instances) <= wholeStart*q.Burst {
+		f.tokens = tokenBucket{level: instanceFraction(now), updatedAt: now.Add(-fallbackMemory)}
+		if whole || float64(instances) <= wholeStartShare*q.Burst {
 			f.tokens = tokenBucket{level: 1, updatedAt: now}
 		}
 	}
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -22,7 +22,7 @@
 	goldenRatio = 0.6180339887
 )
 
-// promise is a token that one instance may take at a time.
+// promise is a token that is kept for one instance from a time on.
 type promise struct {
 	to ident.Instance
 	at time.Time
@@ -94,23 +94,25 @@
 // discard drops all promises.
 func (p *plan) discard() { p.promises = nil }
 
-// spread is a sequence of times that fills retrySpread evenly. It starts at a
+// spread is a sequence of retry times that fills retrySpread evenly. It starts at a
 // position that differs between instances, whose callers would otherwise all
 // retry at the same time after a restart.
-type spread struct{ position float64 }
+type spread struct {
+	position float64 // the latest time as a fraction of retrySpread, zero at first
+}
 
 // next returns the next time, at least a millisecond.
 func (s *spread) next(now time.Time) time.Duration {
 	if s.position == 0 {
-		s.position = scatter(now)
+		s.position = instanceFraction(now)
 	}
 	_, s.position = math.Modf(s.position + goldenRatio)
 	return max(time.Millisecond, time.Duration(s.position*float64(retrySpread)))
 }
 
-// scatter returns a number below one that differs between instances, which do
-// not ask in the same nanosecond.
-func scatter(now time.Time) float64 {
+// instanceFraction returns a number from zero to below one. It is derived from the
+// nanoseconds of the clock, so it differs between instances.
+func instanceFraction(now time.Time) float64 {
 	_, fraction := math.Modf(float64(now.Nanosecond()) * goldenRatio)
 	return fraction
 }
--- a/internal/quota/shortage.go
+++ b/internal/quota/shortage.go
@@ -24,11 +24,11 @@
 	// kept are the times from which the quota owner keeps a token for this
 	// instance.
 	kept        []time.Time
-	deniedUntil time.Time
+	deniedUntil time.Time // operations are refused without a request until then
 	spread      spread
 }
 
-// denial is a reply of the quota owner.
+// denial is a reply of the quota owner that grants nothing.
 type denial struct{ receivedAt, retryAt time.Time }
 
 // note records that the account is short.
