--- a/internal/disco/tracker.go
+++ b/internal/disco/tracker.go
@@ -18,11 +18,11 @@
 // Tracker holds the entries of the store and the endpoints that are kept without
 // one. It is not safe for concurrent use.
 type Tracker struct {
-	lost     bool
-	revision ident.Revision
-	entries  []sched.DirectoryEntry
-	kept     []sched.DirectoryEntry
-	keepTill time.Time
+	lost      bool // the store has failed since the last read
+	revision  ident.Revision
+	entries   []sched.DirectoryEntry
+	kept      []sched.DirectoryEntry
+	keepUntil time.Time
 }
 
 // NewTracker returns a tracker that has read no entries and keeps nothing.
@@ -36,7 +36,7 @@
 	case EntriesRead:
 		return t.read(now, m)
 	case Tick:
-		if !t.lost && len(t.kept) > 0 && !now.Before(t.keepTill) {
+		if !t.lost && len(t.kept) > 0 && !now.Before(t.keepUntil) {
 			t.kept = nil
 			return []Command{t.publish()}
 		}
@@ -50,14 +50,14 @@
 	t.revision, t.entries = m.Revision, slices.Clone(m.Entries)
 	if returned {
 		t.kept = slices.DeleteFunc(slices.Clone(m.InForce), func(e sched.DirectoryEntry) bool { return e.Endpoint.Draining })
-		t.keepTill = now.Add(keepTime)
-	} else if !now.Before(t.keepTill) {
+		t.keepUntil = now.Add(keepTime)
+	} else if !now.Before(t.keepUntil) {
 		t.kept = nil
 	}
 	t.kept = slices.DeleteFunc(t.kept, t.isListed)
 	commands := []Command{t.publish()}
 	if returned && len(t.kept) > 0 {
-		commands = append(commands, Wake{At: t.keepTill})
+		commands = append(commands, Wake{At: t.keepUntil})
 	}
 	return commands
 }
