--- a/internal/stand/emul/cold.go
+++ b/internal/stand/emul/cold.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// coldOverage and coldSlack are what a cold server tolerates beyond its rate.
+	// In any coldWindow, a cold server tolerates coldOverage times its rate plus
+	// coldSlack statements.
 	coldOverage = 1.5
 	coldSlack   = 5
 	// coldWindow is the time over which the statements are counted.
@@ -18,11 +19,12 @@
 	coldStep = time.Second
 )
 
-// coldTime is a time in which a server is cold: after a restart, and after its
+// coldPeriod is a period in which a server is cold: after a restart, or after its
 // data centre returned from an evacuation.
-type coldTime struct {
+type coldPeriod struct {
 	since, until time.Time
-	// restarted is set after a restart. Only then the server says so itself.
+	// restarted is set if the period follows a restart. Only then the server's entry
+	// states it.
 	restarted bool
 }
 
@@ -31,16 +33,17 @@
 func (s *Server) beginCold(restarted bool) {
 	if s.group.config.ColdRate > 0 {
 		now := time.Now()
-		s.colds = append(s.colds, coldTime{since: now, until: now.Add(s.group.config.ColdTime), restarted: restarted})
+		s.coldPeriods = append(s.coldPeriods, coldPeriod{since: now, until: now.Add(s.group.config.ColdTime), restarted: restarted})
 	}
 }
 
-// coldLeft returns for how much longer the server is cold, in whole steps.
+// coldLeft returns for how much longer the server is cold after a restart, rounded
+// up to a multiple of coldStep.
 func (s *Server) coldLeft() time.Duration {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	var left time.Duration
-	for _, c := range s.colds {
+	for _, c := range s.coldPeriods {
 		if c.restarted {
 			left = max(0, time.Until(c.until))
 		}
@@ -57,7 +60,7 @@
 	for _, g := range s.groups {
 		limit := int(g.config.ColdRate*coldOverage + coldSlack)
 		for _, server := range g.Servers() {
-			for _, c := range server.coldTimes() {
+			for _, c := range server.listColdPeriods() {
 				if n := server.busiest(c.since, c.until); !c.restarted && n > limit {
 					out = append(out, fmt.Sprintf("%d statements in a second at %s, cold for %s from %s, at most %d allowed",
 						n, server.id, c.until.Sub(c.since), c.since.UTC().Format(time.RFC3339Nano), limit))
@@ -69,10 +72,10 @@
 	return out
 }
 
-func (s *Server) coldTimes() []coldTime {
+func (s *Server) listColdPeriods() []coldPeriod {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	return slices.Clone(s.colds)
+	return slices.Clone(s.coldPeriods)
 }
 
 // busiest returns the most statements that the server received within a second
--- a/internal/stand/emul/server.go
+++ b/internal/stand/emul/server.go
@@ -32,7 +32,7 @@
 	ran            []Run
 	arrived        map[string]struct{} // IDs of all statements that were received
 	arrivals       []Arrival           // if the server is in a data centre
-	colds          []coldTime
+	coldPeriods    []coldPeriod
 }
 
 // Run records one execution of a statement.
--- a/internal/stand/lines/evacuate.go
+++ b/internal/stand/lines/evacuate.go
@@ -24,18 +24,19 @@
 	// The length of an evacuation. Some are withdrawn before the time limit.
 	minEvacuation = 2 * time.Second
 	maxEvacuation = 14 * time.Second
-	// bothShare is the inverse of the share of evacuations of two data centres.
-	bothShare = 4
+	// One of pairInterval evacuations, on average, is of two data centres.
+	pairInterval = 4
 	// storeRecovery is how long before a request the store must have no fault. An
 	// instance notices after up to 4 s that a call to the store is lost.
 	storeRecovery = 6 * time.Second
 	// requestTime is how long after a request the store must have no fault, so
 	// that all instances learn of it.
 	requestTime = 2 * time.Second
-	// heldDelay is how long after a link delivers held data a statement that was
-	// held may arrive.
+	// heldDelay is how long a statement that a link held may take to arrive after
+	// the link delivers it.
 	heldDelay = 300 * time.Millisecond
-	// evacuationStep is by how much a request is put off that can't be made.
+	// evacuationStep is by how much a request is delayed while other faults
+	// disturb it.
 	evacuationStep = time.Second
 )
 
@@ -63,7 +64,7 @@
 		}
 		random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 		count := 1
-		if len(all) > 2 && random.IntN(bothShare) == 0 {
+		if len(all) > 2 && random.IntN(pairInterval) == 0 {
 			count = 2
 		}
 		span := minEvacuation + time.Duration(random.Int64N(int64(maxEvacuation-minEvacuation)))
