--- a/internal/engine/catalog.go
+++ b/internal/engine/catalog.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// AccountRates returns the configured rates of the accounts.
+// AccountRates returns the configured rates of the accounts, in operations a
+// second.
 func (c *Catalog) AccountRates() map[ident.Account]float64 {
 	rates := make(map[ident.Account]float64, len(c.Accounts))
 	for _, a := range c.Accounts {
--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -141,9 +141,9 @@
 	}
 }
 
-// noReader reports whether evacuations leave no endpoint for reads that need
+// noReaderLeft reports whether evacuations leave no endpoint for reads that need
 // not be current.
-func (s *Scheduler) noReader() bool {
+func (s *Scheduler) noReaderLeft() bool {
 	evacuated := false
 	for _, e := range s.sorted {
 		if !e.leaving() {
@@ -154,9 +154,9 @@
 	return evacuated
 }
 
-// noPrimary reports whether evacuations leave no endpoint that may be the
+// noPrimaryLeft reports whether evacuations leave no endpoint that may be the
 // primary: the present one may not be used any more, and no other can take over.
-func (s *Scheduler) noPrimary(now time.Time) bool {
+func (s *Scheduler) noPrimaryLeft(now time.Time) bool {
 	evacuated := false
 	for _, e := range s.sorted {
 		switch {
@@ -180,9 +180,9 @@
 // evacuationsExclude reports whether evacuations leave no endpoint for a call.
 func (s *Scheduler) evacuationsExclude(now time.Time, c *engine.Call) bool {
 	if s.requirements(now, c).verifyPrimary {
-		return s.noPrimary(now)
+		return s.noPrimaryLeft(now)
 	}
-	return s.noReader()
+	return s.noReaderLeft()
 }
 
 // evacuationBlocks reports whether evacuations leave no endpoint for some of the
@@ -192,7 +192,7 @@
 		return false
 	}
 	primary := s.endpoints[s.primary.Endpoint]
-	return s.noReader() || s.noPrimary(now) || primary != nil && s.evacuationExpired(now, primary)
+	return s.noReaderLeft() || s.noPrimaryLeft(now) || primary != nil && s.evacuationExpired(now, primary)
 }
 
 // returnExpectedAt returns when a call should be tried again that no endpoint may
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -156,9 +156,9 @@
 	ColdTime time.Duration
 }
 
-// Weights carries the configured rates of the accounts. Accounts share the
-// connections in proportion to their rates. Without rates, all accounts have
-// equal shares.
+// Weights carries the configured rates of the accounts, in operations a second.
+// Accounts share the connections in proportion to their rates. Without rates, all
+// accounts have equal shares.
 type Weights struct{ Rates map[ident.Account]float64 }
 
 // Primary names the group's primary. Usable is false while the primary can't
--- a/internal/sched/servable.go
+++ b/internal/sched/servable.go
@@ -32,7 +32,7 @@
 			earliest = at
 		}
 	}
-	if s.noReader() {
+	if s.noReaderLeft() {
 		return s.returnExpectedAt(now)
 	}
 	return earliest
@@ -47,7 +47,7 @@
 
 // primaryUsableAt returns when the primary can serve a call.
 func (s *Scheduler) primaryUsableAt(now time.Time, c *engine.Call) time.Time {
-	if s.noPrimary(now) {
+	if s.noPrimaryLeft(now) {
 		return s.returnExpectedAt(now)
 	}
 	if !s.primary.Usable {
