--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -107,7 +107,7 @@
 
 // isShort reports whether the account is short of operations.
 func (b *Bucket) isShort(now time.Time, q engine.Quota) bool {
-	return !b.refusedAt.IsZero() && now.Sub(b.refusedAt) < shortTime || b.tokens.level < nearlyEmpty*q.Burst
+	return !b.refusedAt.IsZero() && now.Sub(b.refusedAt) < shortageTime || b.tokens.level < nearlyEmpty*q.Burst
 }
 
 // Refund puts back one operation that did not run.
--- a/internal/quota/shortage.go
+++ b/internal/quota/shortage.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// shortTime is how long an account counts as short after a refusal.
-	shortTime = time.Second
+	// shortageTime is how long an account counts as short after a refusal.
+	shortageTime = time.Second
 	// nearlyEmpty is the fraction of the burst below which an account is short.
 	nearlyEmpty = 0.25
 	// localDenial is how long an instance refuses operations without a request
@@ -32,7 +32,7 @@
 type denial struct{ receivedAt, retryAt time.Time }
 
 // note records that the account is short.
-func (s *shortage) note(now time.Time) { s.until = now.Add(shortTime) }
+func (s *shortage) note(now time.Time) { s.until = now.Add(shortageTime) }
 
 // isShort reports whether the account is short.
 func (s *shortage) isShort(now time.Time) bool { return now.Before(s.until) }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -43,6 +43,14 @@
 	n.announceVersions() // the other instances may not be following the store
 }
 
+// Directory returns the endpoints of all groups. The caller must not change
+// them.
+func (n *Node) Directory() []sched.DirectoryEntry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.directoryEntries
+}
+
 // Draining reports whether an endpoint is known to be draining.
 func (n *Node) Draining(id ident.Endpoint) bool {
 	n.mu.Lock()
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -90,7 +90,7 @@
 // behind it run before it because they have waited longest.
 func (s *Scheduler) waitInOrder(now time.Time, w *waiter) time.Duration {
 	w.turn = *s.nextTurn(w.accountClass())
-	var before, late, behind work
+	var before, late, behind serviceDemand
 	for _, other := range s.waiting {
 		service := s.expectedService(other)
 		switch {
@@ -103,18 +103,19 @@
 		}
 	}
 	slots := s.slotsFor(now, w.call)
-	wait := slots.time(w.call, before) + time.Duration(float64(slots.time(w.call, late))/s.lateShare.value())
-	wait += min(wait/(oldestGrantInterval-1), slots.time(w.call, behind))
+	wait := slots.occupiedTime(w.call, before) + time.Duration(float64(slots.occupiedTime(w.call, late))/s.lateShare.value())
+	wait += min(wait/(oldestGrantInterval-1), slots.occupiedTime(w.call, behind))
 	return max(wait, s.tokenWait(now, w))
 }
 
-// work is the time that a set of calls occupies slots.
-type work struct {
+// serviceDemand is the expected time that a set of calls occupies slots, including
+// round trips.
+type serviceDemand struct {
 	primaryOnly time.Duration
 	anywhere    time.Duration
 }
 
-func (k *work) add(w *waiter, service time.Duration) {
+func (k *serviceDemand) add(w *waiter, service time.Duration) {
 	if w.call.PrimaryOnly {
 		k.primaryOnly += service
 	} else {
@@ -149,9 +150,9 @@
 	return usable
 }
 
-// time returns how long the slots that can run a call are occupied by work.
+// occupiedTime returns how long the slots that can run a call are occupied by k.
 // Calls that run anywhere use the slots of the primary in proportion.
-func (n slots) time(c *engine.Call, k work) time.Duration {
+func (n slots) occupiedTime(c *engine.Call, k serviceDemand) time.Duration {
 	total := time.Duration(max(1, n.primary+n.replicas))
 	if c.PrimaryOnly {
 		return k.primaryOnly/time.Duration(max(1, n.primary)) + k.anywhere/total
