--- a/internal/sched/servable.go
+++ b/internal/sched/servable.go
@@ -8,7 +8,8 @@
 )
 
 // usualSwitchTime is the usual time until a primary that has drained for too
-// long is replaced.
+// long is replaced. It is also the least retry time of calls that evacuations
+// leave no endpoint for.
 const usualSwitchTime = 500 * time.Millisecond
 
 // servableAt returns when a call can be served at the earliest, disregarding the
@@ -31,7 +32,7 @@
 			earliest = at
 		}
 	}
-	if s.noReader() {
+	if s.noReaderLeft() {
 		return s.returnExpectedAt(now)
 	}
 	return earliest
@@ -46,7 +47,7 @@
 
 // primaryUsableAt returns when the primary can serve a call.
 func (s *Scheduler) primaryUsableAt(now time.Time, c *engine.Call) time.Time {
-	if s.noPrimary(now) {
+	if s.noPrimaryLeft(now) {
 		return s.returnExpectedAt(now)
 	}
 	if !s.primary.Usable {
