--- a/internal/lead/switchover.go
+++ b/internal/lead/switchover.go
@@ -1,8 +1,6 @@
 package lead
 
-import (
-	"time"
-)
+import "time"
 
 // This file replaces a primary that still serves: it drains, is evacuated or
 // fails most of its calls.
