--- a/internal/relay/pool_evacuation_test.go
+++ b/internal/relay/pool_evacuation_test.go
@@ -170,17 +170,24 @@
 	})
 }
 
+// runInBackground runs a call and returns the channel of its answer.
+func runInBackground(p *GroupPool, call *engine.Call) <-chan engine.Answer {
+	answered := make(chan engine.Answer, 1)
+	p.tasks.Go(func(ctx context.Context) error {
+		a, _ := p.Run(ctx, "i", call)
+		answered <- a
+		return nil
+	})
+	return answered
+}
+
 // A statement of a transaction that runs when the time is over is aborted. The
 // endpoint did not fail, so the primary must not be suspected.
 func TestEvacuationAbortsRunningStatement(t *testing.T) {
 	evacuatedPool(t, 300*time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
 		tx := begin(g, p)
 		r.slow(time.Minute)
-		answered := make(chan engine.Answer, 1)
-		go func() {
-			a, _ := p.Run(context.Background(), "i", next(tx, engine.Write))
-			answered <- a
-		}()
+		answered := runInBackground(p, next(tx, engine.Write))
 		synctest.Wait()
 		evacuate(p)
 		a := <-answered
@@ -198,11 +205,7 @@
 	evacuatedPool(t, 300*time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
 		tx := begin(g, p)
 		r.slow(testEvacuationTime + time.Second)
-		answered := make(chan engine.Answer, 1)
-		go func() {
-			a, _ := p.Run(context.Background(), "i", next(tx, engine.Commit))
-			answered <- a
-		}()
+		answered := runInBackground(p, next(tx, engine.Commit))
 		synctest.Wait()
 		before := r.ops("a")
 		evacuate(p)
@@ -224,11 +227,7 @@
 		r.mu.Lock()
 		r.took, r.reason = testEvacuationTime+time.Second, engine.Failed
 		r.mu.Unlock()
-		answered := make(chan engine.Answer, 1)
-		go func() {
-			a, _ := p.Run(context.Background(), "i", next(tx, engine.Commit))
-			answered <- a
-		}()
+		answered := runInBackground(p, next(tx, engine.Commit))
 		synctest.Wait()
 		evacuate(p)
 		g.Expect((<-answered).Reason).To(Equal(engine.Failed))
@@ -262,13 +261,9 @@
 	evacuatedPool(t, 300*time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
 		p.Update(sched.Directory{Endpoints: poolEndpoints(true)})
 		time.Sleep(testEvacuationTime - 200*time.Millisecond)
-		answered := make(chan engine.Answer, 1)
-		go func() {
-			a, _ := p.Run(context.Background(), "i", &engine.Call{
-				Group: "db", Phase: engine.Single, PrimaryOnly: true, Timeout: 3 * time.Second, Statement: engine.Statement{Op: engine.Read},
-			})
-			answered <- a
-		}()
+		answered := runInBackground(p, &engine.Call{
+			Group: "db", Phase: engine.Single, PrimaryOnly: true, Timeout: 3 * time.Second, Statement: engine.Statement{Op: engine.Read},
+		})
 		time.Sleep(200 * time.Millisecond)
 		p.Tick(clock.Now())
 		synctest.Wait()
@@ -293,14 +288,10 @@
 		evacuatedPool(t, 2*time.Second, func(g *WithT, p *GroupPool, r *recorder) {
 			p.Update(sched.Directory{Endpoints: poolEndpoints(true)})
 			time.Sleep(testEvacuationTime - 100*time.Millisecond)
-			answered := make(chan engine.Answer, 1)
-			go func() {
-				a, _ := p.Run(context.Background(), "i", &engine.Call{
-					Group: "db", Phase: engine.First, PrimaryOnly: true, Timeout: 5 * time.Second, Variables: variables,
-					Begin: engine.Statement{Op: engine.Begin}, Statement: engine.Statement{Op: engine.Write},
-				})
-				answered <- a
-			}()
+			answered := runInBackground(p, &engine.Call{
+				Group: "db", Phase: engine.First, PrimaryOnly: true, Timeout: 5 * time.Second, Variables: variables,
+				Begin: engine.Statement{Op: engine.Begin}, Statement: engine.Statement{Op: engine.Write},
+			})
 			time.Sleep(2100 * time.Millisecond)
 			g.Expect(r.ops("a")).To(Equal([]engine.Op{first}))
 			r.slow(time.Millisecond)
