Look up no tokens where no rate of cold endpoints is configured

Each call and each rejection looked through the floor proofs and the endpoints for tokens, also in deployments without cold rates. The scheduler now returns at once there.

--- a/internal/sched/coldwait.go
+++ b/internal/sched/coldwait.go
@@ -53,7 +53,7 @@
 		if e.leaving() || e.ID == s.primary.Endpoint && !s.primary.Usable {
 			continue
 		}
-		if s.limits.ColdRate <= 0 || !s.isCold(now, e) {
+		if !s.isCold(now, e) {
 			return tokenSupply{}
 		}
 		t := s.tokensAt(now, e)
@@ -65,6 +65,9 @@
 
 // tokensFor returns the tokens that a call has to wait for.
 func (s *Scheduler) tokensFor(now time.Time, c *engine.Call) tokenSupply {
+	if s.limits.ColdRate <= 0 {
+		return tokenSupply{}
+	}
 	if s.requirements(now, c).verifyPrimary {
 		return s.primaryTokens(now)
 	}
