Ask again for refused connections soon, and pass open ones on at once

Cause: after all instances lose power, the primary still counts their connections for 3 s and refuses most of the new ones.

Change: the limit holds for 200 ms, and the open connections pass from account to account meanwhile. While there is none, the pause between two dials doubles from 50 to 200 ms.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -18,9 +18,13 @@
 	// unresponsivePause is how long reads avoid an endpoint that did not
 	// answer.
 	unresponsivePause = time.Second
-	// connLimitPause is how long a refused connection lowers the number of
-	// connections that this instance opens to the endpoint.
-	connLimitPause = time.Second
+	// connLimitPause is how long a refused connection limits the number of
+	// connections that this instance opens to the endpoint to those that it has.
+	// Connections of other instances end at any time, and callers wait meanwhile.
+	connLimitPause = 200 * time.Millisecond
+	// connLimitRetry is the pause after the endpoint has refused the only
+	// connection. It doubles with each further refusal, up to connLimitPause.
+	connLimitRetry = 50 * time.Millisecond
 	// dialBackoff is the pause after a failed dial. It doubles with each further
 	// failure, up to maxDialBackoff.
 	dialBackoff    = 200 * time.Millisecond
@@ -40,6 +44,7 @@
 	failedDials      int       // dials that failed one after the other
 	connLimitUntil   time.Time // connLimit applies until then
 	connLimit        int       // connections allowed until connLimitUntil
+	refusedConns     int       // refused one after the other while there was none
 	work             workTime
 	roundTrip        roundTrip
 	drainingSince    time.Time // zero while the endpoint is not draining
@@ -60,6 +65,17 @@
 	e.readsPausedUntil = now.Add(pause)
 }
 
+// connRefused limits the connections to those that are open, after the endpoint
+// has refused a further one. They still pass from account to account.
+func (e *endpoint) connRefused(now time.Time) {
+	open := len(e.conns) - 1
+	e.connLimit, e.connLimitUntil = max(1, open), now.Add(connLimitPause)
+	if open == 0 {
+		e.noDialUntil = now.Add(min(connLimitRetry<<min(e.refusedConns, 8), connLimitPause))
+		e.refusedConns++
+	}
+}
+
 // usableAt returns when a call of the account may be sent to the endpoint,
 // disregarding its load.
 func (e *endpoint) usableAt(now time.Time, account ident.Account) time.Time {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -148,16 +148,14 @@
 	}
 	switch m.Result {
 	case Connected:
-		c.endpoint.failedDials = 0
+		c.endpoint.failedDials, c.endpoint.refusedConns = 0, 0
 		s.setState(now, c, idle)
 		if c.endpoint.removed {
 			s.closeConn(c)
 		}
 		return
 	case ConnLimitReached:
-		c.endpoint.connLimitUntil = now.Add(connLimitPause)
-		c.endpoint.connLimit = max(1, len(c.endpoint.conns)-1)
-		c.endpoint.noDialUntil = now.Add(dialBackoff)
+		c.endpoint.connRefused(now)
 	case Unreachable:
 		c.endpoint.dialFailed(now)
 	}
