Replace a primary that reads queue at because its replicas lag

Ruled out: a missing proof of the position (its age is under 120 ms) and a wrong position of the replicas (their answers repeat it).

Change: the scheduler reports a primary that has needed 100 ms for such reads for a second. The elector changes the primary as it does for one that fails calls: the former primary holds all commits and serves reads as a replica. A log line ReplicasLagging says on which counts.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -119,7 +119,7 @@
 }
 
 // monitorPrimary starts the replacement of a primary that is draining or evacuated,
-// has left the directory, or fails most calls. An idle primary is probed.
+// has left the directory, or serves badly. An idle primary is probed.
 func (el *Elector) monitorPrimary(now time.Time) {
 	s := el.servers[el.primary]
 	switch {
@@ -129,7 +129,7 @@
 	case s.leaving() && el.successor() != nil && el.epoch != 0:
 		el.startSwitch(now, s.leavingReason(), false)
 	case el.mustReplaceFailing(now):
-		el.startSwitch(now, "it fails most calls", true)
+		el.startSwitch(now, el.failing.reason(), true)
 	case now.Sub(el.provedAt) > idleProbeDelay:
 		el.probe(now, s, probeInterval)
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -85,6 +85,9 @@
 	// FailsCalls means that it answers, but fails most calls of several
 	// accounts.
 	FailsCalls
+	// ReplicasLag means that it is overloaded with reads that no replica is
+	// recent enough for.
+	ReplicasLag
 )
 
 // ProbeResult is the answer to a Probe or Seal. Failed is set when there was no
--- a/internal/lead/observe.go
+++ b/internal/lead/observe.go
@@ -57,7 +57,7 @@
 }
 
 func (el *Elector) endpointFailure(now time.Time, m EndpointFailure) {
-	if m.Kind == FailsCalls {
+	if m.Kind == FailsCalls || m.Kind == ReplicasLag {
 		el.primaryFailing(now, m)
 		return
 	}
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -73,6 +73,8 @@
 		return s.send(EndpointFailure{Endpoint: name(), Kind: Unanswered})
 	case "notprimary":
 		return s.send(EndpointFailure{Endpoint: name(), Kind: NotPrimary})
+	case "lagging":
+		return s.send(EndpointFailure{Endpoint: name(), Kind: ReplicasLag})
 	case "failing":
 		m := EndpointFailure{Endpoint: name(), Kind: FailsCalls}
 		for _, a := range d.CmdArgs[1:] {
--- a/internal/lead/switchover.go
+++ b/internal/lead/switchover.go
@@ -3,7 +3,7 @@
 import "time"
 
 // This file replaces a primary that still serves: it drains, is evacuated or
-// fails most of its calls.
+// serves badly.
 
 // successor returns the replica that takes over from a primary that still
 // answers: the most advanced one that is neither draining nor evacuated nor
--- a/internal/relay/ejection_test.go
+++ b/internal/relay/ejection_test.go
@@ -85,6 +85,6 @@
 		a, _ := p.Run(t.Context(), "i", &call)
 		g.Expect(a.Reason).To(Equal(engine.Failed))
 	}
-	p.reportFailing(clock.Now())
+	p.reportPrimary(clock.Now())
 	g.Expect(reports).To(Receive(Equal(sched.PrimaryFailing{Endpoint: "a", Outcomes: sched.OutcomeCounts{Failed: 12}, Accounts: 3})))
 }
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -1,13 +1,10 @@
 package relay
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
-	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -38,27 +35,3 @@
 		p.Update(sched.EndpointOutcome{Endpoint: e, Account: call.Account, Result: r})
 	}
 }
-
-// failingLogPause is the period without a report after which a primary that
-// fails most calls is logged again.
-const failingLogPause = time.Second
-
-// reportFailing reports a primary that fails most calls, and updates the gauge
-// of ejected endpoints.
-func (p *GroupPool) reportFailing(now time.Time) {
-	p.mu.Lock()
-	p.updateEjected()
-	m, failing := p.scheduler.FailingPrimary(now)
-	logged := now.Sub(p.failingAt) < failingLogPause
-	if failing {
-		p.failingAt = now
-	}
-	p.mu.Unlock()
-	if !failing {
-		return
-	}
-	if !logged {
-		trace.Event("PrimaryFailing", "Group", p.group, "Endpoint", m.Endpoint, "Outcomes", m.Outcomes, "Accounts", m.Accounts, "Unfit", m.Unfit)
-	}
-	p.observe(m)
-}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -67,7 +67,8 @@
 	abandoned   bool
 	gauges      waitingGauges
 	evacuated   bool      // an endpoint is in an evacuated data centre
-	failingAt   time.Time // when the primary was last reported as failing most calls
+	failingLog  reportLog // of the primary that fails most calls
+	laggingLog  reportLog // of the replicas that lag
 	// hadEjections is set once an endpoint of the group was ejected.
 	hadEjections bool
 
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -304,6 +304,6 @@
 	p.Update(sched.Tick{})
 	p.recordWaiting(now)
 	p.reportOverdue(now)
-	p.reportFailing(now)
+	p.reportPrimary(now)
 	p.rollbackIdle(now)
 }
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -174,6 +174,8 @@
 		case sched.NotPrimary:
 			rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, Kind: lead.NotPrimary})
 		}
+	case sched.ReplicasLagging:
+		rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, Kind: lead.ReplicasLag})
 	case sched.PrimaryFailing:
 		rn.update(lead.EndpointFailure{Endpoint: m.Endpoint, Kind: lead.FailsCalls, Unfit: m.Unfit})
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -42,9 +42,12 @@
 	owner       bool
 	serviceTime time.Duration // moving average duration of calls that occupied a slot
 	work        workTime      // of all endpoints together
-	lastConn    ConnID
-	nextArrival uint64
-	commands    []Command
+	// laggingSince is since when the primary has been overloaded because its
+	// replicas lag, zero if it is not.
+	laggingSince time.Time
+	lastConn     ConnID
+	nextArrival  uint64
+	commands     []Command
 
 	turns         turns
 	nextTurns     map[accountClass]*float64 // turns behind the waiting calls, set by setOrder
@@ -119,6 +122,7 @@
 		s.closeIdleConn(now, m.Endpoint)
 	case Tick:
 		s.closeIdle(now, s.idleLimit())
+		s.updateLagging(now)
 	}
 }
 
--- a/internal/sched/script_test.go
+++ b/internal/sched/script_test.go
@@ -105,6 +105,12 @@
 		fmt.Fprint(&out, s.update(EndpointObserved{Endpoint: ident.Endpoint(d.CmdArgs[0].Key), RoundTrip: span}))
 	case "outcome":
 		fmt.Fprint(&out, s.outcome(t, d))
+	case "lagging":
+		m, lagging := s.scheduler.ReplicasLagging(s.now)
+		if !lagging {
+			return "no\n"
+		}
+		fmt.Fprintf(&out, "%d reads wait for primary %s, which needs %s for them\n", m.Reads, m.Endpoint, m.Queue)
 	case "slowdials":
 		s.slow = true
 	case "dialled":
