Keep a primary that refuses status checks because it is full

Cause: after all instances lost power, the primary still counts their connections for 3 s and refuses those of the new owner, that of its status checks among them. A check that finds no free slot counted likewise.

Change: such an answer proves that the primary lives. The elector trusts it again and does not replace it, unless its replicas receive nothing. A primary that gives no answer at all is replaced as before.

Tests: platform scenario primary-at-connection-limit (the primary changed before), script lead/busy_primary.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -102,8 +102,13 @@
 	if now.Sub(el.stateSince) < 2*primaryTimeout || el.countAnsweredSince(el.stateSince) == 0 {
 		return
 	}
-	if primary := el.servers[el.primary]; primary != nil && primary.answeredAt.After(primary.failedAt) && primary.lastResult.IsPrimary {
+	primary := el.servers[el.primary]
+	switch {
+	case primary == nil:
+	case primary.answeredAt.After(primary.failedAt) && primary.lastResult.IsPrimary:
 		return
+	case now.Sub(primary.refusedAt) < primaryTimeout:
+		return // it lives, and is too busy to tell its role
 	}
 	el.setState(now, Sealing, "no endpoint is the primary")
 }
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -91,12 +91,14 @@
 )
 
 // ProbeResult is the answer to a Probe or Seal. Failed is set when there was no
-// answer.
+// answer. Refused is set when the endpoint had no free slot or no connection left
+// for it: the endpoint lives, and nothing else is known.
 type ProbeResult struct {
 	Endpoint ident.Endpoint
 	// SentAt is when the request was sent.
 	SentAt    time.Time
 	Failed    bool
+	Refused   bool
 	IsPrimary bool
 	Term      ident.Term
 	Received  ident.LogPosition
--- a/internal/lead/observe.go
+++ b/internal/lead/observe.go
@@ -86,6 +86,11 @@
 		el.endpointFailure(now, EndpointFailure{Endpoint: m.Endpoint, Kind: Unanswered})
 		return
 	}
+	if m.Refused {
+		s.refusedAt = now
+		el.probeRefused(now, m.Endpoint)
+		return
+	}
 	s.lastResult, s.answeredAt = m, now
 	el.recordTerm(now, max(m.Term, m.Received.Term))
 	if m.SealedTerm != 0 {
@@ -124,6 +129,15 @@
 	}
 }
 
+// probeRefused applies that an endpoint is too busy to answer. A primary that is
+// only overloaded is not replaced, unless its replicas may receive nothing from
+// it.
+func (el *Elector) probeRefused(now time.Time, id ident.Endpoint) {
+	if id == el.primary && el.state == Doubting && el.unreplicated.Zero() {
+		el.setState(now, Steady, "it is busy")
+	}
+}
+
 // replicationStalled reports whether the primary has had a position for
 // replicationTimeout that no replica has received.
 func (el *Elector) replicationStalled(now time.Time) bool {
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -83,7 +83,7 @@
 		return s.send(m)
 	case "result":
 		return s.send(ProbeResult{
-			Endpoint: name(), SentAt: s.now, Failed: d.HasArg("failed"), IsPrimary: d.HasArg("primary"),
+			Endpoint: name(), SentAt: s.now, Failed: d.HasArg("failed"), Refused: d.HasArg("refused"), IsPrimary: d.HasArg("primary"),
 			Term: ident.Term(term), Received: position, SealedTerm: ident.Term(sealed),
 		})
 	case "progress":
--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -42,6 +42,7 @@
 	lastResult ProbeResult // latest successful result
 	answeredAt time.Time
 	failedAt   time.Time // time of the latest failed probe
+	refusedAt  time.Time // time of the latest refused probe
 	sealedTerm ident.Term
 	// sealedAt is when the latest confirmed seal was sent.
 	sealedAt time.Time
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
@@ -29,6 +30,9 @@
 	controlIdleLimit = 2 * time.Second
 )
 
+// errControlRefused marks that an endpoint was too busy for a control statement.
+var errControlRefused = errors.New("the endpoint is too busy for a control statement")
+
 // groupHost is the instance of a runner.
 type groupHost interface {
 	askPeers(g ident.Group, e ident.Endpoint)
@@ -258,8 +262,9 @@
 		rn.mu.Lock()
 		c.busy = false
 		rn.mu.Unlock()
+		refused := errors.Is(err, errControlRefused)
 		m := lead.ProbeResult{
-			Endpoint: id, SentAt: sentAt, Failed: err != nil, IsPrimary: report.IsPrimary,
+			Endpoint: id, SentAt: sentAt, Failed: err != nil && !refused, Refused: refused, IsPrimary: report.IsPrimary,
 			Term: report.Term, Received: report.Received, SealedTerm: sealed,
 		}
 		if err != nil {
@@ -279,8 +284,7 @@
 	if c.conn == nil {
 		conn, err := rn.dialer.Dial(ctx, rn.group, e, controlAccount)
 		if err != nil {
-			rn.makeRoom(e.ID, err)
-			return EndpointReport{}, err
+			return EndpointReport{}, rn.makeRoom(e.ID, err)
 		}
 		c.conn = conn
 	}
@@ -290,6 +294,9 @@
 		c.conn = nil
 		return EndpointReport{}, err
 	}
+	if a.Reason == engine.Overloaded {
+		return EndpointReport{}, errors.Mark(errors.Newf("control statement: %s", a.Detail), errControlRefused)
+	}
 	if !a.OK() || len(a.Rows) == 0 {
 		return EndpointReport{}, errors.Newf("control statement: %s %s", a.Reason, a.Detail)
 	}
@@ -297,12 +304,15 @@
 }
 
 // makeRoom closes an idle connection of an account at an endpoint that has
-// reached its connection limit.
-func (rn *groupRunner) makeRoom(id ident.Endpoint, err error) {
+// reached its connection limit. It returns the error of the dial, which is then an
+// errControlRefused.
+func (rn *groupRunner) makeRoom(id ident.Endpoint, err error) error {
 	var e *DialError
 	if errors.As(err, &e) && e.Result == sched.ConnLimitReached {
 		rn.pool.Update(sched.CloseIdleConn{Endpoint: id})
+		return errors.Mark(err, errControlRefused)
 	}
+	return err
 }
 
 func (c *controlConn) disconnect() {
--- a/internal/stand/emul/conn.go
+++ b/internal/stand/emul/conn.go
@@ -69,7 +69,7 @@
 	c.account = f[2]
 	full := false
 	s.set(func() {
-		full = s.conns >= s.group.config.MaxConns
+		full = s.full || s.conns >= s.group.config.MaxConns
 		if !full {
 			s.conns++
 			if s.closers == nil {
--- a/internal/stand/emul/server.go
+++ b/internal/stand/emul/server.go
@@ -27,7 +27,8 @@
 	draining       bool
 	lag            time.Duration
 	conns          int
-	loseNext       int // number of next statements that run without an answer
+	full           bool // it refuses further connections
+	loseNext       int  // number of next statements that run without an answer
 	closers        map[*lineConn]struct{}
 	ran            []Run
 	arrived        map[string]struct{} // IDs of all statements that were received
@@ -103,6 +104,10 @@
 // SetIsolated stops or resumes replication from and to the server.
 func (s *Server) SetIsolated(isolated bool) { s.set(func() { s.isolated = isolated }) }
 
+// SetFull makes the server refuse further connections as if it had reached its
+// limit.
+func (s *Server) SetFull(full bool) { s.set(func() { s.full = full }) }
+
 // SetLag sets the apply lag of the server, in addition to GroupConfig.Lag.
 func (s *Server) SetLag(lag time.Duration) { s.set(func() { s.lag = lag }) }
 
