Let a new quota owner grant a quarter of the overshoot at once

Cause: after all instances have restarted, the callers of the downtime come back at once, and the new buckets hold a tenth of the burst.

Change: a new bucket holds a quarter of what may run beyond the quota in one window, if that is more. With the rate and burst r, the owner before may have granted 1.04 r + 8 and 5.2 r in a window, 0.3 r of it unspent; the limit of 5.5 r + 1.1 r + 20 leaves 0.16 r + 12, a quarter of the overshoot is 0.15 r + 5.

Refused in the second after the restart, 43 operations a second: 371 of 769 before, 28 of 769 now. Floods before and after a restart stay within the limit at 5 to 800 operations a second.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -18,6 +18,10 @@
 	// initialShare is the fraction of the burst in a new owner's bucket. The
 	// previous owner may have granted the rest just before.
 	initialShare = 0.1
+	// initialOvershoot is the fraction of the overshoot of one window that a new
+	// owner's bucket holds if that is more. The account may run it even if the
+	// previous owner has granted everything just before.
+	initialOvershoot = 0.25
 	// minInitial is the minimum initial content of a bucket, in operations, so
 	// that small accounts can start immediately.
 	minInitial = 2
@@ -38,10 +42,17 @@
 }
 
 // Overshoot is what may run beyond an account's quota in one window: a fraction
-// of the quota and a number of operations.
+// of the quota and a number of operations. The quota of a window is the rate times
+// its length plus the burst.
 type Overshoot struct {
 	Fraction   float64
 	Operations float64
+	Window     time.Duration
+}
+
+// inWindow returns the operations beyond a quota that may run in one window.
+func (o Overshoot) inWindow(q engine.Quota) float64 {
+	return o.Fraction*(q.Rate*o.Window.Seconds()+q.Burst) + o.Operations
 }
 
 // grantedOvershoot is the fraction of the overshoot that a bucket grants. The
@@ -81,9 +92,10 @@
 		b.plan.discard()
 		b.quota = q
 	}
+	initial := max(initialShare*q.Burst, initialOvershoot*b.overshoot.inWindow(q)) * share
 	q = b.withOvershoot(q)
 	q = engine.Quota{Rate: q.Rate * share, Burst: q.Burst * share}
-	b.refill(now, q)
+	b.refill(now, q, initial)
 	if requested == 0 {
 		return 0, untilNextToken(b.tokens.level, q.Rate)
 	}
@@ -117,10 +129,12 @@
 	}
 }
 
-func (b *Bucket) refill(now time.Time, q engine.Quota) {
+// refill adds the tokens since the last refill. A new bucket holds the initial
+// ones, as far as the burst allows.
+func (b *Bucket) refill(now time.Time, q engine.Quota, initial float64) {
 	t := &b.tokens
 	if t.updatedAt.IsZero() {
-		*t = tokenBucket{level: max(initialShare*q.Burst, min(q.Burst, minInitial)), updatedAt: now}
+		*t = tokenBucket{level: min(q.Burst, max(initial, minInitial)), updatedAt: now}
 	}
 	t.refill(now, q.Rate, math.Max(q.Burst, 1))
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -22,7 +22,7 @@
 	groupSpacing = 30 * time.Millisecond
 )
 
-var simOvershoot = Overshoot{Fraction: 0.1, Operations: 20}
+var simOvershoot = Overshoot{Fraction: 0.1, Operations: 20, Window: simWindow}
 
 // fleetCase is a load on a fleet and the faults that it meets.
 type fleetCase struct {
@@ -35,6 +35,8 @@
 	lowerAt   time.Duration
 	lowered   float64 // the rate from lowerAt on
 	restartAt time.Duration
+	backlog   time.Duration   // whose arrivals come within returnSpan of the restart
+	idleUntil time.Duration   // no operation arrives before
 	handovers []time.Duration // when the next instance becomes the quota owner
 	freezeAt  time.Duration   // freezes an instance for 3 s
 	frozen    int
@@ -51,6 +53,9 @@
 	// givenUp counts the callers that came back twice when they were told to, and
 	// were refused a third time.
 	givenUp int
+	// arrivedAfterRestart counts the operations that arrived in the second after
+	// the restart, and refusedAfterRestart the refusals in it.
+	arrivedAfterRestart, refusedAfterRestart int
 }
 
 // caller is one operation, which is retried up to twice.
@@ -139,6 +144,9 @@
 	arrivals := time.Duration(float64(group) * float64(time.Second) / (f.c.rate * f.c.offered))
 	for at := time.Duration(0); at < f.c.span; at += time.Duration(f.random.ExpFloat64() * float64(arrivals)) {
 		n := f.nodes[f.random.IntN(len(f.nodes))]
+		if at < f.c.idleUntil {
+			continue
+		}
 		for i := range group {
 			f.in(at+time.Duration(i)*groupSpacing, func() { f.arrive(n) })
 		}
@@ -151,6 +159,7 @@
 			for _, n := range f.nodes {
 				f.restart(n)
 			}
+			f.returnCallers()
 		})
 	}
 	for _, at := range f.c.handovers {
@@ -161,6 +170,21 @@
 	}
 }
 
+// returnCallers lets the callers of the downtime arrive.
+func (f *fleet) returnCallers() {
+	count := int(f.c.backlog.Seconds() * f.c.rate * f.c.offered)
+	for i := range count {
+		n := f.nodes[f.random.IntN(len(f.nodes))]
+		f.in(time.Duration(i)*returnSpan/time.Duration(count), func() { f.arrive(n) })
+	}
+}
+
+// afterRestart reports whether it is the second after the restart.
+func (f *fleet) afterRestart() bool {
+	since := f.now.Sub(f.start) - f.c.restartAt
+	return f.c.restartAt > 0 && since >= 0 && since < time.Second
+}
+
 func (f *fleet) in(d time.Duration, run func()) {
 	f.order++
 	heap.Push(&f.queue, event{at: f.now.Add(d), order: f.order, run: run})
@@ -191,6 +215,9 @@
 
 func (f *fleet) arrive(n *node) {
 	f.arrivals = append(f.arrivals, f.now)
+	if f.afterRestart() {
+		f.result.arrivedAfterRestart++
+	}
 	patience := 600*time.Millisecond + time.Duration(f.random.Int64N(int64(900*time.Millisecond)))
 	c := &caller{node: n, patienceAt: f.now.Add(patience)}
 	f.at(n, 0, func() { f.spend(c) })
@@ -285,6 +312,9 @@
 		return
 	}
 	f.result.refusals++
+	if f.afterRestart() {
+		f.result.refusedAfterRestart++
+	}
 	c.kept++
 	if retryIn > time.Second {
 		c.kept = 0
