Count no replica that lags as room for waiting reads

Cause: the estimate of a call's wait counted the slots of replicas that lag too far behind for any read.

Change: a replica that has refused a read in the last second and does not hold the position that reads need counts as no room.

What still waits in vain does so while answers are lost.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -23,6 +23,9 @@
 func (s *Scheduler) acquire(now time.Time, m Acquire) {
 	w := newWaiter(now, m, s.nextArrival)
 	s.nextArrival++
+	if !m.Call.PrimaryOnly {
+		s.readLag = m.Call.MaxLag
+	}
 	if len(s.endpoints) == 0 {
 		s.reject(now, w, engine.NoEndpoint, NoEndpointKnown, 0)
 		return
@@ -140,7 +143,7 @@
 			continue
 		}
 		all.replicas += n
-		if !e.leaving() && !now.Before(e.readsPausedUntil) {
+		if !e.leaving() && !now.Before(e.readsPausedUntil) && !s.lags(now, e, c) {
 			usable.replicas += n
 		}
 	}
--- a/internal/sched/lagging.go
+++ b/internal/sched/lagging.go
@@ -19,6 +19,10 @@
 	// lagQueueSpan is how long it must have been overloaded. Callers lose about as
 	// much by a change of primary.
 	lagQueueSpan = time.Second
+	// lagMemory is how long a replica counts as lagging after it has refused a
+	// read because it lacked a position. While reads wait, it is asked again
+	// several times in this period.
+	lagMemory = time.Second
 )
 
 // ReplicasLagging reports that the primary is overloaded with reads that no
@@ -70,8 +74,7 @@
 }
 
 // allReplicasLag reports whether no replica is known to hold a position that is
-// recent enough for a call of any session. What the session itself has written
-// does not count: replicas that lag little lack it, too.
+// recent enough for a call of any session.
 func (s *Scheduler) allReplicasLag(now time.Time, c *engine.Call) bool {
 	floor, _, proven := s.floors.floor(now, c.MaxLag)
 	if !proven {
@@ -84,3 +87,20 @@
 	}
 	return true
 }
+
+// lags reports whether a replica lags too far behind for a read of any session,
+// by its latest answers. What the session itself has written does not count:
+// replicas that lag little lack it, too. For a call that only the primary runs, it
+// tells whether the replica takes part in the reads that the primary would run
+// otherwise.
+func (s *Scheduler) lags(now time.Time, e *endpoint, c *engine.Call) bool {
+	if now.Sub(e.behindUntil) > lagMemory {
+		return false
+	}
+	maxLag := c.MaxLag
+	if c.PrimaryOnly {
+		maxLag = s.readLag
+	}
+	floor, _, proven := s.floors.floor(now, maxLag)
+	return proven && !e.position.Covers(floor)
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -45,6 +45,7 @@
 	// laggingSince is since when the primary has been overloaded because its
 	// replicas lag, zero if it is not.
 	laggingSince time.Time
+	readLag      time.Duration // that the latest read allows
 	lastConn     ConnID
 	nextArrival  uint64
 	commands     []Command
