--- a/internal/quota/fallback.go
+++ b/internal/quota/fallback.go
@@ -31,8 +31,8 @@
 // fallback spends an instance's even share of the rate while the quota owner
 // does not answer. The zero value is ready to use.
 type fallback struct {
-	tokens tokenBucket
-	spread spread
+	tokens  tokenBucket
+	retries retryTimes
 }
 
 // spend takes one operation. It starts with a whole one if whole is set, and
@@ -63,5 +63,5 @@
 	if next <= fallbackRetry {
 		return next
 	}
-	return fallbackRetry + f.spread.next(now)/2
+	return fallbackRetry + f.retries.next(now)/2
 }
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/spread"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -18,8 +19,6 @@
 	// retrySpread is the period after the horizon over which callers without a
 	// promise are spread.
 	retrySpread = time.Second
-	// goldenRatio spaces a sequence of any length evenly.
-	goldenRatio = 0.6180339887
 )
 
 // promise is a token that is kept for one instance from a time on.
@@ -32,7 +31,7 @@
 // of their times.
 type plan struct {
 	promises []promise
-	spread   spread
+	retries  retryTimes
 }
 
 // expire drops the promises that were not used in time. Their tokens go to the
@@ -85,7 +84,7 @@
 	// not find its token.
 	in = max(time.Millisecond, (in + time.Millisecond - 1).Truncate(time.Millisecond))
 	if rate <= 0 || in > promiseHorizon {
-		return promiseHorizon + p.spread.next(now)
+		return promiseHorizon + p.retries.next(now)
 	}
 	p.promises = append(p.promises, promise{to: to, at: now.Add(in)})
 	return in
@@ -94,25 +93,24 @@
 // discard drops all promises.
 func (p *plan) discard() { p.promises = nil }
 
-// spread is a sequence of retry times that fills retrySpread evenly. It starts at a
+// retryTimes is a sequence of retry times that fills retrySpread evenly. It starts at a
 // position that differs between instances, whose callers would otherwise all
 // retry at the same time after a restart.
-type spread struct {
+type retryTimes struct {
 	position float64 // the latest time as a fraction of retrySpread, zero at first
 }
 
 // next returns the next time, at least a millisecond.
-func (s *spread) next(now time.Time) time.Duration {
-	if s.position == 0 {
-		s.position = instanceFraction(now)
+func (r *retryTimes) next(now time.Time) time.Duration {
+	if r.position == 0 {
+		r.position = instanceFraction(now)
 	}
-	_, s.position = math.Modf(s.position + goldenRatio)
-	return max(time.Millisecond, time.Duration(s.position*float64(retrySpread)))
+	r.position = spread.Next(r.position)
+	return max(time.Millisecond, time.Duration(r.position*float64(retrySpread)))
 }
 
 // instanceFraction returns a number from zero to below one. It is derived from the
 // nanoseconds of the clock, so it differs between instances.
 func instanceFraction(now time.Time) float64 {
-	_, fraction := math.Modf(float64(now.Nanosecond()) * goldenRatio)
-	return fraction
+	return spread.Fraction(float64(now.Nanosecond()))
 }
--- a/internal/quota/shortage.go
+++ b/internal/quota/shortage.go
@@ -25,7 +25,7 @@
 	// instance.
 	kept        []time.Time
 	deniedUntil time.Time // operations are refused without a request until then
-	spread      spread
+	retries     retryTimes
 }
 
 // denial is a reply of the quota owner that grants nothing.
@@ -74,5 +74,5 @@
 	if !now.Before(s.deniedUntil) {
 		return 0, false
 	}
-	return promiseHorizon + s.spread.next(now), true
+	return promiseHorizon + s.retries.next(now), true
 }
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -93,21 +93,13 @@
 // behind it run before it because they have waited longest.
 func (s *Scheduler) waitInOrder(now time.Time, w *waiter) time.Duration {
 	w.turn = *s.nextTurn(w.accountClass())
-	var before, late, behind serviceDemand
+	var demand [places]serviceDemand
 	for _, other := range s.waiting {
-		service := s.expectedService(other)
-		switch {
-		case compareOrder(other, w) > 0:
-			behind.add(other, service)
-		case other.late:
-			late.add(other, service)
-		default:
-			before.add(other, service)
-		}
+		demand[w.placeOf(other)].add(other, s.expectedService(other))
 	}
 	slots := s.slotsFor(now, w.call)
-	wait := slots.occupiedTime(w.call, before) + time.Duration(float64(slots.occupiedTime(w.call, late))/s.lateShare.value())
-	wait += min(wait/(oldestGrantInterval-1), slots.occupiedTime(w.call, behind))
+	wait := slots.occupiedTime(w.call, demand[before]) + time.Duration(float64(slots.occupiedTime(w.call, demand[beforeLate]))/s.lateShare.value())
+	wait += min(wait/(oldestGrantInterval-1), slots.occupiedTime(w.call, demand[behind]))
 	return max(wait, s.tokenWait(now, w))
 }
 
--- a/internal/sched/coldwait.go
+++ b/internal/sched/coldwait.go
@@ -90,21 +90,14 @@
 			share = min(1, supply.rate/reads.rate)
 		}
 	}
-	var before, late, behind float64
+	var tokens [places]float64
 	for _, other := range s.waiting {
 		calls := share
 		if s.requirements(now, other.call).verifyPrimary {
 			calls = 1
 		}
-		switch {
-		case compareOrder(other, w) > 0:
-			behind += calls
-		case other.late:
-			late += calls
-		default:
-			before += calls
-		}
+		tokens[w.placeOf(other)] += calls
 	}
-	calls := before + late/s.lateShare.value()
-	return supply.timeUntil(calls + min(calls/(oldestGrantInterval-1), behind) + 1)
+	calls := tokens[before] + tokens[beforeLate]/s.lateShare.value()
+	return supply.timeUntil(calls + min(calls/(oldestGrantInterval-1), tokens[behind]) + 1)
 }
--- a/internal/sched/message.go
+++ b/internal/sched/message.go
@@ -1,8 +1,3 @@
-// Package sched decides, for one database group, which waiting call runs on
-// which endpoint connection and which call is rejected. It handles overload of
-// the endpoints' slots, accounts that flood the group with calls, and endpoints
-// that lag, hang or lose the primary role. It does no I/O: the caller executes
-// the returned commands and reports their results.
 package sched
 
 import (
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -29,6 +29,27 @@
 	return 1
 }
 
+// place is where another waiting call stands relative to a new one.
+type place uint8
+
+const (
+	before     place = iota // it runs first
+	beforeLate              // it would, but late calls get a share of the slots only
+	behind                  // it runs later, unless it has waited longest
+	places
+)
+
+// placeOf returns where another waiting call stands relative to w.
+func (w *waiter) placeOf(other *waiter) place {
+	switch {
+	case compareOrder(other, w) > 0:
+		return behind
+	case other.late:
+		return beforeLate
+	}
+	return before
+}
+
 // accountClass identifies the waiting calls of an account in one class.
 type accountClass struct {
 	class
--- a/internal/sched/retryplan.go
+++ b/internal/sched/retryplan.go
@@ -1,17 +1,14 @@
 package sched
 
 import (
-	"math"
 	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/spread"
 )
 
 // minRetry is the minimum retry delay that a rejection reports.
 const minRetry = 25 * time.Millisecond
 
-// goldenRatio spreads successive multiples evenly over an interval, however many
-// there are.
-const goldenRatio = 0.6180339887498949
-
 // retry describes when a rejected call may be sent again.
 type retry struct {
 	// earliest is when a retry can succeed at the earliest, from now.
@@ -45,7 +42,6 @@
 		return delay
 	}
 	p.overflow++
-	_, fraction := math.Modf(float64(p.overflow) * goldenRatio)
 	from := max(r.earliest, limit/2)
-	return from + time.Duration(fraction*float64(limit-from))
+	return from + time.Duration(spread.Fraction(float64(p.overflow))*float64(limit-from))
 }
