Keep the cost of an arrival at a long queue low

Cause: each message to a group's scheduler looks at all waiting calls, and most of that time went into a walk over a map of data centres for each call, into hashing the name of its account, and into a search through up to 128 proofs of the position. That is when an instance has least processor time left.

Change: whether a data centre is evacuated is kept, a waiting call keeps its account's turns, and the proof is found by bisection.

The cost still grows with the queue: an order that is kept between messages is left.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -26,6 +26,9 @@
 	if !m.Call.PrimaryOnly {
 		s.readLag = m.Call.MaxLag
 	}
+	if len(s.waiting) == 0 {
+		s.forgetTurns()
+	}
 	if len(s.endpoints) == 0 {
 		s.reject(now, w, engine.NoEndpoint, NoEndpointKnown, 0)
 		return
@@ -92,7 +95,7 @@
 // only a share of the slots, because further calls go before them. Some calls
 // behind it run before it because they have waited longest.
 func (s *Scheduler) waitInOrder(now time.Time, w *waiter) time.Duration {
-	w.turn = *s.nextTurn(w.accountClass())
+	w.turn = s.nextTurn(w).value
 	var demand [places]serviceDemand
 	for _, other := range s.waiting {
 		demand[w.placeOf(other)].add(other, s.expectedService(other))
--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -116,7 +116,7 @@
 // leaveEvacuated closes the idle connections to evacuated endpoints. Once an
 // endpoint may not be used any more, it also ends the calls that run there.
 func (s *Scheduler) leaveEvacuated(now time.Time) {
-	if !s.evacuations.any() {
+	if !s.evacuating {
 		return
 	}
 	var affected []ConnID
@@ -174,7 +174,7 @@
 // unservable reports whether w has to be rejected: it can't be served before at,
 // which is after its deadline, or evacuations leave no endpoint for it.
 func (s *Scheduler) unservable(now time.Time, w *waiter, at time.Time) bool {
-	return at.After(w.deadline) || s.evacuations.any() && s.evacuationsExclude(now, w.call)
+	return at.After(w.deadline) || s.evacuating && s.evacuationsExclude(now, w.call)
 }
 
 // evacuationsExclude reports whether evacuations leave no endpoint for a call.
@@ -188,7 +188,7 @@
 // evacuationBlocks reports whether evacuations leave no endpoint for some of the
 // calls, or only one that can't take them yet.
 func (s *Scheduler) evacuationBlocks(now time.Time) bool {
-	if !s.evacuations.any() {
+	if !s.evacuating {
 		return false
 	}
 	primary := s.endpoints[s.primary.Endpoint]
--- a/internal/sched/floor.go
+++ b/internal/sched/floor.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -57,10 +58,10 @@
 // proof. The result is false if no proof is recent enough.
 func (f *floorTracker) floor(now time.Time, maxLag time.Duration) (ident.LogPosition, time.Duration, bool) {
 	oldest := now.Add(floorMargin - maxLag)
-	for _, p := range f.proofs {
-		if !p.asOf.Before(oldest) {
-			return p.position, now.Sub(p.asOf), true
-		}
+	i, _ := slices.BinarySearchFunc(f.proofs, oldest, func(p floorProof, t time.Time) int { return p.asOf.Compare(t) })
+	if i == len(f.proofs) {
+		return ident.LogPosition{}, 0, false
 	}
-	return ident.LogPosition{}, 0, false
+	p := f.proofs[i]
+	return p.position, now.Sub(p.asOf), true
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -12,6 +12,9 @@
 // has waited longest. It bounds the wait of calls that others always precede.
 const oldestGrantInterval = 8
 
+// maxNextTurns is how many entries of accounts and classes are kept.
+const maxNextTurns = 4096
+
 // compareOrder compares two waiting calls by the order in which they are
 // served: first the calls that can still meet their target, then by priority,
 // lowest number first, by their turns, and by arrival.
@@ -60,25 +63,58 @@
 	return accountClass{class: class{late: w.late, priority: w.call.Priority}, account: w.call.Account}
 }
 
+// nextTurn is the turn that a further call of an account in a class would get behind
+// the account's waiting calls.
+type nextTurn struct {
+	value float64
+	step  float64 // that a grant advances it by
+	order uint64  // the call of setOrder that value and step belong to
+}
+
 // setOrder sets the class and the turn of each waiting call. The turns of an
 // account's calls follow each other, so that an account with many waiting calls
 // gets no more than its share when several connections become free at once.
 func (s *Scheduler) setOrder(now time.Time) {
-	s.nextTurns = make(map[accountClass]*float64)
+	s.orders++
 	for _, w := range s.waiting {
 		w.late = w.lateAfter(now, s.expectedService(w))
-		next := s.nextTurn(w.accountClass())
-		w.turn = *next
-		*next += s.turns.step(w.call.Account)
+		next := s.nextTurn(w)
+		w.turn = next.value
+		next.value += next.step
+	}
+}
+
+// nextTurn returns the turn that a further call like w would get. setOrder has to be
+// called before. A waiting call keeps a pointer to the turns of its account, because
+// looking them up by name dominates the cost of an arrival.
+func (s *Scheduler) nextTurn(w *waiter) *nextTurn {
+	next := &w.nextOnTime
+	if w.late {
+		next = &w.nextLate
+	}
+	if *next == nil {
+		*next = s.turnsOf(w.accountClass())
+	}
+	if n := *next; n.order != s.orders {
+		k := w.accountClass()
+		*n = nextTurn{value: s.turns.first(k.class, k.account), step: s.turns.step(k.account), order: s.orders}
+	}
+	return *next
+}
+
+// forgetTurns drops the entries of the accounts, among which are those that are
+// gone, if there are many. No call that refers to one may be waiting.
+func (s *Scheduler) forgetTurns() {
+	if len(s.nextTurns) > maxNextTurns {
+		clear(s.nextTurns)
 	}
 }
 
-// nextTurn returns the turn that a further call of an account would get behind the
-// account's waiting calls. setOrder has to be called before.
-func (s *Scheduler) nextTurn(k accountClass) *float64 {
+// turnsOf returns the entry of an account in a class.
+func (s *Scheduler) turnsOf(k accountClass) *nextTurn {
 	next := s.nextTurns[k]
 	if next == nil {
-		next = new(s.turns.first(k.class, k.account))
+		next = &nextTurn{}
 		s.nextTurns[k] = next
 	}
 	return next
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -37,6 +37,7 @@
 	waiting     []*waiter // by arrival
 	floors      floorTracker
 	evacuations evacuations
+	evacuating  bool // a data centre is evacuated
 	cold        coldStates
 	primary     Primary
 	owner       bool
@@ -51,8 +52,9 @@
 	commands     []Command
 
 	turns         turns
-	nextTurns     map[accountClass]*float64 // turns behind the waiting calls, set by setOrder
-	grantsInOrder int                       // since the latest grant to the call that had waited longest
+	nextTurns     map[accountClass]*nextTurn
+	orders        uint64 // number of calls of setOrder
+	grantsInOrder int    // since the latest grant to the call that had waited longest
 	lateShare     lateShare
 	services      serviceTimes // like serviceTime, by kind of call
 	retries       map[retryKey]*retryPlan
@@ -67,6 +69,7 @@
 		cold:        make(coldStates),
 		serviceTime: initialServiceTime,
 		turns:       newTurns(),
+		nextTurns:   make(map[accountClass]*nextTurn),
 		lateShare:   1,
 		services:    make(serviceTimes),
 		retries:     make(map[retryKey]*retryPlan),
@@ -259,6 +262,7 @@
 
 func (s *Scheduler) setDirectory(now time.Time, m Directory) {
 	s.evacuations.update(now, m.Endpoints)
+	s.evacuating = s.evacuations.any()
 	s.cold.update(now, m.Endpoints)
 	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
 	for _, d := range m.Endpoints {
--- a/internal/sched/waiter.go
+++ b/internal/sched/waiter.go
@@ -32,7 +32,9 @@
 	late     bool    // its target can't be met any more, set by setOrder
 	turn     float64 // its place among the calls of its class (see turns), set by setOrder
 	granted  bool    // it has left the queue
-	dial     ConnID  // the connection most recently opened for this call
+	// nextOnTime and nextLate are the turns of its account, see nextTurn.
+	nextOnTime, nextLate *nextTurn
+	dial                 ConnID // the connection most recently opened for this call
 }
 
 func newWaiter(now time.Time, m Acquire, arrival uint64) *waiter {
