--- a/internal/lead/seeds_test.go
+++ b/internal/lead/seeds_test.go
@@ -26,11 +26,11 @@
 
 // runSeeds simulates all seeds and returns the number of promotions. Commits
 // that are reported as unknown are not checked, so they must be few.
-func runSeeds(t *testing.T, restartWhilePending bool) (promotions int) {
+func runSeeds(t *testing.T, change func(*sim)) (promotions int) {
 	acked, uncertain := 0, 0
 	for seed := range uint64(simSeeds()) {
 		s := newSim(t, seed)
-		s.restartWhilePending = restartWhilePending
+		change(s)
 		s.run()
 		promotions += s.promotions
 		acked += len(s.acked)
@@ -48,7 +48,7 @@
 // is pending; TestRestartDuringPendingPromotion covers that case.
 func TestNoAcknowledgedCommitIsLost(t *testing.T) {
 	assert.Fatal()
-	promotions := runSeeds(t, false)
+	promotions := runSeeds(t, func(*sim) {})
 	if promotions < simSeeds() {
 		t.Fatalf("only %d promotions in %d runs", promotions, simSeeds())
 	}
@@ -58,7 +58,18 @@
 // lose their seals, while a promotion by another instance is pending.
 func TestRestartDuringPendingPromotion(t *testing.T) {
 	assert.Fatal()
-	runSeeds(t, true)
+	runSeeds(t, func(s *sim) { s.restartWhilePending = true })
+}
+
+// TestBusyServersLoseNoCommit guards against a refused probe or seal that counts as
+// an answer with the state of the server, and against a dead primary that is never
+// replaced because its replicas are busy.
+func TestBusyServersLoseNoCommit(t *testing.T) {
+	assert.Fatal()
+	promotions := runSeeds(t, func(s *sim) { s.busyServers = true })
+	if promotions < simSeeds()/2 {
+		t.Fatalf("only %d promotions in %d runs", promotions, simSeeds())
+	}
 }
 
 // TestSealAboveUnknownTerm covers an instance that does not know of a later
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -38,6 +38,7 @@
 	pending             int  // promotions that have not taken effect yet
 	callsFail           bool // the primary fails calls at random times
 	failing             bool // it fails them now
+	busyServers         bool // servers refuse a third of the probes
 	restartWhilePending bool // sealed servers may restart while a promotion is pending
 	log                 []string
 	evacuations         *simEvacuations // nil for none
@@ -247,8 +248,8 @@
 	}
 }
 
-// failCalls reports to the owners that the primary fails most calls, for some
-// time.
+// failCalls reports to the owners that the primary serves badly, for some time: to
+// one that it fails most calls, to the other that its replicas lag.
 func (s *sim) failCalls() {
 	if !s.callsFail {
 		return
@@ -258,7 +259,8 @@
 	}
 	for i := range s.electors {
 		if s.failing {
-			s.send(i, EndpointFailure{Endpoint: s.announced[i].Endpoint, Kind: FailsCalls})
+			kinds := [...]FailureKind{FailsCalls, ReplicasLag}
+			s.send(i, EndpointFailure{Endpoint: s.announced[i].Endpoint, Kind: kinds[i%len(kinds)]})
 		}
 	}
 }
@@ -344,6 +346,10 @@
 		s.send(i, ProbeResult{Endpoint: id, SentAt: sentAt, Failed: true})
 		return
 	}
+	if s.busyServers && s.chance(3) {
+		s.send(i, ProbeResult{Endpoint: id, SentAt: sentAt, Refused: true})
+		return
+	}
 	if seal != 0 && !v.isPrimary {
 		v.sealedTerm = max(v.sealedTerm, seal)
 	}
