Write the evacuations of a script as one change

Cause: the script evacuates three data centres at once, but the emulated store wrote three changes. An instance that read between the second and the third saw a replica that could take over, and began a planned switch to it. The open transaction was then ended with the change of primary, as evacuation-of-primary expects. The decision is the intended one for that order of events; the script states another order.

Change: Store.Evacuate and Withdraw write all data centres under one version.

--- a/internal/stand/emul/evacuation.go
+++ b/internal/stand/emul/evacuation.go
@@ -27,31 +27,43 @@
 	Withdrawn  time.Time // just before the request was withdrawn
 }
 
-// Evacuate writes the operator's request to evacuate a data centre.
-func (s *Store) Evacuate(dc ident.DataCentre) {
-	s.Put(ConfigTable, EvacuateKey+string(dc), nil)
+// Evacuate writes the operator's requests to evacuate data centres, as one change.
+func (s *Store) Evacuate(dataCentres ...ident.DataCentre) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inForce(dc) < 0 {
-		s.evacuations = append(s.evacuations, Evacuation{DataCentre: dc, Requested: time.Now()})
+	s.version++
+	for _, dc := range dataCentres {
+		s.setRow(Row{Table: ConfigTable, Key: EvacuateKey + string(dc)})
+		if s.inForce(dc) < 0 {
+			s.evacuations = append(s.evacuations, Evacuation{DataCentre: dc, Requested: time.Now()})
+		}
 	}
+	s.broadcast()
 }
 
-// Withdraw removes the operator's request to evacuate a data centre.
-func (s *Store) Withdraw(dc ident.DataCentre) {
+// Withdraw removes the operator's requests to evacuate data centres, as one change.
+func (s *Store) Withdraw(dataCentres ...ident.DataCentre) {
 	s.mu.Lock()
-	if i := s.inForce(dc); i >= 0 {
-		s.evacuations[i].Withdrawn = time.Now()
+	for _, dc := range dataCentres {
+		if i := s.inForce(dc); i >= 0 {
+			s.evacuations[i].Withdrawn = time.Now()
+		}
 	}
 	s.mu.Unlock()
 	for _, g := range s.groups {
 		for _, server := range g.Servers() {
-			if server.dataCentre == dc {
+			if slices.Contains(dataCentres, server.dataCentre) {
 				server.set(func() { server.beginCold(false) })
 			}
 		}
 	}
-	s.Drop(ConfigTable, EvacuateKey+string(dc))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	for _, dc := range dataCentres {
+		s.setRow(Row{Table: ConfigTable, Key: EvacuateKey + string(dc), Dropped: true})
+	}
+	s.broadcast()
 }
 
 // inForce returns the index of the request that is in force for a data centre, or
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -67,8 +67,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	id := rowID{table: table, key: key}
-	s.rows[id] = Row{Table: table, Key: key, Value: value, Version: s.version}
+	s.setRow(Row{Table: table, Key: key, Value: value})
 	s.broadcast()
 }
 
@@ -77,11 +76,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	id := rowID{table: table, key: key}
-	s.rows[id] = Row{Table: table, Key: key, Version: s.version, Dropped: true}
+	s.setRow(Row{Table: table, Key: key, Dropped: true})
 	s.broadcast()
 }
 
+// setRow stores a row under the current version. The caller holds the mutex.
+func (s *Store) setRow(r Row) {
+	r.Version = s.version
+	s.rows[rowID{r.Table, r.Part, r.Key}] = r
+}
+
 // Keys returns the keys of a table, sorted.
 func (s *Store) Keys(table string) []string {
 	s.mu.Lock()
@@ -283,11 +287,10 @@
 	}
 	s.version++
 	for _, n := range t.Writes {
-		n.Version = s.version
-		s.rows[rowID{n.Table, n.Part, n.Key}] = n
+		s.setRow(n)
 	}
 	for _, d := range t.Remove {
-		s.rows[rowID{d.Table, d.Part, d.Key}] = Row{Table: d.Table, Part: d.Part, Key: d.Key, Version: s.version, Dropped: true}
+		s.setRow(Row{Table: d.Table, Part: d.Part, Key: d.Key, Dropped: true})
 	}
 	s.broadcast()
 	if s.loseResponses > 0 {
