Promote when a switch that was given up leaves sealed replicas

Cause: a planned switch seals all replicas but its target. If the target's data centre is evacuated, the switch starts again with the other replica and seals the first one too. If that one is evacuated as well, no replica can take over, and the primary stayed with both replicas sealed: announced as taking writes, unable to acknowledge a commit. Withdrawing the evacuations did not help, because only a promotion removes a seal. The group recovered when overdue commits made the primary look isolated.

Change: a steady primary whose replicas are sealed above the newest term is replaced by the most advanced of them, also if that one is evacuated. The rule for seals of an attempt to replace a failing primary stays: they wait for the pause of that switch.

Bound: a promotion after a switch that was given up, 1 s, as in TestWithdrawnEvacuationsKeepWrites.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -124,7 +124,8 @@
 }
 
 // monitorPrimary starts the replacement of a primary that is draining or evacuated,
-// has left the directory, or serves badly. An idle primary is probed.
+// has left the directory, serves badly, or has replicas that are still sealed for an
+// earlier attempt. An idle primary is probed.
 func (el *Elector) monitorPrimary(now time.Time) {
 	s := el.servers[el.primary]
 	switch {
@@ -135,6 +136,8 @@
 		el.startSwitch(now, s.leavingReason(), false)
 	case el.mustReplaceFailing(now):
 		el.startSwitch(now, el.failing.reason(), true)
+	case !el.failing.switching && el.epoch != 0 && el.replicaSealed():
+		el.setState(now, Sealing, "replicas are sealed for a switch that was given up")
 	case now.Sub(el.provedAt) > idleProbeDelay:
 		el.probe(now, s, probeInterval)
 	}
--- a/internal/lead/failing.go
+++ b/internal/lead/failing.go
@@ -84,7 +84,7 @@
 // seals are left, the latest report stays valid.
 func (el *Elector) mustReplaceFailing(now time.Time) bool {
 	paused := el.failing.paused(now)
-	if !paused && el.leftSealed() {
+	if !paused && el.failing.switching && el.replicaSealed() {
 		el.primaryFailing(now, EndpointFailure{Endpoint: el.primary, Kind: el.failing.kind, Unfit: el.failing.unfit})
 	}
 	if !el.failing.reported(now) {
@@ -103,21 +103,6 @@
 	return el.successor() != nil && el.epoch != 0
 }
 
-// leftSealed reports whether an attempt to replace a failing primary was
-// abandoned after it had sealed replicas. They receive nothing until the next
-// promotion, so the switch is attempted again.
-func (el *Elector) leftSealed() bool {
-	if !el.failing.switching {
-		return false
-	}
-	for id, s := range el.sortedServers() {
-		if id != el.primary && s.sealedTerm >= el.sealTerm() {
-			return true
-		}
-	}
-	return false
-}
-
 // unfit reports whether a replica may not become the primary because it fails
 // calls itself.
 func (el *Elector) unfit(id ident.Endpoint) bool { return slices.Contains(el.failing.unfit, id) }
--- a/internal/lead/sim_evacuation_test.go
+++ b/internal/lead/sim_evacuation_test.go
@@ -175,3 +175,43 @@
 	}
 	t.Logf("a commit is acknowledged every %s", longest)
 }
+
+// TestWithdrawnEvacuationOfAllKeepsWrites evacuates the primary of a group without
+// faults, then one replica and the other one during the switch, and withdraws the
+// requests. It guards against replicas that stay sealed although no switch goes on.
+func TestWithdrawnEvacuationOfAllKeepsWrites(t *testing.T) {
+	assert.Fatal()
+	var longest time.Duration
+	for seed := range uint64(simSeeds()) {
+		s := newEvacuationSim(t, seed)
+		s.quiet = true
+		random := s.evacuations.random
+		for range 100 {
+			s.step()
+		}
+		s.evacuations.request(s, "a")
+		second := s.now.Add(time.Duration(random.IntN(600)) * time.Millisecond)
+		third := second.Add(time.Duration(random.IntN(300)) * time.Millisecond)
+		withdrawn := third.Add(time.Duration(random.IntN(800)) * time.Millisecond)
+		acked, ackedAt := len(s.acked), s.now
+		for end := withdrawn.Add(5 * time.Second); s.now.Before(end); {
+			s.step()
+			switch {
+			case !s.now.Before(withdrawn):
+				s.evacuations.withdrawAll(s)
+			case !s.now.Before(third) && !s.evacuations.contains("c"):
+				s.evacuations.request(s, "c")
+			case !s.now.Before(second) && !s.evacuations.contains("b"):
+				s.evacuations.request(s, "b")
+			}
+			if len(s.acked) > acked {
+				acked, ackedAt = len(s.acked), s.now
+			}
+			longest = max(longest, s.now.Sub(ackedAt))
+			if longest > withdrawnBound {
+				t.Fatalf("seed %d: no commit was acknowledged for %s:\n%s", seed, longest, strings.Join(s.log, "\n"))
+			}
+		}
+	}
+	t.Logf("a commit is acknowledged every %s", longest)
+}
--- a/internal/lead/switchover.go
+++ b/internal/lead/switchover.go
@@ -79,6 +79,18 @@
 	return all
 }
 
+// replicaSealed reports whether a replica was sealed above the newest term. In a
+// group whose primary stays, such seals are left from a switch that was given up:
+// these replicas receive nothing until the next promotion.
+func (el *Elector) replicaSealed() bool {
+	for id, s := range el.sortedServers() {
+		if id != el.primary && s.sealedTerm >= el.sealTerm() {
+			return true
+		}
+	}
+	return false
+}
+
 // caughtUp reports whether the successor holds the position that the primary
 // reported after the other replicas were sealed.
 func (el *Elector) caughtUp(primary, target *server) bool {
