Show the pause between changes of a primary that serves badly

The pause doubles from 10 to 80 s while changes don't help, and nothing showed its value. SwitchPauseChanged sets the gauge marjoram_primary_change_pause_seconds and writes the line PrimaryChangePause.

--- a/internal/lead/failing.go
+++ b/internal/lead/failing.go
@@ -51,15 +51,16 @@
 	return !f.switchedAt.IsZero() && now.Sub(f.switchedAt) < max(f.pause, failingSwitchPause)
 }
 
-// switched records the start of a switch.
-func (f *failingPrimary) switched(now time.Time) {
-	pause := max(f.pause, failingSwitchPause)
-	if !f.switchedAt.IsZero() && now.Sub(f.switchedAt) < 2*pause {
-		f.pause = min(2*pause, maxFailingSwitchPause)
+// switched records the start of a switch and reports whether that changed the pause.
+func (f *failingPrimary) switched(now time.Time) bool {
+	before := max(f.pause, failingSwitchPause)
+	if !f.switchedAt.IsZero() && now.Sub(f.switchedAt) < 2*before {
+		f.pause = min(2*before, maxFailingSwitchPause)
 	} else {
 		f.pause = failingSwitchPause
 	}
 	f.switchedAt = now
+	return f.pause != before
 }
 
 // reported reports whether the latest report is still valid.
@@ -112,8 +113,8 @@
 func (el *Elector) startSwitch(now time.Time, reason string, failing bool) {
 	el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
 	el.failing.switching = failing
-	if failing {
-		el.failing.switched(now)
+	if failing && el.failing.switched(now) {
+		el.emit(SwitchPauseChanged{Pause: el.failing.pause})
 	}
 	el.setState(now, Switching, reason)
 }
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -206,6 +206,10 @@
 	Reason   string
 }
 
+// SwitchPauseChanged reports the minimum time to the next change of a primary that
+// serves badly.
+type SwitchPauseChanged struct{ Pause time.Duration }
+
 func (Probe) command()              {}
 func (Seal) command()               {}
 func (AskPeers) command()           {}
@@ -215,3 +219,4 @@
 func (PrimaryUnreachable) command() {}
 func (BroadcastProgress) command()  {}
 func (StateChanged) command()       {}
+func (SwitchPauseChanged) command() {}
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -93,6 +93,8 @@
 	case "promoted":
 		results := map[string]PromoteResult{"accepted": Accepted, "refused": Refused, "unanswered": NoAnswer}
 		return s.send(Promoted{Endpoint: name(), Result: results[d.CmdArgs[1].Key]})
+	case "switchpauses":
+		return switchPauses(t, d)
 	case "wait":
 		span, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
@@ -105,6 +107,24 @@
 	return ""
 }
 
+// switchPauses starts switches from a primary that serves badly, each a time after
+// the one before, and returns the pause that follows each.
+func switchPauses(t *testing.T, d *datadriven.TestData) string {
+	var f failingPrimary
+	now := time.Unix(1000, 0)
+	var out []string
+	for _, a := range d.CmdArgs {
+		after, err := time.ParseDuration(a.Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now = now.Add(after)
+		f.switched(now)
+		out = append(out, f.pause.String())
+	}
+	return strings.Join(out, " ") + "\n"
+}
+
 func (s *leadScript) send(m Message) string {
 	var out strings.Builder
 	for _, c := range s.elector.Update(s.now, m) {
@@ -127,6 +147,8 @@
 			fmt.Fprintf(&out, "broadcast progress\n")
 		case StateChanged:
 			fmt.Fprintf(&out, "%s: %s\n", c.State, c.Reason)
+		case SwitchPauseChanged:
+			fmt.Fprintf(&out, "switch pause %s\n", c.Pause)
 		}
 	}
 	return out.String()
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
@@ -159,6 +161,9 @@
 		rn.host.setUnreachable(rn.group, c.Unreachable)
 	case lead.BroadcastProgress:
 		rn.host.broadcastProgress()
+	case lead.SwitchPauseChanged:
+		trace.Event("PrimaryChangePause", "Group", rn.group, "Pause", c.Pause.String())
+		metrics.GetOrCreateGauge(fmt.Sprintf("marjoram_primary_change_pause_seconds{group=%q}", string(rn.group)), nil).Set(c.Pause.Seconds())
 	case lead.StateChanged:
 		trace.Event("PrimaryState", "Group", rn.group, "State", c.State.String(), "Endpoint", c.Endpoint, "Term", c.Term, "Why", c.Reason)
 	}
