Keep what is known of a promotion in one struct

Ten of the elector's fields described its latest promotion and earlier ones that may still take effect. They form the type promotion, with the question whether it may still change the primary as its method. clearTarget replaces the same three assignments in two places. No decision changes.

Measured: the tests of the package pass.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -220,7 +220,7 @@
 	if target == nil {
 		return
 	}
-	el.target, el.promoteSentAt = target.ID, time.Time{}
+	el.target, el.promotion.sentAt = target.ID, time.Time{}
 	el.setState(now, Promoting, "enough replicas are sealed")
 	el.awaitPromotion(now)
 }
--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -83,29 +83,7 @@
 	epoch            ident.Epoch
 	epochRequestedAt time.Time // time of the latest AcquireEpoch
 	target           ident.Endpoint
-	promoteSentAt    time.Time // time of the latest Promote, zero if it has to be sent
-	// pendingTarget is the target of a Promote with the present epoch that may
-	// still take effect. Promoting another target requires a new epoch.
-	// answerMissing is set once a Promote with this epoch got no answer,
-	// because a copy of it may arrive late.
-	pendingTarget ident.Endpoint
-	answerMissing bool
-	// lateUntil is until when a Promote of lateTarget without an answer may take
-	// effect.
-	lateUntil  time.Time
-	lateTarget ident.Endpoint
-	// pendingSince is when a Promote was sent that may still take effect,
-	// because no later term has been seen. accepted is set once the platform
-	// accepted it.
-	pendingSince time.Time
-	accepted     bool
-	// termAtPromote is the newest term when the pending Promote was sent, and
-	// acceptedTarget its target once it is accepted.
-	termAtPromote  ident.Term
-	acceptedTarget ident.Endpoint
-	// unsealedTerm is the term in which a replica lost the seal that a pending
-	// promotion depends on, so that the promotion may drop commits of the term.
-	unsealedTerm ident.Term
+	promotion        promotion
 	// peerPromoter is another instance with a pending promotion, until
 	// peerPromoterUntil.
 	peerPromoter      ident.Instance
@@ -155,7 +133,7 @@
 	case PeerOpinion:
 		el.peerOpinion(now, m)
 	case EpochAcquired:
-		el.epoch, el.pendingTarget, el.answerMissing = m.Epoch, "", false
+		el.epoch, el.promotion.pendingTarget, el.promotion.answerMissing = m.Epoch, "", false
 	case Promoted:
 		el.promotionResult(now, m)
 	}
--- a/internal/lead/evacuation.go
+++ b/internal/lead/evacuation.go
@@ -19,12 +19,12 @@
 // data centre and its promotion was not requested yet.
 func (el *Elector) targetEvacuated() bool {
 	s := el.servers[el.target]
-	return s != nil && s.Evacuated && el.unusableSince.IsZero() && el.promoteSentAt.IsZero() && el.pendingTarget != el.target
+	return s != nil && s.Evacuated && el.unusableSince.IsZero() && el.promotion.sentAt.IsZero() && el.promotion.pendingTarget != el.target
 }
 
 // abandonTarget starts a planned switch again with another target.
 func (el *Elector) abandonTarget(now time.Time) {
-	el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
+	el.clearTarget()
 	el.setState(now, Switching, "the data centre of the successor is evacuated")
 }
 
--- a/internal/lead/failing.go
+++ b/internal/lead/failing.go
@@ -111,7 +111,7 @@
 // startSwitch starts to replace a primary that still answers. failing is set if
 // the reason is that it serves badly.
 func (el *Elector) startSwitch(now time.Time, reason string, failing bool) {
-	el.target, el.promoteSentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
+	el.clearTarget()
 	el.failing.switching = failing
 	if failing && el.failing.switched(now) {
 		el.emit(SwitchPauseChanged{Pause: el.failing.pause})
--- a/internal/lead/observe.go
+++ b/internal/lead/observe.go
@@ -28,7 +28,7 @@
 		el.failing.switchedAt, el.failing.switching = now, false
 	}
 	el.newestTerm = t
-	if !now.Before(el.lateUntil) {
+	if !el.promotion.copyMayArrive(now) {
 		el.clearPromotion()
 	}
 }
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -11,6 +11,50 @@
 // known: it may take effect immediately, seconds later, or never. This file
 // handles the pending promotions of this instance and of its peers.
 
+// promotion is what this instance knows of its latest promotion and of earlier
+// ones that may still take effect.
+type promotion struct {
+	sentAt time.Time // time of the latest Promote, zero if it has to be sent
+	// pendingTarget is the target of a Promote with the present epoch that may
+	// still take effect. Promoting another target requires a new epoch.
+	// answerMissing is set once a Promote with this epoch got no answer,
+	// because a copy of it may arrive late.
+	pendingTarget ident.Endpoint
+	answerMissing bool
+	// lateUntil is until when a Promote of lateTarget without an answer may take
+	// effect.
+	lateUntil  time.Time
+	lateTarget ident.Endpoint
+	// pendingSince is when a Promote was sent that may still take effect,
+	// because no later term has been seen. accepted is set once the platform
+	// accepted it.
+	pendingSince time.Time
+	accepted     bool
+	// newestTerm is the newest term when the pending Promote was sent, and
+	// acceptedTarget its target once it is accepted.
+	newestTerm     ident.Term
+	acceptedTarget ident.Endpoint
+	// unsealedTerm is the term in which a replica lost the seal that a pending
+	// promotion depends on, so that the promotion may drop commits of the term.
+	unsealedTerm ident.Term
+}
+
+// pending reports whether the promotion may still change the primary.
+func (p *promotion) pending(now time.Time) bool {
+	if p.pendingSince.IsZero() {
+		return false
+	}
+	limit := latePromotionLimit
+	if p.accepted && !p.copyMayArrive(now) {
+		limit = promotionTimeout // no earlier copy can still take effect
+	}
+	return now.Sub(p.pendingSince) < limit
+}
+
+// copyMayArrive reports whether an earlier copy without an answer may still take
+// effect.
+func (p *promotion) copyMayArrive(now time.Time) bool { return now.Before(p.lateUntil) }
+
 // awaitPromotion sends the Promote command and waits until the target is the
 // primary.
 func (el *Elector) awaitPromotion(now time.Time) {
@@ -22,21 +66,21 @@
 		el.setState(now, Sealing, "the promotion timed out")
 		return
 	}
-	if el.pendingTarget != "" && el.pendingTarget != el.target && el.epoch != 0 {
+	if el.promotion.pendingTarget != "" && el.promotion.pendingTarget != el.target && el.epoch != 0 {
 		el.epoch, el.epochRequestedAt = 0, now
 		el.emit(AcquireEpoch{})
 	}
-	if el.promoteSentAt.IsZero() && el.epoch != 0 && !el.sealsValid(now) {
+	if el.promotion.sentAt.IsZero() && el.epoch != 0 && !el.sealsValid(now) {
 		el.setState(now, Sealing, "the seals have expired")
 		return
 	}
-	if el.promoteSentAt.IsZero() && el.epoch != 0 {
+	if el.promotion.sentAt.IsZero() && el.epoch != 0 {
 		assert.That(el.target != "", "lead promotion has a target", "state %s", el.state)
-		if !el.promotionPending(now) {
-			el.unsealedTerm = 0
+		if !el.promotion.pending(now) {
+			el.promotion.unsealedTerm = 0
 		}
-		el.promoteSentAt, el.pendingSince, el.accepted = now, now, false
-		el.pendingTarget, el.termAtPromote = el.target, el.newestTerm
+		el.promotion.sentAt, el.promotion.pendingSince, el.promotion.accepted = now, now, false
+		el.promotion.pendingTarget, el.promotion.newestTerm = el.target, el.newestTerm
 		el.emit(Promote{Endpoint: el.target, Epoch: el.epoch})
 		el.emit(BroadcastProgress{})
 	}
@@ -46,14 +90,14 @@
 func (el *Elector) promotionResult(now time.Time, m Promoted) {
 	switch m.Result {
 	case Accepted:
-		el.accepted, el.acceptedTarget = true, m.Endpoint
-		if !el.answerMissing {
-			el.pendingTarget = ""
+		el.promotion.accepted, el.promotion.acceptedTarget = true, m.Endpoint
+		if !el.promotion.answerMissing {
+			el.promotion.pendingTarget = ""
 		}
 	case NoAnswer:
-		el.answerMissing, el.lateTarget, el.lateUntil = true, m.Endpoint, now.Add(latePromotionLimit)
+		el.promotion.answerMissing, el.promotion.lateTarget, el.promotion.lateUntil = true, m.Endpoint, now.Add(latePromotionLimit)
 	case Refused:
-		if !now.Before(el.lateUntil) { // no earlier copy may arrive late
+		if !el.promotion.copyMayArrive(now) {
 			el.clearPromotion()
 		}
 	}
@@ -64,10 +108,10 @@
 	case Refused:
 		el.epoch, el.epochRequestedAt = 0, time.Time{}
 		el.refusedTarget = m.Endpoint
-		el.promoteSentAt = time.Time{}
+		el.promotion.sentAt = time.Time{}
 		el.setState(now, el.afterRefusal(), "the promotion was refused")
 	case NoAnswer:
-		el.promoteSentAt = time.Time{} // the same request is repeated
+		el.promotion.sentAt = time.Time{} // the same request is repeated
 	}
 }
 
@@ -77,26 +121,13 @@
 // now: the new owner doesn't know of the promotion, and the seals that the
 // promotion depends on expire.
 func (el *Elector) mustFinishPromotion(now time.Time) bool {
-	return !el.accepted && el.promotionPending(now)
-}
-
-// promotionPending reports whether a promotion that this instance requested may
-// still change the primary.
-func (el *Elector) promotionPending(now time.Time) bool {
-	if el.pendingSince.IsZero() {
-		return false
-	}
-	limit := latePromotionLimit
-	if el.accepted && !now.Before(el.lateUntil) {
-		limit = promotionTimeout // no earlier copy can still take effect
-	}
-	return now.Sub(el.pendingSince) < limit
+	return !el.promotion.accepted && el.promotion.pending(now)
 }
 
 // settleLatePromotion ends the wait for a Promote without an answer once its
 // target is the primary of the newest term.
 func (el *Elector) settleLatePromotion() {
-	if !el.lateUntil.IsZero() && el.primary == el.lateTarget && el.term == el.newestTerm {
+	if !el.promotion.lateUntil.IsZero() && el.primary == el.promotion.lateTarget && el.term == el.newestTerm {
 		el.clearPromotion()
 	}
 }
@@ -104,16 +135,16 @@
 // clearPromotion records that no promotion of this instance is pending any
 // more.
 func (el *Elector) clearPromotion() {
-	el.lateUntil = time.Time{}
-	if !el.pendingSince.IsZero() {
-		el.pendingSince, el.accepted = time.Time{}, false
+	el.promotion.lateUntil = time.Time{}
+	if !el.promotion.pendingSince.IsZero() {
+		el.promotion.pendingSince, el.promotion.accepted = time.Time{}, false
 		el.emit(BroadcastProgress{})
 	}
 }
 
 // Progress returns the progress of the group for the other instances.
 func (el *Elector) Progress(now time.Time) PeerProgress {
-	return PeerProgress{Acked: el.acked, Term: el.newestTerm, PromotionPending: el.promotionPending(now)}
+	return PeerProgress{Acked: el.acked, Term: el.newestTerm, PromotionPending: el.promotion.pending(now)}
 }
 
 // peerProgress applies the progress that another instance reported.
@@ -147,15 +178,15 @@
 // markUnsealed records that a replica receives without the seal that a pending
 // promotion depends on.
 func (el *Elector) markUnsealed(now time.Time) {
-	if el.promotionPending(now) {
-		el.unsealedTerm = el.newestTerm
+	if el.promotion.pending(now) {
+		el.promotion.unsealedTerm = el.newestTerm
 	}
 }
 
 // sealsBroken reports whether a promotion of this instance is pending whose
 // target may lack commits that the present primary acknowledges.
 func (el *Elector) sealsBroken(now time.Time) bool {
-	return el.unsealedTerm != 0 && el.unsealedTerm == el.newestTerm && el.promotionPending(now)
+	return el.promotion.unsealedTerm != 0 && el.promotion.unsealedTerm == el.newestTerm && el.promotion.pending(now)
 }
 
 // CommitUncertain reports whether a commit that the primary of a term has
@@ -163,7 +194,7 @@
 // or has taken effect.
 func (el *Elector) CommitUncertain(now time.Time, t ident.Term) bool {
 	if t < el.newestTerm {
-		return t <= el.unsealedTerm
+		return t <= el.promotion.unsealedTerm
 	}
 	return t == el.newestTerm && (el.sealsBroken(now) || el.peerPromotionPending(now) || el.overtaken(now))
 }
@@ -180,7 +211,7 @@
 // seals of the accepted one do not prevent commits of that term from being
 // acknowledged, so it may drop them.
 func (el *Elector) overtaken(now time.Time) bool {
-	return el.accepted && el.promotionPending(now) && el.newestTerm > el.termAtPromote && el.primary != el.acceptedTarget
+	return el.promotion.accepted && el.promotion.pending(now) && el.newestTerm > el.promotion.newestTerm && el.primary != el.promotion.acceptedTarget
 }
 
 // updateWrites refuses writes to the present primary while a pending promotion
--- a/internal/lead/switchover.go
+++ b/internal/lead/switchover.go
@@ -22,6 +22,11 @@
 	return best
 }
 
+// clearTarget makes a planned switch choose its successor and seal the others anew.
+func (el *Elector) clearTarget() {
+	el.target, el.promotion.sentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
+}
+
 // switchOver replaces a primary that is still serving. First all replicas
 // except the successor are sealed, so that every later acknowledgement comes
 // from the successor. Then the successor has to catch up with the earlier
@@ -62,7 +67,7 @@
 		return
 	}
 	el.setState(now, Promoting, "the successor holds all acknowledged commits")
-	el.promoteSentAt = time.Time{}
+	el.promotion.sentAt = time.Time{}
 	el.awaitPromotion(now)
 }
 
