Pause before a promotion whose call failed is repeated

Cause: a Promote without an answer was repeated in the same update. A call that fails immediately, as when the store refuses connections, was so repeated in a loop for as long as the seals were valid, some hundred calls in 300 ms.

Change: two copies of a Promote are at least 100 ms apart. A copy after the call's own time limit of 1 s goes out at once, as before.

Tried and reverted: repeating a Promote after 300 ms without an answer, with the seals renewed meanwhile.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -220,7 +220,8 @@
 	if target == nil {
 		return
 	}
-	el.target, el.promotion.sentAt = target.ID, time.Time{}
+	el.target = target.ID
+	el.promotion.resend()
 	el.setState(now, Promoting, "enough replicas are sealed")
 	el.awaitPromotion(now)
 }
--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -41,6 +41,9 @@
 	// promotionTimeout is how long a promotion may take before it is started
 	// again.
 	promotionTimeout = 3 * time.Second
+	// promotionRetryPause is the least time between two copies of a Promote. A call
+	// that fails immediately is then not repeated in a loop.
+	promotionRetryPause = 100 * time.Millisecond
 	// epochRetryPause is the pause between two requests for an epoch.
 	epochRetryPause = 500 * time.Millisecond
 	// ownershipSettleTime is how long an instance owns a group before it
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -15,6 +15,7 @@
 // ones that may still take effect.
 type promotion struct {
 	sentAt time.Time // time of the latest Promote, zero if it has to be sent
+	failed bool      // the latest Promote got no answer, so it has to be repeated
 	// pendingTarget is the target of a Promote with the present epoch that may
 	// still take effect. Promoting another target requires a new epoch.
 	// answerMissing is set once a Promote with this epoch got no answer,
@@ -51,6 +52,9 @@
 	return now.Sub(p.pendingSince) < limit
 }
 
+// resend makes the next Promote be sent without delay.
+func (p *promotion) resend() { p.sentAt, p.failed = time.Time{}, false }
+
 // copyMayArrive reports whether an earlier copy without an answer may still take
 // effect.
 func (p *promotion) copyMayArrive(now time.Time) bool { return now.Before(p.lateUntil) }
@@ -66,6 +70,9 @@
 		el.setState(now, Sealing, "the promotion timed out")
 		return
 	}
+	if el.promotion.failed && now.Sub(el.promotion.sentAt) >= promotionRetryPause {
+		el.promotion.resend()
+	}
 	if el.promotion.pendingTarget != "" && el.promotion.pendingTarget != el.target && el.epoch != 0 {
 		el.epoch, el.epochRequestedAt = 0, now
 		el.emit(AcquireEpoch{})
@@ -108,10 +115,10 @@
 	case Refused:
 		el.epoch, el.epochRequestedAt = 0, time.Time{}
 		el.refusedTarget = m.Endpoint
-		el.promotion.sentAt = time.Time{}
+		el.promotion.resend()
 		el.setState(now, el.afterRefusal(), "the promotion was refused")
 	case NoAnswer:
-		el.promotion.sentAt = time.Time{} // the same request is repeated
+		el.promotion.failed = true
 	}
 }
 
--- a/internal/lead/switchover.go
+++ b/internal/lead/switchover.go
@@ -24,7 +24,8 @@
 
 // clearTarget makes a planned switch choose its successor and seal the others anew.
 func (el *Elector) clearTarget() {
-	el.target, el.promotion.sentAt, el.othersSealedAt = "", time.Time{}, time.Time{}
+	el.target, el.othersSealedAt = "", time.Time{}
+	el.promotion.resend()
 }
 
 // switchOver replaces a primary that is still serving. First all replicas
@@ -67,7 +68,7 @@
 		return
 	}
 	el.setState(now, Promoting, "the successor holds all acknowledged commits")
-	el.promotion.sentAt = time.Time{}
+	el.promotion.resend()
 	el.awaitPromotion(now)
 }
 
