Give the slots of calls whose answers are lost to other calls

Load: answers of a primary are lost. Each lost answer held one of three slots in the scheduler's count for 400 ms, 20 times a call's service, while the endpoint had long finished. Calls were admitted by the usual service times and waited in vain.

Change: a call that runs twice as long as the longest recent answer, at an endpoint that goes on answering calls that began later, occupies no slot. If the endpoint then refuses a call for want of a slot, overdue calls count again for a second. The gauge marjoram_overdue_calls shows how many there are.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -65,7 +65,7 @@
 	lastTx      engine.TxID
 	idleTxLimit time.Duration
 	abandoned   bool
-	gauges      waitingGauges
+	gauges      queueGauges
 	evacuated   bool      // an endpoint is in an evacuated data centre
 	failingLog  reportLog // of the primary that fails most calls
 	laggingLog  reportLog // of the replicas that lag
--- a/internal/relay/queue_metrics.go
+++ b/internal/relay/queue_metrics.go
@@ -22,28 +22,31 @@
 	return all
 }
 
-// waitingGauges are the waiting calls of a group by state. They are created when
-// the first call waits, because most instances own few of the groups.
-type waitingGauges struct{ onTime, late *metrics.Gauge }
-
-func (w *waitingGauges) set(g ident.Group, onTime, late int) {
-	if w.onTime == nil {
-		if onTime+late == 0 {
+// queueGauges are the waiting calls of a group by state, and the running ones whose
+// answers are overdue. They are created when the first call waits, because most
+// instances own few of the groups.
+type queueGauges struct{ onTime, late, overdue *metrics.Gauge }
+
+func (q *queueGauges) set(g ident.Group, onTime, late, overdue int) {
+	if q.onTime == nil {
+		if onTime+late+overdue == 0 {
 			return
 		}
 		gauge := func(state string) *metrics.Gauge {
 			return metrics.GetOrCreateGauge(fmt.Sprintf("marjoram_waiting_calls{group=%q,state=%q}", string(g), state), nil)
 		}
-		w.onTime, w.late = gauge("OnTime"), gauge("Late")
+		q.onTime, q.late = gauge("OnTime"), gauge("Late")
+		q.overdue = metrics.GetOrCreateGauge(fmt.Sprintf("marjoram_overdue_calls{group=%q}", string(g)), nil)
 	}
-	w.onTime.Set(float64(onTime))
-	w.late.Set(float64(late))
+	q.onTime.Set(float64(onTime))
+	q.late.Set(float64(late))
+	q.overdue.Set(float64(overdue))
 }
 
-// recordWaiting updates the gauges of the waiting calls.
+// recordWaiting updates the gauges of the queue.
 func (p *GroupPool) recordWaiting(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	onTime, late := p.scheduler.WaitingCalls(now)
-	p.gauges.set(p.group, onTime, late)
+	p.gauges.set(p.group, onTime, late, p.scheduler.OverdueCalls(now))
 }
--- a/internal/sched/doc.go
+++ b/internal/sched/doc.go
@@ -13,6 +13,7 @@
 //     and servicetime.go estimate when it would answer.
 //   - Endpoints that fail some calls or all: outcome.go counts, outlier.go ejects
 //     them for reads, failing.go reports a primary.
+//   - Answers that are lost: overdue.go says which calls still occupy a slot.
 //   - Replicas that lag: floor.go says which position a read needs, lagging.go
 //     reports a primary that is overloaded for that reason.
 //   - No endpoint for a call at present: servable.go says when there will be one.
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -53,6 +53,7 @@
 	cold             *coldState
 	outcomes         outcomeWindow
 	ejection         ejection
+	answers          answers
 }
 
 func newEndpoint() *endpoint { return &endpoint{conns: make(map[ConnID]*conn)} }
@@ -108,7 +109,7 @@
 }
 
 func (e *endpoint) hasSlot(now time.Time) bool {
-	return e.active < max(1, e.Slots)+slotSlack && !now.Before(e.saturatedUntil)
+	return !now.Before(e.saturatedUntil) && e.occupied(now) < max(1, e.Slots)+slotSlack
 }
 
 func (e *endpoint) maxConns(now time.Time, share int) int {
@@ -130,6 +131,7 @@
 		e.behindUntil = now.Add(behindPause)
 	case Saturated:
 		e.saturatedUntil = now.Add(saturatedPause)
+		e.answers.refused(now)
 	case Unresponsive:
 		e.readsPausedUntil = now.Add(unresponsivePause)
 	}
--- a/internal/sched/expected.go
+++ b/internal/sched/expected.go
@@ -81,7 +81,7 @@
 // connection.
 func (s *Scheduler) expectedTime(now time.Time, e *endpoint, call *engine.Call) time.Duration {
 	work, units := s.workAt(now, e), 0.0
-	queue := time.Duration(float64(work) * float64(e.active) / float64(max(1, e.Slots)))
+	queue := time.Duration(float64(work) * float64(e.occupied(now)) / float64(max(1, e.Slots)))
 	if e.ID == s.primary.Endpoint {
 		units += costPrimary
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -256,6 +256,7 @@
 	if m.UsedSlot {
 		s.services.observe(m.Kind, m.Took, s.serviceTime)
 		s.recordWork(now, e, m)
+		e.answers.record(now, m.Began, m.Took)
 		s.serviceTime += (m.Took - s.serviceTime) / serviceSamples
 	}
 }
--- a/internal/sched/streams_test.go
+++ b/internal/sched/streams_test.go
@@ -30,6 +30,9 @@
 	// Every slowEvery-th call takes slowFactor times service.
 	service time.Duration
 	slow    bool
+	// The answer to every lost-th call does not arrive. The caller's connection
+	// ends after lostTimeout.
+	lost int
 	// measureFrom is when the calls start to count for the bounds.
 	measureFrom time.Duration
 	bounds      []bound
@@ -44,12 +47,15 @@
 	refused int // rejected on arrival
 	expired int // rejected after waiting
 	longest time.Duration
+	behind  time.Duration // longest wait for a slot at the endpoint
 	retries []time.Duration
 }
 
 const (
 	slowEvery  = 33
 	slowFactor = 7
+
+	lostTimeout = 400 * time.Millisecond
 )
 
 // bound is a condition on the results of a stream.
@@ -65,6 +71,7 @@
 	service time.Duration
 	counts  bool
 	repeats int // so far
+	lost    bool
 }
 
 // streamReturn is a rejected call that is sent again.
@@ -160,6 +167,8 @@
 			st.measureFrom = duration(value)
 		case "service":
 			st.service = duration(value)
+		case "lost":
+			st.lost = int(number(value))
 		case "slow":
 			st.slow = true
 		case "repeats":
@@ -207,6 +216,7 @@
 	if st.slow && int(r.last)%slowEvery == 0 {
 		c.service *= slowFactor
 	}
+	c.lost = st.lost > 0 && int(r.last)%st.lost == 0
 	if counts {
 		st.calls++
 	}
@@ -243,6 +253,10 @@
 		if call.Target > 0 {
 			limit = call.Target
 		}
+		if e.call.lost {
+			r.update(ConnLost{Conn: e.grant.Conn})
+			continue
+		}
 		if e.call.counts && e.at.Sub(e.call.arrival) <= limit {
 			e.call.stream.inTime++
 		}
@@ -283,10 +297,15 @@
 	}
 	slots[first] = began.Add(c.service)
 	if c.counts {
+		c.stream.behind = max(c.stream.behind, began.Sub(r.now))
 		c.stream.granted++
 		c.stream.longest = max(c.stream.longest, g.Waited)
 	}
-	r.ends = append(r.ends, streamEnd{at: slots[first], began: r.now, call: c, grant: g})
+	at := slots[first]
+	if c.lost {
+		at = r.now.Add(lostTimeout)
+	}
+	r.ends = append(r.ends, streamEnd{at: at, began: r.now, call: c, grant: g})
 }
 
 func (r *streamRun) reject(j Reject) {
@@ -321,8 +340,8 @@
 	return out.String()
 }
 
-// measure returns a result of a stream: shares of its calls, the longest wait in
-// milliseconds, or how the times of retries are spread.
+// measure returns a result of a stream: shares of its calls, the longest wait in the
+// queue and at the endpoint in milliseconds, or how the times of retries are spread.
 func (st *stream) measure(name string) float64 {
 	all := float64(max(1, st.calls))
 	switch name {
@@ -336,6 +355,8 @@
 		return float64(st.expired) / all
 	case "longest_ms":
 		return float64(st.longest.Milliseconds())
+	case "behind_ms":
+		return float64(st.behind.Milliseconds())
 	case "retry_bunch":
 		return float64(st.largestBunch())
 	}
