Renew the epoch after another instance's promotion

Cause: a copy of a Promote may arrive seconds late. The promotion call accepts an epoch that is not below the highest it has seen. An instance that held an older epoch than the late copy's promoted with it in the meantime, so the copy was not fenced off: it took effect afterwards and dropped the commits of the later term.

Change: an instance that learns of a peer's pending promotion gives up the epoch that it holds and acquires another one, which is newer. An epoch that was requested before is not used.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -91,6 +91,10 @@
 	// peerPromoterUntil.
 	peerPromoter      ident.Instance
 	peerPromoterUntil time.Time
+	// promotingPeers are the instances that have a pending promotion, by their own
+	// latest report. peerPromotedAt is when one was added.
+	promotingPeers    map[ident.Instance]bool
+	peerPromotedAt    time.Time
 	provedAt          time.Time // when the primary last proved its role
 	promotedAt        time.Time // when this instance last replaced the primary
 	noWrites          bool      // value in the latest PrimaryChanged
@@ -109,7 +113,7 @@
 
 // New returns an elector without endpoints.
 func New() *Elector {
-	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), syncReplicas: 1}
+	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), promotingPeers: make(map[ident.Instance]bool), syncReplicas: 1}
 }
 
 // Update applies one message at the given time and returns the commands to
@@ -136,7 +140,7 @@
 	case PeerOpinion:
 		el.peerOpinion(now, m)
 	case EpochAcquired:
-		el.epoch, el.promotion.pendingTarget, el.promotion.answerMissing = m.Epoch, "", false
+		el.setEpoch(m.Epoch)
 	case Promoted:
 		el.promotionResult(now, m)
 	}
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -158,6 +158,7 @@
 func (el *Elector) peerProgress(now time.Time, m PeerProgress) {
 	el.recordAcked(now, m.Acked)
 	el.recordTerm(now, m.Term)
+	el.recordPromotingPeer(now, m)
 	switch {
 	case m.PromotionPending && (m.Term == el.newestTerm || m.From == el.peerPromoter):
 		el.peerPromoter, el.peerPromoterUntil = m.From, now.Add(progressValidity)
@@ -166,6 +167,30 @@
 	}
 }
 
+// recordPromotingPeer records whether another instance has a pending promotion. A
+// promotion that begins there has a newer epoch than the one that this instance
+// holds, and a copy of it may arrive after a later promotion of this instance. Only
+// an epoch that is newer still fences it off.
+func (el *Elector) recordPromotingPeer(now time.Time, m PeerProgress) {
+	switch {
+	case !m.PromotionPending:
+		delete(el.promotingPeers, m.From)
+	case !el.promotingPeers[m.From]:
+		el.promotingPeers[m.From] = true
+		el.peerPromotedAt = now
+		el.epoch, el.epochRequestedAt = 0, time.Time{}
+	}
+}
+
+// setEpoch stores an acquired epoch, unless another instance may have acquired a
+// newer one since it was requested.
+func (el *Elector) setEpoch(epoch ident.Epoch) {
+	if el.epochRequestedAt.Before(el.peerPromotedAt) {
+		return
+	}
+	el.epoch, el.promotion.pendingTarget, el.promotion.answerMissing = epoch, "", false
+}
+
 // peerPromotionPending reports whether a promotion of another instance may
 // still take effect. Such a promotion removes the seals that a promotion of
 // this instance would depend on, and drops the commits that the present primary
