--- a/internal/quota/restart_test.go
+++ b/internal/quota/restart_test.go
@@ -38,27 +38,16 @@
 }
 
 // TestRestartUnderFloodStaysInBounds guards against a new bucket that adds too much
-// to what was granted before a restart: an account that has used its whole quota and
-// burst floods the new owner.
+// to what was granted before a restart. An account that has used its whole quota and
+// burst floods the new owner, or one that begins with a full bucket just before.
 func TestRestartUnderFloodStaysInBounds(t *testing.T) {
-	for _, rate := range []float64{5, 13, 43, 200, 800} {
-		for seed := range uint64(3) {
-			c := fleetCase{instances: 9, rate: rate, offered: 4, span: 16 * time.Second, restartAt: restartAt}
-			if r := runFleet(seed, c); r.most > 1 {
-				t.Errorf("rate %g, seed %d: %.3f of the limit in a window", rate, seed, r.most)
-			}
-		}
-	}
-}
-
-// TestIdleAccountFloodsAtRestart guards against the same for an account that begins
-// its flood with a full bucket just before the restart.
-func TestIdleAccountFloodsAtRestart(t *testing.T) {
-	for _, rate := range []float64{5, 13, 43, 200, 800} {
-		for seed := range uint64(3) {
-			c := fleetCase{instances: 9, rate: rate, offered: 4, idleUntil: restartAt - time.Second, span: 16 * time.Second, restartAt: restartAt}
-			if r := runFleet(seed, c); r.most > 1 {
-				t.Errorf("rate %g, seed %d: %.3f of the limit in a window", rate, seed, r.most)
+	for name, idleUntil := range map[string]time.Duration{"flooding": 0, "idle": restartAt - time.Second} {
+		for _, rate := range []float64{5, 13, 43, 200, 800} {
+			for seed := range uint64(3) {
+				c := fleetCase{instances: 9, rate: rate, offered: 4, idleUntil: idleUntil, span: 16 * time.Second, restartAt: restartAt}
+				if r := runFleet(seed, c); r.most > 1 {
+					t.Errorf("%s account, rate %g, seed %d: %.3f of the limit in a window", name, rate, seed, r.most)
+				}
 			}
 		}
 	}
