Renew the epoch also after a peer that restarted within its promotion

An instance that ends while its promotion is pending reports nothing further, so it stayed recorded as promoting, and its next promotion did not make the others renew their epochs. The record now counts for as long as a pending promotion is reported.

The script peer_promotion fails before (no epoch is acquired for the second promotion). The tests of the package pass.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -91,9 +91,9 @@
 	// peerPromoterUntil.
 	peerPromoter      ident.Instance
 	peerPromoterUntil time.Time
-	// promotingPeers are the instances that have a pending promotion, by their own
-	// latest report. peerPromotedAt is when one was added.
-	promotingPeers    map[ident.Instance]bool
+	// promotingPeers are the instances that have a pending promotion, with the time
+	// of their latest report of it. peerPromotedAt is when one was added.
+	promotingPeers    map[ident.Instance]time.Time
 	peerPromotedAt    time.Time
 	provedAt          time.Time // when the primary last proved its role
 	promotedAt        time.Time // when this instance last replaced the primary
@@ -113,7 +113,7 @@
 
 // New returns an elector without endpoints.
 func New() *Elector {
-	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), promotingPeers: make(map[ident.Instance]bool), syncReplicas: 1}
+	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), promotingPeers: make(map[ident.Instance]time.Time), syncReplicas: 1}
 }
 
 // Update applies one message at the given time and returns the commands to
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -172,14 +172,17 @@
 // holds, and a copy of it may arrive after a later promotion of this instance. Only
 // an epoch that is newer still fences it off.
 func (el *Elector) recordPromotingPeer(now time.Time, m PeerProgress) {
-	switch {
-	case !m.PromotionPending:
+	if !m.PromotionPending {
 		delete(el.promotingPeers, m.From)
-	case !el.promotingPeers[m.From]:
-		el.promotingPeers[m.From] = true
-		el.peerPromotedAt = now
-		el.epoch, el.epochRequestedAt = 0, time.Time{}
+		return
+	}
+	reportedAt, known := el.promotingPeers[m.From]
+	el.promotingPeers[m.From] = now
+	if known && now.Sub(reportedAt) <= progressValidity {
+		return
 	}
+	el.peerPromotedAt = now
+	el.epoch, el.epochRequestedAt = 0, time.Time{}
 }
 
 // setEpoch stores an acquired epoch, unless another instance may have acquired a
