Count overdue calls once an update

An arrival while reads wait for a lagging primary asked each full endpoint for its overdue calls some hundred times. Same decisions.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -54,6 +54,8 @@
 	outcomes         outcomeWindow
 	ejection         ejection
 	answers          answers
+	overdue          int       // overdue calls at overdueAt
+	overdueAt        time.Time // zero after a change
 }
 
 func newEndpoint() *endpoint { return &endpoint{conns: make(map[ConnID]*conn)} }
@@ -109,7 +111,8 @@
 }
 
 func (e *endpoint) hasSlot(now time.Time) bool {
-	return !now.Before(e.saturatedUntil) && e.occupied(now) < max(1, e.Slots)+slotSlack
+	limit := max(1, e.Slots) + slotSlack
+	return !now.Before(e.saturatedUntil) && (e.active < limit || e.occupied(now) < limit)
 }
 
 func (e *endpoint) maxConns(now time.Time, share int) int {
--- a/internal/sched/overdue.go
+++ b/internal/sched/overdue.go
@@ -53,14 +53,22 @@
 
 // occupied returns how many calls and dials occupy a slot of the endpoint.
 func (e *endpoint) occupied(now time.Time) int {
-	n := e.active
-	if n < e.Slots || now.Before(e.answers.countsUntil) {
-		return n
+	if e.active < e.Slots || now.Before(e.answers.countsUntil) {
+		return e.active
 	}
+	if !e.overdueAt.Equal(now) {
+		e.countOverdue(now)
+	}
+	return e.active - e.overdue
+}
+
+// countOverdue counts the overdue calls. The count holds until the time or the
+// state of a connection changes: a long queue asks for it many times in one update.
+func (e *endpoint) countOverdue(now time.Time) {
+	e.overdue, e.overdueAt = 0, now
 	for _, c := range e.conns {
 		if c.state == running && e.answers.overdue(now, c.since) {
-			n--
+			e.overdue++
 		}
 	}
-	return n
 }
