--- a/internal/stand/load/verify.go
+++ b/internal/stand/load/verify.go
@@ -33,16 +33,23 @@
 }
 
 // read tries one proxy after another until it has read the whole content of a
-// group.
+// group. Its error is that of the last attempt that did not fail for lack of time.
 func (r *run) read(ctx context.Context, target int) (storedIDs, error) {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	c := newCaller(&r.config, 0, target, r.config.Sessions)
 	defer c.close()
-	for {
+	var last error
+	for attempts := 1; ; attempts++ {
 		stored, err := c.readAll(ctx)
-		if err == nil || ctx.Err() != nil {
-			return stored, err
+		switch {
+		case err == nil:
+			return stored, nil
+		case ctx.Err() == nil || last == nil:
+			last = err
+		}
+		if ctx.Err() != nil {
+			return stored, errors.Wrapf(last, "%d attempts", attempts)
 		}
 		c.move()
 		tasks.PauseUntil(ctx, time.Now().Add(verifyPause))
