Grant an eighth of a quota to those that ask a non-owner in every fleet

Cause: an instance was cut off from all but one other, which had just joined and reached everyone. It took that one for the account's quota owner; that one took another for the owner and granted the whole rate to the requester from a bucket of its own, for as long as the partition lasted. In fleets of more than 24 such grants were limited to an eighth of the rate; smaller ones were left out because all their instances were thought to change the owner at the same time.

Change: the limit applies in every fleet.

Ruled out: changes of this work to quotas (there are none), several new owners in a row (one owner per side during the whole window).

--- a/internal/relay/limiter.go
+++ b/internal/relay/limiter.go
@@ -10,7 +10,6 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/quota"
-	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -23,9 +22,9 @@
 const maxGrantWait = 4 * grantTimeout
 
 // formerOwnerShare is the fraction of a rate that an instance grants while it
-// takes another one for the account's quota owner. The requester will learn of
-// the other one within seconds; until then both grant. Instances that are all
-// linked to each other change their quota owner at the same time.
+// takes another one for the account's quota owner. The requester learns of the
+// other one within seconds, or can't reach it for as long as a partition lasts.
+// Until then both grant.
 const formerOwnerShare = 0.125
 
 // emptyRetry is the retry delay after a grant that was used up immediately.
@@ -158,8 +157,8 @@
 	if !ok {
 		return
 	}
-	owner, instances, share := l.owners.quotaOwnerOf(m.Account)
-	if owner != l.self && instances > roster.FullMeshLimit {
+	owner, _, share := l.owners.quotaOwnerOf(m.Account)
+	if owner != l.self {
 		share *= formerOwnerShare
 	}
 	account := l.account(m.Account)
