Write what stands twice once

The emulated store has one function that stores rows under a new version, for Put, Drop, evacuations and transactions. The elector gives up its epoch in one function, scripts read durations in one, what is known of an endpoint's answers lies in one struct, with one check of the time until which overdue calls count. FullMeshLimit has no user outside its package any more.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -258,13 +258,16 @@
 	}
 	el.owner, el.ownerChangedAt = owner, now
 	if !el.mustFinishPromotion(now) {
-		el.epoch, el.epochRequestedAt = 0, time.Time{}
+		el.dropEpoch()
 	}
 }
 
+// dropEpoch gives up the epoch. The next one is requested without a pause.
+func (el *Elector) dropEpoch() { el.epoch, el.epochRequestedAt = 0, time.Time{} }
+
 // standDown leaves the group to another instance.
 func (el *Elector) standDown(now time.Time) {
-	el.epoch, el.epochRequestedAt = 0, time.Time{}
+	el.dropEpoch()
 	if el.state == Steady || el.state == Searching {
 		return
 	}
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -113,7 +113,7 @@
 	}
 	switch m.Result {
 	case Refused:
-		el.epoch, el.epochRequestedAt = 0, time.Time{}
+		el.dropEpoch()
 		el.refusedTarget = m.Endpoint
 		el.promotion.resend()
 		el.setState(now, el.afterRefusal(), "the promotion was refused")
@@ -182,7 +182,7 @@
 		return
 	}
 	el.peerPromotedAt = now
-	el.epoch, el.epochRequestedAt = 0, time.Time{}
+	el.dropEpoch()
 }
 
 // setEpoch stores an acquired epoch, unless another instance may have acquired a
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -96,17 +96,21 @@
 	case "switchpauses":
 		return switchPauses(t, d)
 	case "wait":
-		span, err := time.ParseDuration(d.CmdArgs[0].Key)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.now = s.now.Add(span)
+		s.now = s.now.Add(duration(t, d.CmdArgs[0].Key))
 		return s.send(Tick{})
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
 	return ""
 }
 
+func duration(t *testing.T, text string) time.Duration {
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return span
+}
+
 // switchPauses starts switches from a primary that serves badly, each a time after
 // the one before, and returns the pause that follows each.
 func switchPauses(t *testing.T, d *datadriven.TestData) string {
@@ -114,11 +118,7 @@
 	now := time.Unix(1000, 0)
 	var out []string
 	for _, a := range d.CmdArgs {
-		after, err := time.ParseDuration(a.Key)
-		if err != nil {
-			t.Fatal(err)
-		}
-		now = now.Add(after)
+		now = now.Add(duration(t, a.Key))
 		f.switched(now)
 		out = append(out, f.pause.String())
 	}
--- a/internal/lead/sim_evacuation_test.go
+++ b/internal/lead/sim_evacuation_test.go
@@ -53,6 +53,16 @@
 	s.publishAll()
 }
 
+// requestNext makes the first of the requests that are due and not made yet.
+func (v *simEvacuations) requestNext(s *sim, all []evacuationRequest) {
+	for _, e := range all {
+		if !s.now.Before(e.at) && !v.contains(e.id) {
+			v.request(s, e.id)
+			return
+		}
+	}
+}
+
 // withdrawAll withdraws all requests. All instances learn of it.
 func (v *simEvacuations) withdrawAll(s *sim) {
 	if len(v.evacuated) > 0 {
@@ -137,43 +147,18 @@
 // given up.
 const withdrawnBound = time.Second
 
-// TestWithdrawnEvacuationsKeepWrites evacuates the primary and a replica of a
-// group without faults, and withdraws both requests during the switch. It guards
+// TestWithdrawnEvacuationsKeepWrites evacuates the primary of a group without
+// faults, and a replica during the switch, and withdraws both requests. It guards
 // against replicas that stay sealed while the primary is announced as taking
 // writes.
 func TestWithdrawnEvacuationsKeepWrites(t *testing.T) {
 	assert.Fatal()
-	var longest time.Duration
-	for seed := range uint64(simSeeds()) {
-		s := newEvacuationSim(t, seed)
-		s.quiet = true
+	requireWrites(t, func(s *sim) (evacuations []evacuationRequest, withdrawn time.Time) {
 		random := s.evacuations.random
-		for range 100 {
-			s.step()
-		}
-		s.evacuations.request(s, "a")
 		second := s.now.Add(time.Duration(random.IntN(600)) * time.Millisecond)
-		withdrawn := second.Add(time.Duration(random.IntN(800)) * time.Millisecond)
-		replica := simIDs[1+random.IntN(2)]
-		acked, ackedAt := len(s.acked), s.now
-		for end := withdrawn.Add(5 * time.Second); s.now.Before(end); {
-			s.step()
-			switch {
-			case !s.now.Before(withdrawn):
-				s.evacuations.withdrawAll(s)
-			case !s.now.Before(second) && !s.evacuations.contains(replica):
-				s.evacuations.request(s, replica)
-			}
-			if len(s.acked) > acked {
-				acked, ackedAt = len(s.acked), s.now
-			}
-			longest = max(longest, s.now.Sub(ackedAt))
-			if longest > withdrawnBound {
-				t.Fatalf("seed %d: no commit was acknowledged for %s:\n%s", seed, longest, strings.Join(s.log, "\n"))
-			}
-		}
-	}
-	t.Logf("a commit is acknowledged every %s", longest)
+		withdrawn = second.Add(time.Duration(random.IntN(800)) * time.Millisecond)
+		return []evacuationRequest{{second, simIDs[1+random.IntN(2)]}}, withdrawn
+	})
 }
 
 // TestWithdrawnEvacuationOfAllKeepsWrites evacuates the primary of a group without
@@ -181,28 +166,43 @@
 // requests. It guards against replicas that stay sealed although no switch goes on.
 func TestWithdrawnEvacuationOfAllKeepsWrites(t *testing.T) {
 	assert.Fatal()
+	requireWrites(t, func(s *sim) (evacuations []evacuationRequest, withdrawn time.Time) {
+		random := s.evacuations.random
+		second := s.now.Add(time.Duration(random.IntN(600)) * time.Millisecond)
+		third := second.Add(time.Duration(random.IntN(300)) * time.Millisecond)
+		withdrawn = third.Add(time.Duration(random.IntN(800)) * time.Millisecond)
+		return []evacuationRequest{{third, "c"}, {second, "b"}}, withdrawn
+	})
+}
+
+// evacuationRequest is a request to evacuate the data centre of a server.
+type evacuationRequest struct {
+	at time.Time
+	id ident.Endpoint
+}
+
+// requireWrites evacuates the primary of a group without faults and then what plan
+// returns, withdraws all requests at the time that it returns, and fails if no commit
+// is acknowledged for withdrawnBound. A step makes one request at most, the first of
+// those that are due.
+func requireWrites(t *testing.T, plan func(s *sim) (evacuations []evacuationRequest, withdrawn time.Time)) {
+	t.Helper()
 	var longest time.Duration
 	for seed := range uint64(simSeeds()) {
 		s := newEvacuationSim(t, seed)
 		s.quiet = true
-		random := s.evacuations.random
 		for range 100 {
 			s.step()
 		}
 		s.evacuations.request(s, "a")
-		second := s.now.Add(time.Duration(random.IntN(600)) * time.Millisecond)
-		third := second.Add(time.Duration(random.IntN(300)) * time.Millisecond)
-		withdrawn := third.Add(time.Duration(random.IntN(800)) * time.Millisecond)
+		evacuations, withdrawn := plan(s)
 		acked, ackedAt := len(s.acked), s.now
 		for end := withdrawn.Add(5 * time.Second); s.now.Before(end); {
 			s.step()
-			switch {
-			case !s.now.Before(withdrawn):
+			if !s.now.Before(withdrawn) {
 				s.evacuations.withdrawAll(s)
-			case !s.now.Before(third) && !s.evacuations.contains("c"):
-				s.evacuations.request(s, "c")
-			case !s.now.Before(second) && !s.evacuations.contains("b"):
-				s.evacuations.request(s, "b")
+			} else {
+				s.evacuations.requestNext(s, evacuations)
 			}
 			if len(s.acked) > acked {
 				acked, ackedAt = len(s.acked), s.now
--- a/internal/roster/hubs.go
+++ b/internal/roster/hubs.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// FullMeshLimit is the largest number of instances that are all linked to
+	// fullMeshLimit is the largest number of instances that are all linked to
 	// each other. Every instance is a hub in such a fleet.
-	FullMeshLimit = 24
+	fullMeshLimit = 24
 	// weakHubs is the number of hubs in a data centre of which no instance with
 	// enough capacity to own a group is available.
 	weakHubs = 2
@@ -62,7 +62,7 @@
 
 // FullMesh reports whether the fleet is small enough for every instance to be
 // linked to every other one.
-func (r *Roster) FullMesh() bool { return len(r.members) <= FullMeshLimit }
+func (r *Roster) FullMesh() bool { return len(r.members) <= fullMeshLimit }
 
 // Links returns the links that this instance has to keep: to every hub, and to
 // instances that would be hubs if they could be reached.
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -54,8 +54,6 @@
 	outcomes         outcomeWindow
 	ejection         ejection
 	answers          answers
-	overdue          int       // overdue calls at overdueAt
-	overdueAt        time.Time // zero after a change
 }
 
 func newEndpoint() *endpoint { return &endpoint{conns: make(map[ConnID]*conn)} }
--- a/internal/sched/overdue.go
+++ b/internal/sched/overdue.go
@@ -21,10 +21,13 @@
 	latestBegan time.Time     // when the latest of the answered calls began
 	answeredAt  time.Time     // when the latest answer came
 	countsUntil time.Time     // overdue calls occupy slots until then
+
+	overdue   int       // overdue calls at countedAt
+	countedAt time.Time // zero after a change of the endpoint's calls
 }
 
 func (a *answers) record(now, began time.Time, took time.Duration) {
-	a.answeredAt = now
+	a.answeredAt, a.countedAt = now, time.Time{}
 	a.longest = max(took, a.longest-time.Duration(longestDecay*float64(a.longest)))
 	if began.After(a.latestBegan) {
 		a.latestBegan = began
@@ -34,12 +37,12 @@
 // refused records that the endpoint had no free slot.
 func (a *answers) refused(now time.Time) { a.countsUntil = now.Add(overduePause) }
 
-// overdue reports whether the answer to a call that began at a time is most likely
+// isOverdue reports whether the answer to a call that began at a time is most likely
 // lost: it takes much longer than others, and the endpoint goes on answering calls
 // that began later.
-func (a *answers) overdue(now, began time.Time) bool {
+func (a *answers) isOverdue(now, began time.Time) bool {
 	limit := overdueFactor * a.longest
-	return limit > 0 && began.Before(a.latestBegan) && now.Sub(began) > limit && now.Sub(a.answeredAt) <= limit && !now.Before(a.countsUntil)
+	return limit > 0 && began.Before(a.latestBegan) && now.Sub(began) > limit && now.Sub(a.answeredAt) <= limit
 }
 
 // OverdueCalls returns how many calls run whose answer is most likely lost.
@@ -56,19 +59,20 @@
 	if e.active < e.Slots || now.Before(e.answers.countsUntil) {
 		return e.active
 	}
-	if !e.overdueAt.Equal(now) {
+	if !e.answers.countedAt.Equal(now) {
 		e.countOverdue(now)
 	}
-	return e.active - e.overdue
+	return e.active - e.answers.overdue
 }
 
 // countOverdue counts the overdue calls. The count holds until the time or the
 // state of a connection changes: a long queue asks for it many times in one update.
 func (e *endpoint) countOverdue(now time.Time) {
-	e.overdue, e.overdueAt = 0, now
+	a := &e.answers
+	a.overdue, a.countedAt = 0, now
 	for _, c := range e.conns {
-		if c.state == running && e.answers.overdue(now, c.since) {
-			e.overdue++
+		if c.state == running && a.isOverdue(now, c.since) {
+			a.overdue++
 		}
 	}
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -192,7 +192,7 @@
 // adjustCounts adds c to the calls that occupy a slot, or removes it from them.
 func (s *Scheduler) adjustCounts(c *conn, by int) {
 	if c.takesSlot() {
-		c.endpoint.overdueAt = time.Time{}
+		c.endpoint.answers.countedAt = time.Time{}
 		c.endpoint.active += by
 	}
 }
@@ -258,7 +258,6 @@
 		s.services.observe(m.Kind, m.Took, s.serviceTime)
 		s.recordWork(now, e, m)
 		e.answers.record(now, m.Began, m.Took)
-		e.overdueAt = time.Time{}
 		s.serviceTime += (m.Took - s.serviceTime) / serviceSamples
 	}
 }
--- a/internal/stand/emul/evacuation.go
+++ b/internal/stand/emul/evacuation.go
@@ -31,14 +31,21 @@
 func (s *Store) Evacuate(dataCentres ...ident.DataCentre) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
+	s.change(evacuationRows(dataCentres, false)...)
 	for _, dc := range dataCentres {
-		s.setRow(Row{Table: ConfigTable, Key: EvacuateKey + string(dc)})
 		if s.inForce(dc) < 0 {
 			s.evacuations = append(s.evacuations, Evacuation{DataCentre: dc, Requested: time.Now()})
 		}
 	}
-	s.broadcast()
+}
+
+// evacuationRows returns the rows of requests, or of their removal.
+func evacuationRows(dataCentres []ident.DataCentre, dropped bool) []Row {
+	var rows []Row
+	for _, dc := range dataCentres {
+		rows = append(rows, Row{Table: ConfigTable, Key: EvacuateKey + string(dc), Dropped: dropped})
+	}
+	return rows
 }
 
 // Withdraw removes the operator's requests to evacuate data centres, as one change.
@@ -59,11 +66,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	for _, dc := range dataCentres {
-		s.setRow(Row{Table: ConfigTable, Key: EvacuateKey + string(dc), Dropped: true})
-	}
-	s.broadcast()
+	s.change(evacuationRows(dataCentres, true)...)
 }
 
 // inForce returns the index of the request that is in force for a data centre, or
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -66,24 +66,24 @@
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	s.setRow(Row{Table: table, Key: key, Value: value})
-	s.broadcast()
+	s.change(Row{Table: table, Key: key, Value: value})
 }
 
 // Drop removes a row.
 func (s *Store) Drop(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	s.setRow(Row{Table: table, Key: key, Dropped: true})
-	s.broadcast()
+	s.change(Row{Table: table, Key: key, Dropped: true})
 }
 
-// setRow stores a row under the current version. The caller holds the mutex.
-func (s *Store) setRow(r Row) {
-	r.Version = s.version
-	s.rows[rowID{r.Table, r.Part, r.Key}] = r
+// change stores rows under one new version. The caller holds the mutex.
+func (s *Store) change(rows ...Row) {
+	s.version++
+	for _, r := range rows {
+		r.Version = s.version
+		s.rows[rowID{r.Table, r.Part, r.Key}] = r
+	}
+	s.broadcast()
 }
 
 // Keys returns the keys of a table, sorted.
@@ -285,14 +285,11 @@
 		writeResponse(w, http.StatusPreconditionFailed, a)
 		return
 	}
-	s.version++
-	for _, n := range t.Writes {
-		s.setRow(n)
-	}
+	rows := t.Writes
 	for _, d := range t.Remove {
-		s.setRow(Row{Table: d.Table, Part: d.Part, Key: d.Key, Dropped: true})
+		rows = append(rows, Row{Table: d.Table, Part: d.Part, Key: d.Key, Dropped: true})
 	}
-	s.broadcast()
+	s.change(rows...)
 	if s.loseResponses > 0 {
 		s.loseResponses--
 		panic(http.ErrAbortHandler)
--- a/internal/stand/load/verify.go
+++ b/internal/stand/load/verify.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -42,15 +43,13 @@
 	var last error
 	for attempts := 1; ; attempts++ {
 		stored, err := c.readAll(ctx)
-		switch {
-		case err == nil:
+		if err == nil {
 			return stored, nil
-		case ctx.Err() == nil || last == nil:
-			last = err
 		}
 		if ctx.Err() != nil {
-			return stored, errors.Wrapf(last, "%d attempts", attempts)
+			return stored, errors.Wrapf(cmp.Or(last, err), "%d attempts", attempts)
 		}
+		last = err
 		c.move()
 		tasks.PauseUntil(ctx, time.Now().Add(verifyPause))
 	}
