Do not use an epoch that was requested before a peer's promotion

Cause: an answer for an epoch was compared with the time of the latest request. An instance that hears of a promotion elsewhere requests again at once, so the answer to its earlier request counted as that to the later one. Such an epoch may be older than that of the other promotion, whose late copy it then does not fence off.

Change: EpochAcquired tells when its request was sent, as ProbeResult does.

Script peer_promotion_epoch: promoted with epoch 7, which was requested before; waits for epoch 9 now. In scripts, answers belong to the requests in their order.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -140,7 +140,7 @@
 	case PeerOpinion:
 		el.peerOpinion(now, m)
 	case EpochAcquired:
-		el.setEpoch(m.Epoch)
+		el.epochAcquired(m)
 	case Promoted:
 		el.promotionResult(now, m)
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -117,8 +117,11 @@
 }
 
 // EpochAcquired is the answer to AcquireEpoch. Epoch is zero if the request
-// failed.
-type EpochAcquired struct{ Epoch ident.Epoch }
+// failed. SentAt is when the request was sent.
+type EpochAcquired struct {
+	Epoch  ident.Epoch
+	SentAt time.Time
+}
 
 // Promoted is the answer to Promote.
 type Promoted struct {
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -185,13 +185,13 @@
 	el.dropEpoch()
 }
 
-// setEpoch stores an acquired epoch, unless another instance may have acquired a
-// newer one since it was requested.
-func (el *Elector) setEpoch(epoch ident.Epoch) {
-	if el.epochRequestedAt.Before(el.peerPromotedAt) {
+// epochAcquired stores an acquired epoch, unless another instance may have acquired
+// a newer one since it was requested.
+func (el *Elector) epochAcquired(m EpochAcquired) {
+	if m.SentAt.Before(el.peerPromotedAt) {
 		return
 	}
-	el.epoch, el.promotion.pendingTarget, el.promotion.answerMissing = epoch, "", false
+	el.epoch, el.promotion.pendingTarget, el.promotion.answerMissing = m.Epoch, "", false
 }
 
 // peerPromotionPending reports whether a promotion of another instance may
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -26,6 +26,8 @@
 type leadScript struct {
 	elector *Elector
 	now     time.Time
+	// epochRequests are the times of the unanswered requests for an epoch.
+	epochRequests []time.Time
 }
 
 func (s *leadScript) command(t *testing.T, d *datadriven.TestData) string {
@@ -62,7 +64,11 @@
 	case "nonowner":
 		return s.send(Ownership{})
 	case "epoch":
-		return s.send(EpochAcquired{Epoch: ident.Epoch(epoch)})
+		m := EpochAcquired{Epoch: ident.Epoch(epoch), SentAt: s.now}
+		if len(s.epochRequests) > 0 {
+			m.SentAt, s.epochRequests = s.epochRequests[0], s.epochRequests[1:]
+		}
+		return s.send(m)
 	case "proof":
 		return s.send(PrimaryProof{Endpoint: name(), Term: ident.Term(term)})
 	case "commit":
@@ -136,6 +142,7 @@
 		case AskPeers:
 			fmt.Fprintf(&out, "ask peers about %s\n", c.Endpoint)
 		case AcquireEpoch:
+			s.epochRequests = append(s.epochRequests, s.now)
 			fmt.Fprintf(&out, "acquire epoch\n")
 		case Promote:
 			fmt.Fprintf(&out, "promote %s with epoch %d\n", c.Endpoint, c.Epoch)
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -323,11 +323,11 @@
 	case AcquireEpoch:
 		s.schedule(delay, func() {
 			if s.chance(5) {
-				s.send(i, EpochAcquired{})
+				s.send(i, EpochAcquired{SentAt: sentAt})
 				return
 			}
 			s.epoch++
-			s.send(i, EpochAcquired{Epoch: s.epoch})
+			s.send(i, EpochAcquired{Epoch: s.epoch, SentAt: sentAt})
 		})
 	case Promote:
 		s.promote(i, c)
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -227,13 +227,14 @@
 func (rn *groupRunner) acquireEpoch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, epochTimeout)
 	defer cancel()
+	sentAt := clock.Now()
 	epoch, err := rn.promoter.AcquireEpoch(ctx, rn.group)
 	if err != nil {
 		trace.Failure("ClaimFailed", err, "Group", rn.group)
 	} else {
 		trace.Event("Claimed", "Group", rn.group, "Epoch", epoch)
 	}
-	rn.update(lead.EpochAcquired{Epoch: epoch})
+	rn.update(lead.EpochAcquired{Epoch: epoch, SentAt: sentAt})
 	return nil
 }
 
