--- a/internal/stand/emul/network.go
+++ b/internal/stand/emul/network.go
@@ -21,6 +21,7 @@
 	listeners  map[string]*listener
 	cut        map[[2]string]bool
 	poweredOff map[string]bool
+	links      map[string]*hostLink
 	conns      []*conn
 	pumps      sync.WaitGroup
 }
@@ -38,7 +39,22 @@
 
 // NewNetwork returns an empty network.
 func NewNetwork() *Network {
-	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), poweredOff: make(map[string]bool)}
+	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), poweredOff: make(map[string]bool), links: make(map[string]*hostLink)}
+}
+
+// Throttle limits what a host sends and what it receives, each to a number of
+// bytes a second. It applies to connections that are opened later.
+func (n *Network) Throttle(host string, rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[host] = newHostLink(rate)
+}
+
+// linkOf returns the link of a host, nil if its bandwidth is not limited.
+func (n *Network) linkOf(host string) *hostLink {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[host]
 }
 
 // Listen accepts connections to an address. It returns EADDRINUSE if the
@@ -151,8 +167,10 @@
 func (a address) String() string { return string(a) }
 
 const (
-	// sendChunks is how many writes a connection buffers before they block.
-	sendChunks = 1024
+	// sendChunks is how many writes a connection buffers before they block, and
+	// windowChunks the same of a host whose bandwidth is limited.
+	sendChunks   = 1024
+	windowChunks = 8
 	// closeTime is how long a closed connection keeps delivering buffered writes.
 	closeTime = time.Second
 )
@@ -163,6 +181,9 @@
 	net.Conn
 	network  *Network
 	from, to string
+	// sending and receiving are the links of the two hosts, nil if they are not
+	// limited.
+	sending, receiving *hostLink
 
 	queue  chan []byte
 	closed chan struct{}
@@ -170,7 +191,12 @@
 }
 
 func newConn(raw net.Conn, n *Network, from, to string) *conn {
-	c := &conn{Conn: raw, network: n, from: from, to: to, queue: make(chan []byte, sendChunks), closed: make(chan struct{})}
+	c := &conn{Conn: raw, network: n, from: from, to: to, sending: n.linkOf(from), receiving: n.linkOf(to), closed: make(chan struct{})}
+	chunks := sendChunks
+	if c.sending != nil || c.receiving != nil {
+		chunks = windowChunks
+	}
+	c.queue = make(chan []byte, chunks)
 	n.mu.Lock()
 	n.conns = append(n.conns, c)
 	n.mu.Unlock()
@@ -200,8 +226,14 @@
 }
 
 func (c *conn) deliver(b []byte) {
-	if !c.network.blocked(c.from, c.to) {
-		_, _ = c.Conn.Write(b)
+	for len(b) > 0 {
+		packet := b[:min(len(b), packetBytes)]
+		b = b[len(packet):]
+		c.sending.send(packet)
+		c.receiving.receive(packet)
+		if !c.network.blocked(c.from, c.to) {
+			_, _ = c.Conn.Write(packet)
+		}
 	}
 }
 
