Log why a link to another instance was lost and what was on its way

A lost link logs its cause, how long it lasted, how long before its end data last arrived, how many bytes of an incomplete message had arrived and how many waited to be sent. Messages are read in parts for that; when a ping is due is unchanged.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +41,11 @@
 	openedAt     time.Time
 	lastReceived atomic.Int64
 	lastRequest  atomic.Int64
+	// lastByte is when any part of a message last arrived, and incomplete how many
+	// bytes have arrived of a message that is incomplete.
+	lastByte   atomic.Int64
+	incomplete atomic.Int64
+	inbound    bytes.Buffer // the message that is being read
 
 	queue     chan frame
 	queued    atomic.Int64
@@ -84,6 +91,15 @@
 	return err
 }
 
+// end returns how the link ended, for the observer.
+func (l *link) end(cause error) LinkEnd {
+	lasted := time.Since(l.openedAt)
+	return LinkEnd{
+		Cause: cause, Lasted: lasted, Idle: lasted - time.Duration(l.lastByte.Load()),
+		Incomplete: int(l.incomplete.Load()), Queued: int(l.queued.Load()),
+	}
+}
+
 // send queues a frame and reports whether it did. If the queue is full, the
 // frame is dropped and counted.
 func (l *link) send(f frame) bool {
@@ -129,7 +145,7 @@
 
 func (l *link) read(ctx context.Context) error {
 	for {
-		_, raw, err := l.conn.Read(ctx)
+		raw, err := l.readMessage(ctx)
 		if err != nil {
 			return errors.Wrap(err, "read")
 		}
@@ -151,6 +167,41 @@
 	}
 }
 
+// readMessage reads one message and records when its parts arrive. The result is
+// valid until the next call.
+func (l *link) readMessage(ctx context.Context) ([]byte, error) {
+	_, r, err := l.conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if l.inbound.Cap() > maxKeptBuffer {
+		l.inbound = bytes.Buffer{}
+	}
+	l.inbound.Reset()
+	l.incomplete.Store(0)
+	if _, err := l.inbound.ReadFrom(&progressReader{source: r, link: l}); err != nil {
+		return nil, err
+	}
+	l.incomplete.Store(0)
+	return l.inbound.Bytes(), nil
+}
+
+// progressReader records the arrival of data.
+type progressReader struct {
+	source io.Reader
+	link   *link
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.source.Read(b)
+	if n > 0 {
+		p.link.lastByte.Store(int64(time.Since(p.link.openedAt)))
+		p.link.incomplete.Add(int64(n))
+	}
+	return n, err
+}
+
 // answerLast finishes the link after the peer's last message.
 func (l *link) answerLast(ctx context.Context) error {
 	l.finish()
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -31,6 +31,10 @@
 	// the other one to open a link that both plan.
 	mutualDialDelay = time.Second
 
+	// maxKeptBuffer is the size of a buffer, in bytes, that is used for further
+	// messages.
+	maxKeptBuffer = 64 << 10
+
 	maxQueuedMessages = 256
 	maxQueuedBytes    = 4 * MaxFrame
 	// maxHandshakes limits the connections that have not completed the
@@ -48,7 +52,7 @@
 	serverTLS         *tls.Config
 	clientTLS         *tls.Config
 	connect           func(ctx context.Context, network, address string) (net.Conn, error)
-	onLinkChange      func(peer ident.Instance, up bool, cause error)
+	onLinkChange      func(peer ident.Instance, up bool, end LinkEnd)
 	onUnreachable     func(peer ident.Instance)
 	fleetSize         func() int
 }
@@ -61,12 +65,24 @@
 		minBackoff:        minBackoff,
 		maxBackoff:        maxBackoff,
 		maxQueuedMessages: maxQueuedMessages,
-		onLinkChange:      func(ident.Instance, bool, error) {},
+		onLinkChange:      func(ident.Instance, bool, LinkEnd) {},
 		onUnreachable:     func(ident.Instance) {},
 		fleetSize:         func() int { return 0 },
 	}
 }
 
+// LinkEnd describes how a connection to a peer ended.
+type LinkEnd struct {
+	Cause  error
+	Lasted time.Duration
+	// Idle is how long before the end data last arrived.
+	Idle time.Duration
+	// Incomplete is how many bytes had arrived of an incomplete message, Queued how
+	// many bytes waited to be sent.
+	Incomplete int
+	Queued     int
+}
+
 // Option configures a Mesh.
 type Option func(*options)
 
@@ -95,8 +111,8 @@
 }
 
 // WithLinkObserver makes the mesh call f when a connection to a peer is opened
-// and when it is lost, then with the cause. f must not block.
-func WithLinkObserver(f func(peer ident.Instance, up bool, cause error)) Option {
+// and when it is lost, then with how it ended. f must not block.
+func WithLinkObserver(f func(peer ident.Instance, up bool, end LinkEnd)) Option {
 	return func(o *options) { o.onLinkChange = f }
 }
 
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -17,13 +17,13 @@
 )
 
 // linkChanged handles a link to another instance that opened or was lost.
-func (n *Node) linkChanged(p ident.Instance, up bool, cause error) {
-	silent := errors.Is(cause, context.DeadlineExceeded)
+func (n *Node) linkChanged(p ident.Instance, up bool, end peer.LinkEnd) {
+	silent := errors.Is(end.Cause, context.DeadlineExceeded)
 	n.mu.Lock()
 	n.roster.SetConnected(p, up, silent)
 	runners := slices.Collect(maps.Values(n.runners))
 	n.mu.Unlock()
-	trace.Event("PeerLink", "Peer", p, "Up", up, "Silent", silent)
+	traceLink(p, up, silent, end)
 	defer n.planLinks()
 	if up {
 		n.assignGroups()
@@ -37,6 +37,17 @@
 	n.assignGroups()
 }
 
+// traceLink logs a link that opened or was lost. Incomplete above zero means that
+// it was lost while a message was arriving.
+func traceLink(p ident.Instance, up, silent bool, end peer.LinkEnd) {
+	if up {
+		trace.Event("PeerLink", "Peer", p, "Up", true)
+		return
+	}
+	trace.Event("PeerLink", "Peer", p, "Up", false, "Silent", silent, "Cause", end.Cause.Error(), "Lasted", end.Lasted.String(),
+		"Idle", end.Idle.String(), "Incomplete", end.Incomplete, "Queued", end.Queued)
+}
+
 func (n *Node) handlers() *peer.Router {
 	r := peer.NewRouter()
 	peer.Handle(r, func(from ident.Instance, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
