Send large messages in parts, and take a link that carries data for alive

Cause: a document is one message. While it was on its way over a slow link, the time of the last data did not move and the pong waited behind it. After 0.6 s the link was closed as silent with all statements on it, the transfer was lost, and after the reconnection it was requested again, from the same source. The class: a bound that suits short messages is applied to a transfer as a whole. Fix: bytes that arrive count as a sign of life, and a ping fails only when no data has arrived for its timeout. Frames above 16 KiB travel in parts. At most two parts are on their way unconfirmed, so short messages, pings and answers wait for 32 KiB at most, and each confirmation shows the sender that its peer is alive. Instances of the earlier protocol version get whole frames. This covers documents, directories, lists of members, calls and answers of all sizes, of both interfaces.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -6,7 +6,7 @@
 )
 
 // ProtocolVersion is the highest protocol version that this build supports.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 const (
 	// MaxDocument limits the text of a document, in bytes.
@@ -16,6 +16,8 @@
 	// maxListFrame limits a frame that lists leases, members or data centres.
 	// It has room for about 1500 of them.
 	maxListFrame = 64 << 10
+	// maxPartFrame limits a frame that carries a Part.
+	maxPartFrame = partBytes + 64
 	// maxSmallFrame limits every other frame.
 	maxSmallFrame = 4 << 10
 
@@ -165,6 +167,10 @@
 		return decodeAs[EvacuationRequest](kind, body)
 	case EvacuationListKind:
 		return decodeAs[EvacuationList](kind, body)
+	case PartKind:
+		return decodeAs[Part](kind, body)
+	case PartReceivedKind:
+		return decodeAs[PartReceived](kind, body)
 	}
 	return nil, errors.Wrapf(ErrUnknownKind, "number %d", kind)
 }
@@ -183,6 +189,8 @@
 		return MaxFrame
 	case LeaseRequestKind, HeartbeatKind, EvacuationListKind:
 		return maxListFrame
+	case PartKind:
+		return maxPartFrame
 	}
 	return maxSmallFrame
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -35,6 +35,8 @@
 		Heartbeat{Version: 2, Evacuations: 4, Returned: []DataCentreReturn{{DataCentre: "z1", Age: time.Second}}},
 		LeaseRequest{Nonce: 8, Leases: leaseRefs()},
 		LeasePromise{Nonce: 8, Length: time.Second},
+		Part{Rest: 5, Bytes: []byte("part")},
+		PartReceived{},
 	}
 }
 
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -31,7 +31,7 @@
 	LastKind             Kind = 22
 	CallWithdrawnKind    Kind = 25
 
-	kinds = 26
+	kinds = 28
 )
 
 // String returns the name of the message type, for metrics and errors.
@@ -42,7 +42,7 @@
 		"LeaseAsk", "LeaseHold", "Call", "Answer", "Pulse",
 		"ReachAsk", "ReachTold", "GrantAsk", "Grant",
 		"DirectoryAsk", "Directory", "MemberRequest", "MemberList", "Last",
-		"EvacuationRequest", "EvacuationList", "CallWithdrawn",
+		"EvacuationRequest", "EvacuationList", "CallWithdrawn", "Part", "PartReceived",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -112,6 +112,10 @@
 		return EvacuationRequestKind
 	case EvacuationList:
 		return EvacuationListKind
+	case Part:
+		return PartKind
+	case PartReceived:
+		return PartReceivedKind
 	}
 	return 0
 }
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -57,6 +57,13 @@
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
+	return startOn(t, name, secret, listener, opts...)
+}
+
+func startOn(t *testing.T, name ident.Instance, secret string, listener net.Listener, opts ...Option) *node {
+	t.Helper()
+	g := NewWithT(t)
+	var err error
 	n := &node{inbox: &inbox{}, log: event.NewLog(name, 64)}
 	opts = append([]Option{WithBackoff(5*time.Millisecond, 20*time.Millisecond)}, opts...)
 	n.Mesh, err = NewMesh(Hello{Instance: name, Environment: "trial", Start: 1}, listener, secret, n.inbox, n.log, opts...)
