Fetch configurations in compressed pieces, as the difference from the version before

Cause: a document travelled as one message, and messages have a size limit. Fix: the new package fetch transfers a text in pieces of 64 KiB. A transfer is judged by its progress: nothing is requested twice while pieces arrive, one that stalls for a fifth of the bound goes on at another source where it was, and an instance that no peer serves in time reads the store, spread over the instances. The bound is config_apply_ms of the settings. The source keeps three earlier versions and sends the compressed difference from the one that the requester has (package delta), checked by the digest of the whole text; a wrong one is requested as a whole. A text that can't be put in force is logged once and not requested again. The other fetched lists, too, go to another source after a request without a reply. A change among 20,000 lines takes under 500 bytes on the link (TestChangeCostsItsSize).

--- a/internal/relay/fetch_test.go
+++ b/internal/fetch/fetcher_test.go
@@ -1,4 +1,4 @@
-package relay
+package fetch
 
 import (
 	"fmt"
@@ -16,14 +16,14 @@
 func TestFetchSendsOneRequest(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1000, 0)
-	var f fetcher[ident.Version]
-	f.received(start.Add(-time.Minute), 4)
+	var f Fetcher[ident.Version]
+	f.Received(start.Add(-time.Minute), 4)
 	requests := func(after time.Duration) int {
 		n := 0
 		for i := range 60 {
 			now := start.Add(after + time.Duration(i)*time.Millisecond)
-			f.observe(now, versionSource{instance: ident.Instance(fmt.Sprint(i))}, 5)
-			if _, ok := f.due(now); ok {
+			f.Observe(now, Source{Instance: ident.Instance(fmt.Sprint(i))}, 5)
+			if _, ok := f.Due(now); ok {
 				n++
 			}
 		}
@@ -34,8 +34,8 @@
 	g.Expect(requests(1500*time.Millisecond)).To(Equal(0), "the reply is pending")
 	g.Expect(requests(2100*time.Millisecond)).To(Equal(1), "the request timed out")
 
-	f.received(start.Add(3*time.Second), 5)
-	_, ok := f.due(start.Add(time.Minute))
+	f.Received(start.Add(3*time.Second), 5)
+	_, ok := f.Due(start.Add(time.Minute))
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -43,10 +43,10 @@
 // instance that reports one.
 func TestFetchAfterStart(t *testing.T) {
 	g := NewWithT(t)
-	var f fetcher[ident.Version]
+	var f Fetcher[ident.Version]
 	now := time.Unix(1000, 0)
-	f.observe(now, versionSource{instance: "other"}, 5)
-	source, ok := f.due(now)
+	f.Observe(now, Source{Instance: "other"}, 5)
+	source, ok := f.Due(now)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(source).To(Equal(ident.Instance("other")))
 }
@@ -57,14 +57,14 @@
 func TestFetchPrefersNearSource(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	f := fetcher[ident.Version]{noFeed: true}
-	f.received(now.Add(-time.Minute), 4)
-	f.observe(now, versionSource{instance: "far"}, 5)
-	_, ok := f.due(now.Add(feedWait - 1))
+	f := Fetcher[ident.Version]{NoFeed: true}
+	f.Received(now.Add(-time.Minute), 4)
+	f.Observe(now, Source{Instance: "far"}, 5)
+	_, ok := f.Due(now.Add(feedWait - 1))
 	g.Expect(ok).To(BeFalse())
-	f.observe(now, versionSource{instance: "near", near: true}, 5)
-	f.observe(now, versionSource{instance: "far"}, 5)
-	source, ok := f.due(now)
+	f.Observe(now, Source{Instance: "near", Near: true}, 5)
+	f.Observe(now, Source{Instance: "far"}, 5)
+	source, ok := f.Due(now)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(source).To(Equal(ident.Instance("near")))
 }
@@ -74,13 +74,13 @@
 func TestFetchBatchesChanges(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	f := fetcher[ident.Revision]{noFeed: true}
+	f := Fetcher[ident.Revision]{NoFeed: true}
 	requests := 0
 	for i := range 100 {
-		f.observe(now, versionSource{instance: "near", near: true}, ident.Revision(i+2))
-		if _, ok := f.due(now); ok {
+		f.Observe(now, Source{Instance: "near", Near: true}, ident.Revision(i+2))
+		if _, ok := f.Due(now); ok {
 			requests++
-			f.received(now, f.newest)
+			f.Received(now, f.newest)
 		}
 		now = now.Add(10 * time.Millisecond)
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -60,13 +60,26 @@
 	Cause event.Ref
 }
 
-// DocumentRequest requests the text of a version.
-type DocumentRequest struct{ Version ident.Version }
+// DocumentRequest requests the text of a version: the whole text if Length is zero,
+// otherwise a piece of it, or of its delta against the text of Base.
+type DocumentRequest struct {
+	Version ident.Version
+	Base    ident.Version `cbor:",omitempty"`
+	Offset  int           `cbor:",omitempty"`
+	Length  int           `cbor:",omitempty"`
+}
 
-// Document carries the text of an accepted document.
+// Document carries the text of an accepted document, or a piece of the compressed
+// text if Size is not zero. The piece begins at Offset of Size bytes. If Base is not
+// zero, the compressed bytes are the delta against the text of that version. Digest is
+// the SHA-256 digest of the whole text.
 type Document struct {
 	Version ident.Version
 	Text    []byte
+	Base    ident.Version `cbor:",omitempty"`
+	Digest  []byte        `cbor:",omitempty"`
+	Size    int           `cbor:",omitempty"`
+	Offset  int           `cbor:",omitempty"`
 }
 
 // GroupState announces the primary of a group.
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -25,7 +25,7 @@
 		n.mu.Unlock()
 		return
 	}
-	n.directoryFetch.received(clock.Now(), revision)
+	n.directoryFetch.Received(clock.Now(), revision)
 	before := n.revision
 	n.directoryEntries, n.revision, n.endpoints, n.directoryLoaded = all, revision, entries, true
 	for g, all := range entries {
--- a/internal/relay/evacuation_list.go
+++ b/internal/relay/evacuation_list.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/fetch"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -42,7 +43,7 @@
 	revision     ident.Revision
 	read         ident.Revision // the newest version of the store that this instance has read
 	dataCentres  []ident.DataCentre
-	fetch        fetcher[ident.Revision]
+	fetch        fetch.Fetcher[ident.Revision]
 	sourceAt     time.Time // of the latest heartbeat of a follower that knows the set
 	returns      returns
 }
@@ -64,11 +65,11 @@
 		revision = e.Read
 	case l.known && !fromStore && (revision <= l.revision || revision <= l.read):
 		// This instance has read the store at or after the peer's revision.
-		l.fetch.received(now, max(revision, l.revision))
+		l.fetch.Received(now, max(revision, l.revision))
 		return false
 	}
 	if !l.known || revision > l.revision {
-		l.fetch.received(now, revision)
+		l.fetch.Received(now, revision)
 	}
 	l.returns.update(now, l.dataCentres, e.DataCentres)
 	l.known, l.revision, l.dataCentres = true, max(revision, l.revision), e.DataCentres
@@ -76,11 +77,11 @@
 }
 
 // observe records what a heartbeat shows.
-func (l *evacuationList) observe(now time.Time, source versionSource, m peer.Heartbeat) {
+func (l *evacuationList) observe(now time.Time, source fetch.Source, m peer.Heartbeat) {
 	if !l.enabled || m.Evacuations == 0 {
 		return
 	}
-	l.fetch.observe(now, source, m.Evacuations)
+	l.fetch.Observe(now, source, m.Evacuations)
 	if roster.StoreState(m.Store) == roster.Following {
 		l.sourceAt = now
 	}
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -11,6 +11,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/evac"
+	"github.com/marjoramrudder/marjoramrudder/internal/fetch"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
@@ -119,7 +120,7 @@
 	g.Expect(n.Ready()).To(BeTrue())
 	g.Expect(n.Evacuated()).To(BeEmpty())
 	g.Expect(heartbeat(n).Evacuations).To(BeZero())
-	_, due := n.evacuations.fetch.due(time.Now().Add(time.Hour))
+	_, due := n.evacuations.fetch.Due(time.Now().Add(time.Hour))
 	g.Expect(due).To(BeFalse())
 }
 
@@ -161,13 +162,13 @@
 	now := time.Unix(1000, 0)
 	l := evacuationList{enabled: true, returns: make(returns)}
 	l.replace(now, read(5, 9))
-	l.observe(now, versionSource{instance: "other"}, peer.Heartbeat{Evacuations: 7})
+	l.observe(now, fetch.Source{Instance: "other"}, peer.Heartbeat{Evacuations: 7})
 	now = now.Add(time.Minute)
-	_, due := l.fetch.due(now)
+	_, due := l.fetch.Due(now)
 	g.Expect(due).To(BeTrue())
 	l.replace(now, told(7, "z2"))
-	l.observe(now, versionSource{instance: "other"}, peer.Heartbeat{Evacuations: 7})
-	_, due = l.fetch.due(now.Add(time.Minute))
+	l.observe(now, fetch.Source{Instance: "other"}, peer.Heartbeat{Evacuations: 7})
+	_, due = l.fetch.Due(now.Add(time.Minute))
 	g.Expect(due).To(BeFalse())
 }
 
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -30,8 +30,20 @@
 	case n.roster.HasFollower(clock.Now()):
 		need = RelyOnPeers
 	}
-	n.configFetch.noFeed, n.directoryFetch.noFeed, n.memberFetch.noFeed = need == RelyOnPeers, need == RelyOnPeers, need == RelyOnPeers
-	n.evacuations.fetch.noFeed = need == RelyOnPeers
+	n.configFetch.NoFeed, n.directoryFetch.NoFeed, n.memberFetch.NoFeed = need == RelyOnPeers, need == RelyOnPeers, need == RelyOnPeers
+	n.evacuations.fetch.NoFeed = need == RelyOnPeers
+	return need
+}
+
+// ConfigNeed returns how this instance has to follow the configuration in the store.
+// It follows the store for itself also if its peers don't serve it in time.
+func (n *Node) ConfigNeed() StoreNeed {
+	need := n.StoreNeed()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if need == RelyOnPeers && n.configFetch.NeedsStore(clock.Now()) {
+		return FollowLoosely
+	}
 	return need
 }
 
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -58,7 +58,7 @@
 	}
 	n.peersKnown = true
 	n.memberRevision, n.listed = revision, all
-	n.memberFetch.received(clock.Now(), revision)
+	n.memberFetch.Received(clock.Now(), revision)
 	seen := make(map[ident.Instance]bool)
 	for _, m := range all {
 		seen[m.Instance] = true
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -15,11 +16,12 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/evac"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
-	"github.com/marjoramrudder/marjoramrudder/internal/lead"
+	"github.com/marjoramrudder/marjoramrudder/internal/fetch"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/quota"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
+	"github.com/marjoramrudder/marjoramrudder/internal/spread"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -66,7 +68,10 @@
 	// ColdLimits is set if the rate of cold endpoints is limited.
 	ColdLimits bool
 	// Overshoot is what may run beyond an account's quota.
-	Overshoot    quota.Overshoot
+	Overshoot quota.Overshoot
+	// ConfigTime is the time within which a configuration has to be in force, zero
+	// for defaultConfigTime.
+	ConfigTime   time.Duration
 	Promoter     Promoter
 	DecodeReport ReportDecoder
 }
@@ -100,9 +105,9 @@
 	missingSince time.Time
 	// configFetch, directoryFetch and memberFetch decide when to request a newer
 	// version from other instances.
-	configFetch      fetcher[ident.Version]
-	directoryFetch   fetcher[ident.Revision]
-	memberFetch      fetcher[ident.Revision]
+	configFetch      *fetch.Document
+	directoryFetch   fetch.Fetcher[ident.Revision]
+	memberFetch      fetch.Fetcher[ident.Revision]
 	memberRevision   ident.Revision // of the list of members
 	listed           []roster.Member
 	storeState       roster.StoreState
@@ -110,8 +115,8 @@
 	revision         ident.Revision // of directoryEntries
 	endpoints        map[ident.Group][]sched.Endpoint
 	locations        *roster.PreferredLocations
-	configText       []byte // of the configuration in force
-	directoryLoaded  bool   // a directory has been received
+	configHistory    fetch.History
+	directoryLoaded  bool // a directory has been received
 	serving          bool
 	leaving          bool
 	evacuationMu     sync.Mutex // serialises the updates of the evacuations
@@ -128,6 +133,7 @@
 		unlisted: make(unlisted), departures: roster.NewDepartures(),
 		evacuations: evacuationList{enabled: c.EvacuationTime > 0, returns: make(returns)}, dataCentres: evac.New(),
 	}
+	n.configFetch = fetch.NewDocument(cmp.Or(c.ConfigTime, defaultConfigTime), spread.Of(string(c.Self.Instance)))
 	n.catalog.Store(emptyCatalog())
 	n.publish()
 	n.router = NewRouter(n.tasks.Context(), c.Self.Instance, n)
@@ -238,54 +244,3 @@
 		r.pool.Abandon()
 	}
 }
-
-// SetConfig puts a configuration in force if it is newer. source is logged.
-func (n *Node) SetConfig(text []byte, source string) {
-	c, err := n.config.Decode(text)
-	if err != nil {
-		trace.Failure("ConfigUnusable", err, "Source", source, "Kept", n.catalog.Load().Version)
-		return
-	}
-	n.mu.Lock()
-	old := n.catalog.Load()
-	if c.Version <= old.Version {
-		n.mu.Unlock()
-		return
-	}
-	n.catalog.Store(c)
-	n.configFetch.received(clock.Now(), c.Version)
-	n.configText = text
-	n.applyLimits(c)
-	n.mu.Unlock()
-	d := c.ChangesFrom(old)
-	trace.Event("ConfigInForce", "Version", c.Version, "Before", old.Version, "Source", source, "Routes", len(c.Routes), "Accounts", len(c.Accounts),
-		"RoutesAdded", d.RoutesAdded, "RoutesRemoved", d.RoutesRemoved, "RoutesChanged", d.RoutesChanged,
-		"KeysAdded", d.KeysAdded, "KeysWithdrawn", d.KeysRevoked, "QuotasChanged", d.QuotasChanged)
-	n.announceVersions()
-}
-
-// applyLimits updates the limits of every group. The caller holds the mutex.
-func (n *Node) applyLimits(c *engine.Catalog) {
-	weights := sched.Weights{Rates: c.AccountRates()}
-	for g, limits := range c.Groups {
-		r := n.runners[g]
-		if r == nil {
-			r = newGroupRunner(n.tasks.Context(), g, n)
-			n.runners[g] = r
-			r.setEndpoints(n.endpointsOf(g))
-		}
-		r.pool.Update(n.schedLimits(limits))
-		r.pool.Update(weights)
-		r.pool.SetIdleTx(c.IdleTx)
-		r.update(lead.ReplicationRules{SyncReplicas: limits.SyncReplicas})
-	}
-}
-
-// schedLimits returns the limits of a group's scheduler.
-func (n *Node) schedLimits(limits engine.GroupLimits) sched.Limits {
-	l := sched.Limits{MaxConns: limits.MaxConns, DrainTime: n.config.DrainTime, EvacuationTime: n.config.EvacuationTime}
-	if n.config.ColdLimits {
-		l.ColdRate, l.ColdTime = limits.ColdRate, limits.ColdTime
-	}
-	return l
-}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/fetch"
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/roster"
@@ -54,7 +55,7 @@
 	peer.Handle(r, func(from ident.Instance, m peer.CallWithdrawn, _ time.Time) { n.router.ReceiveWithdrawal(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.Heartbeat, _ time.Time) { n.receiveHeartbeat(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.DocumentRequest, _ time.Time) { n.sendConfig(from) })
+	peer.Handle(r, func(from ident.Instance, m peer.DocumentRequest, _ time.Time) { n.sendConfig(from, m) })
 	peer.Handle(r, func(from ident.Instance, m peer.ReachRequest, _ time.Time) { n.replyReach(from, m) })
 	peer.Handle(r, func(_ ident.Instance, m peer.ReachReply, _ time.Time) { n.receiveReach(m) })
 	peer.Handle(r, func(from ident.Instance, m peer.QuotaRequest, _ time.Time) { n.limiter.receiveRequest(from, m) })
@@ -67,7 +68,7 @@
 	peer.Handle(r, func(from ident.Instance, m peer.Directory, _ time.Time) {
 		n.SetDirectory(m.Revision, m.Listings, string(from))
 	})
-	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.SetConfig(m.Text, string(from)) })
+	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.receiveConfig(from, m) })
 	return r
 }
 
@@ -80,10 +81,10 @@
 	for _, o := range m.Members {
 		added = n.addUnlisted(now, rosterMember(o)) || added
 	}
-	source := versionSource{instance: from, near: n.roster.DataCentreOf(from) == n.config.Self.DataCentre}
-	n.configFetch.observe(now, source, m.Version)
-	n.directoryFetch.observe(now, source, m.Directory)
-	n.memberFetch.observe(now, source, m.Roster)
+	source := fetch.Source{Instance: from, Near: n.roster.DataCentreOf(from) == n.config.Self.DataCentre}
+	n.configFetch.Observe(now, source, m.Version)
+	n.directoryFetch.Observe(now, source, m.Directory)
+	n.memberFetch.Observe(now, source, m.Roster)
 	n.evacuations.observe(now, source, m)
 	returned := n.evacuations.enabled && n.evacuations.returns.learn(now, m.Returned)
 	n.roster.Heard(now, from)
@@ -110,16 +111,13 @@
 // of evacuations from other instances if it is due.
 func (n *Node) fetchUpdates(now time.Time) {
 	n.mu.Lock()
-	version, revision, roster := n.configFetch.newest, n.revision, n.memberRevision
-	config, configDue := n.configFetch.due(now)
-	directory, directoryDue := n.directoryFetch.due(now)
-	members, membersDue := n.memberFetch.due(now)
+	revision, roster := n.revision, n.memberRevision
+	directory, directoryDue := n.directoryFetch.Due(now)
+	members, membersDue := n.memberFetch.Due(now)
 	evacuationRevision := n.evacuations.revision
-	evacuationSource, evacuationsDue := n.evacuations.fetch.due(now)
+	evacuationSource, evacuationsDue := n.evacuations.fetch.Due(now)
 	n.mu.Unlock()
-	if configDue {
-		n.mesh.Offer(config, peer.DocumentRequest{Version: version})
-	}
+	n.requestConfig(now)
 	if directoryDue {
 		n.mesh.Offer(directory, peer.DirectoryRequest{Revision: revision})
 	}
@@ -131,15 +129,6 @@
 	}
 }
 
-func (n *Node) sendConfig(to ident.Instance) {
-	n.mu.Lock()
-	m := peer.Document{Version: n.catalog.Load().Version, Text: n.configText}
-	n.mu.Unlock()
-	if m.Version > 0 {
-		n.mesh.Offer(to, m)
-	}
-}
-
 // askPeers implements groupHost. It asks only the instances that could own the
 // group, because each of them opens a connection to an endpoint in trouble.
 func (n *Node) askPeers(g ident.Group, e ident.Endpoint) {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -2,7 +2,10 @@
 // known in advance.
 package spread
 
-import "math"
+import (
+	"hash/fnv"
+	"math"
+)
 
 // goldenRatio spaces its successive multiples evenly between whole numbers,
 // however many there are.
@@ -20,3 +23,10 @@
 	_, next := math.Modf(fraction + goldenRatio)
 	return next
 }
+
+// Of returns a number from zero to below one that differs between names.
+func Of(name string) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return Fraction(float64(h.Sum32()))
+}
