Dial a peer whose links keep failing less often

Cause: a dial that succeeded reset the pause before the next one. A link that opened and failed soon after, whatever the reason, was dialled again about twenty times a second, and each of these links cost the calls on it. A peer that can't be dialled is tried as often as before.

--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -48,7 +48,7 @@
 
 func (d *dialer) run(ctx context.Context) {
 	o := &d.mesh.options
-	backoff := o.minBackoff
+	backoff := redialBackoff{shortest: o.minBackoff, longest: o.maxBackoff}
 	var failingSince time.Time
 	if d.target.Mutual && d.target.Instance < d.mesh.self.Instance {
 		tasks.Pause(ctx, mutualDialDelay)
@@ -61,13 +61,10 @@
 		}
 		began := time.Now()
 		connected, err := d.dialOnce(ctx)
-		if connected {
-			backoff = o.minBackoff
-		}
+		pause := backoff.next(connected, time.Since(began))
 		failingSince = d.reportFailure(began, failingSince, connected)
 		klog.V(2).InfoS("Connection to peer ended, dialling again", "peer", d.target.Instance, "reason", err)
-		tasks.Pause(ctx, backoff/2+rand.N(backoff/2+1))
-		backoff = min(2*backoff, o.maxBackoff)
+		tasks.Pause(ctx, pause/2+rand.N(pause/2+1))
 	}
 }
 
