Let the size of a frame limit lists, not the number of their elements

What would be seen: in a fleet of more than 4,096 endpoints or members, the list could be sent, but its receiver took it for malformed and closed the link, again and again; the first heartbeat of a link with more than about 1,500 groups could not be encoded and was dropped. Change: the limit of elements is above what fits into a frame, so a list that is too long fails at its sender. Heartbeats may have the size of a directory, since large frames travel in parts. TestLongListsAreDecoded (6,000 endpoints, members and groups) failed before.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,8 +13,8 @@
 	MaxDocument = 1 << 20
 	// MaxFrame limits every frame, in bytes.
 	MaxFrame = MaxDocument + maxSmallFrame
-	// maxListFrame limits a frame that lists leases, members or data centres.
-	// It has room for about 1500 of them.
+	// maxListFrame limits a frame that lists leases or data centres. It has room for
+	// about 1500 of them.
 	maxListFrame = 64 << 10
 	// maxPartFrame limits a frame that carries a Part.
 	maxPartFrame = partBytes + 64
@@ -22,8 +22,9 @@
 	maxSmallFrame = 4 << 10
 
 	maxNesting = 6
-	// maxArrayElements is more than the number of leases that fit into a frame.
-	maxArrayElements = 4096
+	// maxArrayElements is more than the number of elements that fit into a frame, so
+	// that a list that is too long is not sent at all.
+	maxArrayElements = 1 << 17
 	maxMapPairs      = 64
 )
 
@@ -185,9 +186,9 @@
 
 func maxFrameOf(kind Kind) int {
 	switch kind {
-	case DocumentKind, DirectoryKind, MemberListKind, CallKind, AnswerKind:
+	case DocumentKind, DirectoryKind, MemberListKind, CallKind, AnswerKind, HeartbeatKind:
 		return MaxFrame
-	case LeaseRequestKind, HeartbeatKind, EvacuationListKind:
+	case LeaseRequestKind, EvacuationListKind:
 		return maxListFrame
 	case PartKind:
 		return maxPartFrame
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,6 +62,27 @@
 	}
 }
 
+// A list of more than 4,096 elements could be sent, but closed the link at its
+// receiver, and the first heartbeat of a fleet with many groups could not be sent.
+func TestLongListsAreDecoded(t *testing.T) {
+	var directory Directory
+	var members MemberList
+	var heartbeat Heartbeat
+	for i := range 6000 {
+		directory.Listings = append(directory.Listings, sched.DirectoryEntry{Group: "orders", Endpoint: sched.Endpoint{ID: ident.Endpoint(fmt.Sprint(i))}})
+		members.Members = append(members.Members, Member{Instance: ident.Instance(fmt.Sprint("instance-", i)), Address: "10.1.2.3:7560"})
+		heartbeat.Groups = append(heartbeat.Groups, GroupProgress{Group: ident.Group(fmt.Sprint("group-", i)), Term: 7})
+	}
+	for _, m := range []Message{directory, members, heartbeat} {
+		g := NewWithT(t)
+		encoded, err := Encode(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		got, err := Decode(encoded)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(KindOf(got)).To(Equal(KindOf(m)))
+	}
+}
+
 func TestCodecRefusals(t *testing.T) {
 	g := NewWithT(t)
 	unknown, err := encoder.Marshal(envelope{Version: 2, Kind: 99, Body: []byte{0xa0}})
