--- a/cmd/stand/lines.go
+++ b/cmd/stand/lines.go
@@ -57,6 +57,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "duration of the load"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
 			&cli.Uint64Flag{Name: "faults", Usage: "`SEED` of random faults, 0 for none; the process id of instance n1 is read from DIR/pids/n1"},
+			&cli.BoolFlag{Name: "changes", Usage: "change the configuration all the time, from a few routes to several thousand, and check that it is in force in time"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "AT:KIND[:TARGET], as in 5s:crash:g1-a or 3s:storedown; AT counts from the start"},
 			&cli.IntFlag{Name: "network", Value: 1, Usage: "instance I listens on 127.0.NETWORK.I, so that several deployments run side by side"},
 			&cli.IntFlag{Name: "port", Value: 17401, Usage: "first port of the instances"},
@@ -76,7 +77,7 @@
 	}
 	d, err := lines.Open(ctx, lines.DeploymentConfig{
 		Groups: c.Int("groups"), Instances: c.Int("instances"), Accounts: c.Int("accounts"), Rate: c.Float("rate"), RouteTimeout: c.Duration("route-timeout"),
-		Dir: c.String("dir"), BasePort: c.Int("port"), Network: c.Int("network"), Faults: faults, Seed: c.Uint64("faults"), Signals: true, Length: c.Duration("duration"),
+		Dir: c.String("dir"), BasePort: c.Int("port"), Network: c.Int("network"), Faults: faults, Seed: c.Uint64("faults"), Signals: true, Length: c.Duration("duration"), Changes: c.Bool("changes"),
 		Group: emul.GroupConfig{
 			Servers: c.Int("servers"), Slots: c.Int("slots"), MaxConns: c.Int("connections"), Sync: 1,
 			Work: c.Duration("work"), Lag: c.Duration("lag"), PromoteTime: c.Duration("promote-time"), DataCentres: dataCentres(c.Int("data-centres")),
@@ -102,7 +103,9 @@
 	fmt.Print(stops)
 	evacuations := d.CheckEvacuations()
 	fmt.Print(evacuations)
-	if report.Violations()+d.Lost()+stops.Violations()+evacuations.Violations() > 0 {
+	config := d.CheckConfig()
+	fmt.Print(config)
+	if report.Violations()+d.Lost()+stops.Violations()+evacuations.Violations()+config.Violations() > 0 {
 		err = errViolations
 	}
 	return errors.CombineErrors(err, d.Close())
--- a/internal/stand/emul/config.go
+++ b/internal/stand/emul/config.go
@@ -55,6 +55,9 @@
 // none.
 const DefaultRouteTimeout = time.Second
 
+// configTime is the time within which a configuration has to be in force.
+const configTime = 5 * time.Second
+
 // idleTx is the idle timeout of a transaction in milliseconds.
 const idleTx = 3000
 
@@ -113,7 +116,7 @@
 // Text returns the settings in JSON.
 func (s Settings) Text() []byte {
 	bounds := map[string]any{
-		"grace_s": s.Grace.Seconds(), "drain_ms": s.Drain.Milliseconds(), "fencing_enforced": true,
+		"config_apply_ms": configTime.Milliseconds(), "grace_s": s.Grace.Seconds(), "drain_ms": s.Drain.Milliseconds(), "fencing_enforced": true,
 		"quota_overage": 0.1, "quota_slack": 20,
 	}
 	if s.Evacuation > 0 {
--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -55,6 +55,8 @@
 	Seed    uint64
 	Signals bool
 	Length  time.Duration
+	// Changes is set if the configuration changes, in steps that Seed selects.
+	Changes bool
 }
 
 // Deployment is the emulated platform of a deployment: servers, row store and
@@ -72,6 +74,7 @@
 	mu        sync.Mutex
 	stops     []*Stop
 	kills     []Event
+	changes   *configWatch // nil without changes
 }
 
 // Open starts the platform, publishes the configuration and writes the settings
@@ -100,13 +103,16 @@
 	}
 	d.http = &http.Server{Handler: d.store, ReadHeaderTimeout: headerTimeout}
 	d.tasks.Go(func(context.Context) error { return errors.Wrap(d.http.Serve(l), "serve store") })
-	d.configure()
+	d.configure(0)
 	d.publish()
 	d.tasks.Go(d.publishLoop)
 	d.procs = procs.NewSet(d.config.Dir)
 	for _, f := range d.Faults() {
 		d.tasks.Go(func(ctx context.Context) error { return d.inject(ctx, f) })
 	}
+	if d.config.Changes {
+		d.watchConfig()
+	}
 	return d.writeSettings()
 }
 
@@ -218,13 +224,29 @@
 	return cmp.Or(d.config.RouteTimeout, emul.DefaultRouteTimeout)
 }
 
-func (d *Deployment) configure() {
-	c := emul.Config{Version: 1, Groups: d.groups, RouteTimeout: d.routeTimeout()}
+// watchConfig starts the changes of the configuration and the check of them.
+func (d *Deployment) watchConfig() {
+	d.changes = newConfigWatch(d)
+	d.tasks.Go(func(ctx context.Context) error {
+		return d.changes.run(ctx, planChanges(d.config.Seed, d.config.Length))
+	})
+	for i := range d.config.Instances {
+		d.tasks.Go(func(ctx context.Context) error { return d.changes.watch(ctx, i) })
+	}
+}
+
+// configure puts a version of the configuration into the store. Versions begin with
+// zero. The routes are in addition to the usual ones.
+func (d *Deployment) configure(version int, routes ...ident.Route) {
+	c := emul.Config{Version: version + 1, Groups: d.groups, RouteTimeout: d.routeTimeout()}
 	for i, g := range d.groups {
 		for kind, name := range map[string]string{emul.Current: "now", emul.Bounded: "soon", emul.OwnWrites: "own"} {
 			c.Routes = append(c.Routes, emul.Route{Name: ident.Route(fmt.Sprintf("%s%d", name, i+1)), Kind: kind, Group: g.Name()})
 		}
 	}
+	for _, name := range routes {
+		c.Routes = append(c.Routes, emul.Route{Name: name, Kind: emul.Bounded, Group: d.groups[0].Name()})
+	}
 	for i, key := range d.Keys() {
 		c.Accounts = append(c.Accounts, emul.Account{Name: ident.Account(fmt.Sprintf("account%d", i+1)), Rate: d.config.Rate, Keys: []string{key}})
 	}
--- a/scripts/lines.sh
+++ b/scripts/lines.sh
@@ -16,7 +16,7 @@
 trap 'exit 130' INT TERM
 
 faults=(--fault 8s:crash:g1-a --fault 12s:restart:g1-a --fault 10s:storedown --fault 14s:storeup)
-[ -n "$seed" ] && faults=(--seed "$seed" --faults "$seed")
+[ -n "$seed" ] && faults=(--seed "$seed" --faults "$seed" --changes)
 mkdir -p "$SET_DIR/logs" "$SET_DIR/pids"
 "$SET_BIN/stand" lines --dir "$SET_DIR" --duration "$duration" --instances "$instances" --network "$network" "${faults[@]}" "${@:5}" &
 tool=$!
