Read the store when no peer serves the configuration, also with evacuations

Cause: the rule that decides whether an instance follows the operator's table existed twice. With evacuations in force the older one replaced the new one, so an instance whose peers sent nothing went on to rely on them. And a source that was lost was waited for as long as one that is slow, one after the other. Change: one rule for the table. A lost link removes its peer from the sources of everything that is fetched, and a transfer from it goes on elsewhere at once.

--- a/internal/fetch/document.go
+++ b/internal/fetch/document.go
@@ -128,6 +128,15 @@
 	}
 }
 
+// Forget removes a source that can't be reached any more. A transfer from it goes on
+// at another one.
+func (d *Document) Forget(source ident.Instance) {
+	d.Fetcher.Forget(source)
+	if d.transfer.source == source {
+		d.transfer.progressAt = time.Time{}
+	}
+}
+
 // Requests returns the requests that are due: the first one of a transfer, or that
 // of the next piece from another source if the transfer has stalled.
 func (d *Document) Requests(now time.Time) []Request {
@@ -142,7 +151,10 @@
 	if now.Sub(d.transfer.progressAt) < d.limit/stallShare || len(d.sources) == 0 {
 		return nil
 	}
-	d.transfer.source = d.NextSource()
+	if d.transfer.source == d.sources[0].Instance {
+		d.NextSource()
+	}
+	d.transfer.source = d.sources[0].Instance
 	d.transfer.requested = len(d.transfer.bytes)
 	d.transfer.progressAt = now
 	return d.nextRequests()
--- a/internal/fetch/document_test.go
+++ b/internal/fetch/document_test.go
@@ -133,6 +133,38 @@
 	g.Expect(text).To(Equal(textOf(12, 20_000)))
 }
 
+// A source that left was waited for as long as one that is slow.
+func TestLostSourceIsReplacedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := peers{}
+	p.add("first", 12)
+	p.add("second", 12)
+	d := behind(0, "first", "second")
+	requests := d.Requests(began)
+	first, _ := p["first"].Piece(requests[0])
+	_, _, err := d.Receive(began, "first", first)
+	g.Expect(err).NotTo(HaveOccurred())
+	d.Forget("first")
+	requests = d.Requests(began.Add(time.Millisecond))
+	g.Expect(requests[0].To).To(Equal(ident.Instance("second")))
+	text, _, err := p.fetchFrom(d, began, requests)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(text).To(Equal(textOf(12, 20_000)))
+}
+
+// All known sources are lost. Nothing is requested until another one is known, and
+// the store is read.
+func TestNoSourceIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	d := behind(0, "first")
+	g.Expect(d.Requests(began)).To(HaveLen(1))
+	d.Forget("first")
+	g.Expect(d.Requests(began.Add(2 * time.Second))).To(BeEmpty())
+	g.Expect(d.NeedsStore(began.Add(2 * time.Second))).To(BeTrue())
+	d.Observe(began.Add(3*time.Second), Source{Instance: "second"}, 12)
+	g.Expect(d.Requests(began.Add(3 * time.Second))).To(HaveLen(1))
+}
+
 // Another version comes into force at the source during the transfer. The one under
 // way is completed, and the rest is a small change.
 func TestTransferOutlivesLaterChange(t *testing.T) {
--- a/internal/fetch/fetcher.go
+++ b/internal/fetch/fetcher.go
@@ -89,6 +89,15 @@
 	f.sources = f.sources[:min(len(f.sources), maxSources)]
 }
 
+// Forget removes a source that can't be reached any more. A request to it counts as
+// unanswered.
+func (f *Fetcher[V]) Forget(source ident.Instance) {
+	if len(f.sources) > 0 && f.sources[0].Instance == source {
+		f.requestedAt = time.Time{}
+	}
+	f.sources = slices.DeleteFunc(f.sources, func(s Source) bool { return s.Instance == source })
+}
+
 // Received records a version that arrived, from the store or an instance.
 func (f *Fetcher[V]) Received(now time.Time, version V) {
 	f.current = version
@@ -106,7 +115,7 @@
 func (f *Fetcher[V]) Due(now time.Time) (ident.Instance, bool) {
 	var none V
 	switch {
-	case f.behindSince.IsZero(), now.Sub(f.requestedAt) < replyTimeout:
+	case f.behindSince.IsZero(), len(f.sources) == 0, now.Sub(f.requestedAt) < replyTimeout:
 		return "", false
 	case f.current != none && (now.Sub(f.behindSince) < f.patience() || now.Sub(f.receivedAt) < fetchSpacing):
 		return "", false
@@ -126,9 +135,5 @@
 	return feedWait
 }
 
-// NextSource makes another source the preferred one, if there is one, and returns
-// it.
-func (f *Fetcher[V]) NextSource() ident.Instance {
-	f.sources = append(f.sources[1:], f.sources[0])
-	return f.sources[0].Instance
-}
+// NextSource makes another source the preferred one, if there is one.
+func (f *Fetcher[V]) NextSource() { f.sources = append(f.sources[1:], f.sources[0]) }
--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -123,19 +123,6 @@
 	}
 }
 
-// OperatorNeed returns how this instance has to follow the operator's table at
-// present. It relies only on peers that know the evacuations, unless they are
-// ignored.
-func (n *Node) OperatorNeed() StoreNeed {
-	need := n.StoreNeed()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if need == RelyOnPeers && n.evacuations.enabled && !n.evacuations.hasSource(clock.Now()) {
-		return FollowLoosely
-	}
-	return need
-}
-
 // Evacuated returns the data centres that are known to be evacuated.
 func (n *Node) Evacuated() []ident.DataCentre {
 	n.mu.Lock()
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -172,6 +172,28 @@
 	g.Expect(due).To(BeFalse())
 }
 
+// followers is a number of instances of which not all follow the store.
+const followers = 25
+
+// connectFollowers links a node to instances that follow the store.
+func connectFollowers(n *Node) {
+	n.SetMembers(1, members(followers), "test")
+	n.mu.Lock()
+	for _, m := range members(followers) {
+		n.roster.SetConnected(m.Instance, true, false)
+	}
+	n.mu.Unlock()
+	n.assignGroups()
+}
+
+// hearFollowers delivers a heartbeat of each instance that follows the store.
+func hearFollowers(n *Node, h peer.Heartbeat) {
+	h.Store = uint8(roster.Following)
+	for _, m := range members(followers) {
+		n.receiveHeartbeat(m.Instance, h)
+	}
+}
+
 // During a rolling update the instances that follow the store may be of an older
 // version, which does not know evacuations. An instance that relies on them for
 // the rest must follow the operator's table itself.
@@ -180,19 +202,8 @@
 	now := time.Unix(1000, 0)
 	defer clock.Replace(func() time.Time { return now })()
 	n, _ := evacuatingNode(t)
-	const count = 25 // more than follow the store
-	n.SetMembers(1, members(count), "test")
-	n.mu.Lock()
-	for _, m := range members(count) {
-		n.roster.SetConnected(m.Instance, true, false)
-	}
-	n.mu.Unlock()
-	n.assignGroups()
-	hear := func(evacuations ident.Revision) {
-		for _, m := range members(count) {
-			n.receiveHeartbeat(m.Instance, peer.Heartbeat{Store: uint8(roster.Following), Evacuations: evacuations})
-		}
-	}
+	connectFollowers(n)
+	hear := func(evacuations ident.Revision) { hearFollowers(n, peer.Heartbeat{Evacuations: evacuations}) }
 	hear(0)
 	g.Expect(n.StoreNeed()).To(Equal(RelyOnPeers))
 	g.Expect(n.OperatorNeed()).To(Equal(FollowLoosely))
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -35,13 +35,16 @@
 	return need
 }
 
-// ConfigNeed returns how this instance has to follow the configuration in the store.
-// It follows the store for itself also if its peers don't serve it in time.
-func (n *Node) ConfigNeed() StoreNeed {
+// OperatorNeed returns how this instance has to follow the operator's table at
+// present. It relies only on peers that serve the configuration in time and, unless
+// evacuations are ignored, know them.
+func (n *Node) OperatorNeed() StoreNeed {
 	need := n.StoreNeed()
+	now := clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if need == RelyOnPeers && n.configFetch.NeedsStore(clock.Now()) {
+	unserved := n.configFetch.NeedsStore(now) || n.evacuations.enabled && !n.evacuations.hasSource(now)
+	if need == RelyOnPeers && unserved {
 		return FollowLoosely
 	}
 	return need
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -31,6 +31,7 @@
 		n.mesh.Offer(p, n.fullHeartbeat())
 		return
 	}
+	n.forgetSource(p)
 	n.router.PeerLost(p)
 	for _, r := range runners {
 		r.pool.RollbackAll(p)
@@ -38,6 +39,16 @@
 	n.assignGroups()
 }
 
+// forgetSource makes what was requested from a peer be requested from another one.
+func (n *Node) forgetSource(p ident.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.configFetch.Forget(p)
+	n.directoryFetch.Forget(p)
+	n.memberFetch.Forget(p)
+	n.evacuations.fetch.Forget(p)
+}
+
 // traceLink logs a link that opened or was lost. Incomplete above zero means that
 // it was lost while a message was arriving.
 func traceLink(p ident.Instance, up, silent bool, end peer.LinkEnd) {
