Send large messages also while a link is being closed

What would be seen: an answer or a document of more than 32 KiB was lost when its link was closed in order, as in a graceful stop. Change: once a link is to be finished, its parts are sent without waiting.

--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -32,3 +32,23 @@
 		g.Expect(b.Close()).To(Succeed())
 	}
 }
+
+// Large messages wait for confirmations of their parts. A link that was closed
+// meanwhile lost them, because nobody confirms after the last message.
+func TestCloseDeliversLargeMessages(t *testing.T) {
+	g := NewWithT(t)
+	const count = 20
+	text := make([]byte, 3*partBytes)
+	a, b := startNode(t, "a", testSecret, WithQueue(4096)), startNode(t, "b", testSecret, WithQueue(4096))
+	connectAll(a, b)
+	g.Eventually(a.Connected, eventTimeout).Should(HaveLen(1))
+	g.Eventually(b.Connected, eventTimeout).Should(HaveLen(1))
+	for range count {
+		g.Expect(a.Offer("b", Document{Version: 1, Text: text})).To(BeTrue())
+		g.Expect(b.Offer("a", Document{Version: 2, Text: text})).To(BeTrue())
+	}
+	g.Expect(a.Close()).To(Succeed())
+	g.Eventually(b.Connected, eventTimeout).Should(BeEmpty())
+	g.Expect(b.inbox.messages()).To(HaveLen(count))
+	g.Expect(a.inbox.messages()).To(HaveLen(count))
+}
--- a/internal/peer/parts.go
+++ b/internal/peer/parts.go
@@ -44,6 +44,9 @@
 	frame    frame
 	sent     int // bytes of the frame
 	inFlight int // parts that the peer has not received yet
+	// flushing is set once the link is to be finished. The peer may be about to
+	// send its last message, and confirms nothing after that.
+	flushing bool
 }
 
 // busy reports whether parts of a frame are left.
@@ -53,7 +56,7 @@
 func (s *splitter) start(f frame) { s.frame, s.sent = f, 0 }
 
 // blocked reports whether a part has to be received before the next one is sent.
-func (s *splitter) blocked() bool { return s.inFlight >= maxPartsInFlight }
+func (s *splitter) blocked() bool { return s.inFlight >= maxPartsInFlight && !s.flushing }
 
 // received records that the peer has received a part.
 func (s *splitter) received() { s.inFlight = max(0, s.inFlight-1) }
