--- a/Makefile
+++ b/Makefile
@@ -58,5 +58,10 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/peer
 	$(GO) test -run '^$$' -fuzz FuzzReader -fuzztime 30s ./internal/frame
 	$(GO) test -run '^$$' -fuzz FuzzCaller -fuzztime 30s ./internal/front
+	$(GO) test -run '^$$' -fuzz FuzzParts -fuzztime 30s ./internal/peer
+	$(GO) test -run '^$$' -fuzz FuzzMake -fuzztime 30s ./internal/delta
+	$(GO) test -run '^$$' -fuzz FuzzApply -fuzztime 30s ./internal/delta
+	$(GO) test -run '^$$' -fuzz FuzzReceive -fuzztime 30s ./internal/fetch
+	$(GO) test -run '^$$' -fuzz FuzzConfigDecoder -fuzztime 30s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzParseStatement -fuzztime 30s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime 30s ./platform
--- a/internal/fetch/document.go
+++ b/internal/fetch/document.go
@@ -22,6 +22,9 @@
 	// that no peer serves in time begins to read the store. The instances begin
 	// within another such part.
 	storeShare = 5
+	// servedShare is the part of the time limit within which a transfer has to be
+	// complete, by its rate so far, for the store not to be read.
+	servedShare = 2.0 / 3
 )
 
 // ErrUnusable reports a piece or a text that can't be used. The text in force is
@@ -247,7 +250,7 @@
 
 // NeedsStore reports whether this instance has to read the store itself, because no
 // peer serves it in time: a newer version has been known for long, and the transfer
-// will not be complete before two thirds of the time limit have passed.
+// will not be complete soon enough.
 func (d *Document) NeedsStore(now time.Time) bool {
 	if d.behindSince.IsZero() {
 		return false
@@ -262,5 +265,5 @@
 	}
 	took := now.Sub(t.startedAt)
 	expected := time.Duration(float64(took) * float64(t.head.Size) / float64(len(t.bytes)))
-	return t.startedAt.Add(expected).Sub(d.behindSince) > d.limit*2/3
+	return t.startedAt.Add(expected).Sub(d.behindSince) > time.Duration(servedShare*float64(d.limit))
 }
