--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -64,13 +64,19 @@
 	}
 	configDelay.Update(took.Seconds())
 	configVersion.Set(float64(c.Version))
+	traceConfig(c, old, source, len(text), took)
+	n.announceVersions()
+	return true
+}
+
+// traceConfig logs a configuration that was put in force, its size in bytes and the
+// time since this instance learned of it.
+func traceConfig(c, old *engine.Catalog, source string, size int, took time.Duration) {
 	d := c.ChangesFrom(old)
-	trace.Event("ConfigInForce", "Version", c.Version, "Before", old.Version, "Source", source, "Bytes", len(text), "Took", took.String(),
+	trace.Event("ConfigInForce", "Version", c.Version, "Before", old.Version, "Source", source, "Bytes", size, "Took", took.String(),
 		"Routes", len(c.Routes), "Accounts", len(c.Accounts),
 		"RoutesAdded", d.RoutesAdded, "RoutesRemoved", d.RoutesRemoved, "RoutesChanged", d.RoutesChanged,
 		"KeysAdded", d.KeysAdded, "KeysWithdrawn", d.KeysRevoked, "QuotasChanged", d.QuotasChanged)
-	n.announceVersions()
-	return true
 }
 
 // applyLimits updates the limits of every group. The caller holds the mutex.
