--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -105,21 +105,13 @@
 }
 
 func (m *maker) run() {
-	m.copyPrefix()
-	at := m.written
+	at := 0
 	for at+blockBytes <= len(m.target) {
 		at = m.search(at)
 	}
 	m.insert(len(m.target))
 }
 
-// copyPrefix copies what both texts begin with.
-func (m *maker) copyPrefix() {
-	if n := commonPrefix(m.base, m.target); n >= blockBytes {
-		m.copy(0, 0, n)
-	}
-}
-
 // search looks for the next range of the target that is part of the base, beginning
 // at the given place, and copies it. It returns where to go on.
 func (m *maker) search(at int) int {
--- a/internal/fetch/document_test.go
+++ b/internal/fetch/document_test.go
@@ -86,25 +86,24 @@
 	g.Expect(arrived).To(BeNumerically("<", 500))
 }
 
-func TestWholeTextAfterStart(t *testing.T) {
-	g := NewWithT(t)
-	p := peers{}
-	p.add("hub", 10, 11, 12)
-	d := behind(0, "hub")
-	text, _, err := p.fetchFrom(d, began, d.Requests(began))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(text).To(Equal(textOf(12, 20_000)))
-}
-
-// A base that the source no longer has needs the whole text.
-func TestWholeTextForUnknownBase(t *testing.T) {
-	g := NewWithT(t)
-	p := peers{}
-	p.add("hub", 11, 12)
-	d := behind(7, "hub")
-	text, _, err := p.fetchFrom(d, began, d.Requests(began))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(text).To(Equal(textOf(12, 20_000)))
+// An instance that has just started has no base, and the source may no longer have
+// that of one that was away.
+func TestWholeTextWithoutCommonBase(t *testing.T) {
+	for name, c := range map[string]struct {
+		own  ident.Version
+		kept []ident.Version
+	}{
+		"after a start": {0, []ident.Version{10, 11, 12}},
+		"unknown base":  {7, []ident.Version{11, 12}},
+	} {
+		g := NewWithT(t)
+		p := peers{}
+		p.add("hub", c.kept...)
+		d := behind(c.own, "hub")
+		text, _, err := p.fetchFrom(d, began, d.Requests(began))
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		g.Expect(text).To(Equal(textOf(12, 20_000)), name)
+	}
 }
 
 // A transfer whose source fell silent was requested again from the same source and
--- a/internal/fetch/fetcher.go
+++ b/internal/fetch/fetcher.go
@@ -79,11 +79,8 @@
 		return
 	}
 	at := len(f.sources)
-	if source.Near {
-		at = 0
-		for at < len(f.sources) && f.sources[at].Near {
-			at++
-		}
+	if far := slices.IndexFunc(f.sources, func(s Source) bool { return !s.Near }); source.Near && far >= 0 {
+		at = far
 	}
 	f.sources = slices.Insert(f.sources, at, source)
 	f.sources = f.sources[:min(len(f.sources), maxSources)]
--- a/internal/fetch/history.go
+++ b/internal/fetch/history.go
@@ -25,8 +25,10 @@
 type versionText struct {
 	version ident.Version
 	text    []byte
-	digest  Digest
-	// encodings are by the version of the base, zero for none.
+	// digest and encodings are computed when they are first needed, because few
+	// instances serve others. encodings are by the version of the base, zero for
+	// none.
+	digest    Digest
 	encodings map[ident.Version][]byte
 }
 
@@ -34,17 +36,21 @@
 func (h *History) Add(version ident.Version, text []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.texts = append(h.texts, versionText{version: version, text: text, digest: sha256.Sum256(text), encodings: make(map[ident.Version][]byte)})
-	kept := -len(text)
-	for _, t := range h.texts {
-		kept += len(t.text)
-	}
-	for len(h.texts) > 1 && (len(h.texts) > maxKeptTexts+1 || kept > maxKeptBytes) {
-		kept -= len(h.texts[0].text)
+	h.texts = append(h.texts, versionText{version: version, text: text})
+	for len(h.texts) > maxKeptTexts+1 || h.keptBytes() > maxKeptBytes {
 		h.texts = h.texts[1:]
 	}
 }
 
+// keptBytes returns the size of the texts beside the one in force.
+func (h *History) keptBytes() int {
+	size := 0
+	for _, t := range h.texts[:len(h.texts)-1] {
+		size += len(t.text)
+	}
+	return size
+}
+
 // Text returns the text in force, nil if there is none.
 func (h *History) Text() (ident.Version, []byte) {
 	h.mu.Lock()
@@ -116,6 +122,9 @@
 		}
 		baseText = b.text
 	}
+	if t.encodings == nil {
+		t.digest, t.encodings = sha256.Sum256(t.text), make(map[ident.Version][]byte)
+	}
 	e := encode(baseText, t.text)
 	t.encodings[base] = e
 	return e
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -98,6 +98,18 @@
 	return err
 }
 
+// LinkEnd describes how a connection to a peer ended.
+type LinkEnd struct {
+	Cause  error
+	Lasted time.Duration
+	// Idle is how long before the end data last arrived.
+	Idle time.Duration
+	// Incomplete is how many bytes had arrived of an incomplete message, Queued how
+	// many bytes waited to be sent.
+	Incomplete int
+	Queued     int
+}
+
 // end returns how the link ended, for the observer.
 func (l *link) end(cause error) LinkEnd {
 	lasted := time.Since(l.openedAt)
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -71,18 +71,6 @@
 	}
 }
 
-// LinkEnd describes how a connection to a peer ended.
-type LinkEnd struct {
-	Cause  error
-	Lasted time.Duration
-	// Idle is how long before the end data last arrived.
-	Idle time.Duration
-	// Incomplete is how many bytes had arrived of an incomplete message, Queued how
-	// many bytes waited to be sent.
-	Incomplete int
-	Queued     int
-}
-
 // Option configures a Mesh.
 type Option func(*options)
 
--- a/internal/peer/read.go
+++ b/internal/peer/read.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/meter"
 )
 
 func (l *link) read(ctx context.Context) error {
@@ -53,7 +54,6 @@
 		return nil, 0, err
 	}
 	joined, err := l.joiner.add(p)
-	l.incomplete.Store(int64(len(l.joiner.bytes)))
 	if joined == nil {
 		return nil, 0, err
 	}
@@ -87,6 +87,7 @@
 // readMessage reads one message and records when its parts arrive. The result is
 // valid until the next call.
 func (l *link) readMessage(ctx context.Context) ([]byte, error) {
+	l.incomplete.Store(int64(len(l.joiner.bytes)))
 	_, r, err := l.conn.Reader(ctx)
 	if err != nil {
 		return nil, err
@@ -95,27 +96,16 @@
 		l.inbound = bytes.Buffer{}
 	}
 	l.inbound.Reset()
-	if _, err := l.inbound.ReadFrom(&progressReader{source: r, link: l}); err != nil {
+	if _, err := l.inbound.ReadFrom(meter.NewReader(r, l.dataArrived)); err != nil {
 		return nil, err
 	}
-	l.incomplete.Store(int64(len(l.joiner.bytes)))
 	return l.inbound.Bytes(), nil
 }
 
-// progressReader records the arrival of data.
-type progressReader struct {
-	source io.Reader
-	link   *link
-}
-
-// Read implements io.Reader.
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.source.Read(b)
-	if n > 0 {
-		p.link.markReceived()
-		p.link.incomplete.Add(int64(n))
-	}
-	return n, err
+// dataArrived records the arrival of bytes of a message.
+func (l *link) dataArrived(size int) {
+	l.markReceived()
+	l.incomplete.Add(int64(size))
 }
 
 // answerLast finishes the link after the peer's last message.
--- a/internal/peer/write.go
+++ b/internal/peer/write.go
@@ -12,20 +12,19 @@
 // write sends queued messages. A short one goes before the next part of a large
 // one. Once the link is to be finished, it sends what is queued.
 func (l *link) write(ctx context.Context) error {
-	flush := l.flush
 	for {
 		progress, err := l.writeQueued(ctx)
 		if err != nil {
 			return err
 		}
-		switch {
-		case progress:
-		case l.splitter.flushing:
+		if progress {
+			continue
+		}
+		if l.splitter.flushing {
 			return l.writeLast(ctx)
-		default:
-			if err := l.awaitWork(ctx, flush); err != nil {
-				return err
-			}
+		}
+		if err := l.awaitWork(ctx, l.flush); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -33,12 +33,10 @@
 	configUnusable = metrics.NewCounter("marjoram_config_unusable_total")
 )
 
-// SetConfig puts a configuration in force if it is newer. source is logged. A text
-// that can't be used is logged, and the configuration in force stays.
-func (n *Node) SetConfig(text []byte, source string) { n.applyConfig(text, source) }
-
-// applyConfig is like SetConfig and reports whether the text can be used.
-func (n *Node) applyConfig(text []byte, source string) bool {
+// SetConfig puts a configuration in force if it is newer, and reports whether the text
+// can be used. One that can't is logged, and the configuration in force stays. source
+// is logged.
+func (n *Node) SetConfig(text []byte, source string) bool {
 	c, err := n.config.Decode(text)
 	if err != nil {
 		trace.Failure("ConfigUnusable", err, "Source", source, "Bytes", len(text), "Kept", n.catalog.Load().Version)
@@ -115,7 +113,7 @@
 	configNewest.Set(float64(newest))
 	configMissing.Set(float64(before.Size - before.Arrived))
 	if had && len(requests) > 0 {
-		traceTransfer("ConfigTransferStalled", before)
+		traceStall(before)
 	}
 	n.sendRequests(requests)
 }
@@ -162,14 +160,14 @@
 		trace.Failure("ConfigTransferFailed", err, "Source", from, "Version", m.Version, "Base", m.Base)
 	}
 	n.sendRequests(more)
-	if text != nil && !n.applyConfig(text, string(from)) {
+	if text != nil && !n.SetConfig(text, string(from)) {
 		n.mu.Lock()
 		n.configFetch.Unusable(m.Version)
 		n.mu.Unlock()
 	}
 }
 
-// traceTransfer logs what became of a transfer.
-func traceTransfer(event string, t fetch.Transfer) {
-	trace.Event(event, "Source", t.Source, "Version", t.Version, "Base", t.Base, "Size", t.Size, "Arrived", t.Arrived, "Took", t.Took.String())
+// traceStall logs a transfer that goes on at another source.
+func traceStall(t fetch.Transfer) {
+	trace.Event("ConfigTransferStalled", "Source", t.Source, "Version", t.Version, "Base", t.Base, "Size", t.Size, "Arrived", t.Arrived, "Took", t.Took.String())
 }
--- a/internal/stand/lines/changes.go
+++ b/internal/stand/lines/changes.go
@@ -52,6 +52,7 @@
 // Each version has a route of its own and keeps that of the version before.
 type configWatch struct {
 	deployment *Deployment
+	faults     []Fault
 	began      time.Time
 	mu         sync.Mutex
 	version    int
@@ -90,7 +91,7 @@
 }
 
 func newConfigWatch(d *Deployment) *configWatch {
-	return &configWatch{deployment: d, began: time.Now(), accepted: make(map[int]time.Time), boots: make(map[ident.Instance]bootView)}
+	return &configWatch{deployment: d, faults: d.Faults(), began: time.Now(), accepted: make(map[int]time.Time), boots: make(map[ident.Instance]bootView)}
 }
 
 // run makes the planned changes.
@@ -205,10 +206,9 @@
 func (w *configWatch) calmSince(name ident.Instance, now time.Time) time.Time {
 	calm := w.began
 	open := false
-	for _, f := range w.deployment.Faults() {
+	for _, f := range w.faults {
 		at := w.began.Add(f.At)
-		toStore := f.Kind == "storedown" || f.Kind == "storeup" || linkFaults[f.Kind] != nil && f.Server == ""
-		if at.After(now) || !toStore && f.Instance != name {
+		if at.After(now) || !f.concernsStore() && f.Instance != name {
 			continue
 		}
 		calm = at
--- a/internal/stand/lines/evacuate.go
+++ b/internal/stand/lines/evacuate.go
@@ -81,7 +81,7 @@
 func isDisturbed(at time.Duration, others []Fault) bool {
 	storeFault, frozen := false, false
 	for _, f := range others {
-		toStore := f.Kind == "storedown" || f.Kind == "storeup" || linkFaults[f.Kind] != nil && f.Server == ""
+		toStore := f.concernsStore()
 		switch {
 		case toStore && f.At <= at-storeRecovery:
 			storeFault = f.Kind != "storeup" && f.Kind != "clear" && f.Kind != "reset"
--- a/internal/stand/lines/fault.go
+++ b/internal/stand/lines/fault.go
@@ -33,6 +33,12 @@
 	return text
 }
 
+// concernsStore reports whether the fault is one of the store or of the connections to
+// it.
+func (f Fault) concernsStore() bool {
+	return f.Kind == "storedown" || f.Kind == "storeup" || linkFaults[f.Kind] != nil && f.Server == ""
+}
+
 // linkFaults maps the kinds of faults of the connections to a server or, without
 // a server, to the store.
 var linkFaults = map[string]func(*link){
