review: case 1, a replica that lags is promoted beside a living primary

Breaks LOST: acknowledged commits are not in the log of the promoted server. All entries of servers lapse in an outage of the store, all instances restart, and the first entry that returns is that of a replica that receives nothing. The new process takes it for the whole group, with a quorum of one.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -31,6 +32,8 @@
 	heartbeat = 1200 * time.Millisecond
 	// grace is the time for a graceful stop.
 	grace = 6 * time.Second
+	// serviceName is the name of the only service.
+	serviceName = "service-1"
 )
 
 // site holds what a deployment takes from a site file of the users: zones,
@@ -42,6 +45,7 @@
 	maxConns int
 	routes   []route
 	bounds   bounds
+	logs     bool // the servers have a log each
 }
 
 // bounds holds the bounds in which the site files differ, in milliseconds.
@@ -87,7 +91,10 @@
 	record    *record
 	site      site
 	folder    string
-	service   *service
+	service   *service    // nil if the servers are those of group
+	group     *emul.Group // servers with a log each, nil if the servers are those of service
+	listeners map[ident.Endpoint]net.Listener
+	lapsed    map[ident.Endpoint]bool // servers without an entry, guarded by tokens
 	store     *emul.Store
 	platform  *http.Server
 	address   string // of the platform
@@ -120,12 +127,17 @@
 		return nil, err
 	}
 	d := &deployment{
-		record: r, site: s, folder: folder, store: emul.NewStore(), done: make(chan struct{}), routes: s.routes,
+		record: r, site: s, folder: folder, store: emul.NewStore(), lapsed: make(map[ident.Endpoint]bool), done: make(chan struct{}), routes: s.routes,
 		tenants: []tenant{
 			{"tenant-1", []string{"key-1"}}, {"tenant-2", []string{"key-2"}}, {"tenant-3", []string{"key-3"}},
 		},
 	}
-	if d.service, err = newService("service-1", s.slots, s.maxConns, s.zones, r); err != nil {
+	if s.logs {
+		err = d.openGroup()
+	} else {
+		d.service, err = newService(serviceName, s.slots, s.maxConns, s.zones, r)
+	}
+	if err != nil {
 		return nil, err
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -207,7 +219,7 @@
 	var routes, tenants []any
 	for _, r := range d.routes {
 		routes = append(routes, map[string]any{
-			"name": "r-" + r.host, "host": r.host, "prefix": "/", "route_type": r.kind, "service": d.service.name, "timeout_ms": r.timeoutMS,
+			"name": "r-" + r.host, "host": r.host, "prefix": "/", "route_type": r.kind, "service": serviceName, "timeout_ms": r.timeoutMS,
 			"target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": 1500, "auth_exempt": false,
 		})
 	}
@@ -216,7 +228,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"version": d.version, "routes": routes, "tenants": tenants,
-		"services": []any{map[string]any{"name": d.service.name, "health_path": "/health", "max_conns": d.site.maxConns, "sync_replicas": 1}},
+		"services": []any{map[string]any{"name": serviceName, "health_path": "/health", "max_conns": d.site.maxConns, "sync_replicas": 1}},
 		"limits":   map[string]any{"tx_idle_ms": 3000},
 	})
 	if err != nil {
@@ -228,13 +240,17 @@
 
 // putServers writes the entries of the servers.
 func (d *deployment) putServers() {
+	if d.group != nil {
+		d.putGroup()
+		return
+	}
 	for _, v := range d.service.servers {
 		role := "replica"
 		if v.isPrimary() {
 			role = "primary"
 		}
 		text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"db_role":%q,"sequence":4,"born":1000}`,
-			d.service.name, v.listener.Addr().String(), v.zone, d.site.slots, role)
+			serviceName, v.listener.Addr().String(), v.zone, d.site.slots, role)
 		d.store.Put("servers", v.id, []byte(text))
 	}
 }
@@ -253,7 +269,10 @@
 
 // serveHTTP serves the store and the promotion call.
 func (d *deployment) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/promotion" {
+	if r.URL.Path != "/promotion" || d.group != nil {
+		if r.URL.Path == "/promotion" {
+			d.record.note("platform: promotion asked for by %s with %s", r.Header.Get("X-Marjoramrudder-Duty-Holder"), r.Header.Get("X-Marjoramrudder-Fencing-Token"))
+		}
 		d.store.ServeHTTP(w, r)
 		return
 	}
@@ -350,7 +369,11 @@
 	}
 	close(d.done)
 	_ = d.platform.Close()
-	d.service.close()
+	if d.group != nil {
+		d.closeGroup()
+	} else {
+		d.service.close()
+	}
 	if kept := os.Getenv("STAND_LOGS"); kept != "" {
 		if err := os.CopyFS(kept, os.DirFS(d.folder)); err != nil && !errors.Is(err, os.ErrExist) {
 			d.record.note("logs not kept: %v", err)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -37,6 +37,7 @@
 	"transaction-after-restart": {carbonella, playTransactionAfterRestart},
 	"answer-after-restart":      {tamarind, playAnswerAfterRestart},
 	"key-in-transaction":        {carbonella, playKeyInTransaction},
+	"stale-replica":             {withLogs(carbonella), playStaleReplica},
 	"line-feed":                 {grown, playLineFeed},
 }
 
