--- a/review/stand/stale_replica.go
+++ b/review/stand/stale_replica.go
@@ -16,9 +16,9 @@
 	deafTime   = 6500 * time.Millisecond
 	// outageTime is how long the store answers 503.
 	outageTime = 4500 * time.Millisecond
-	// lapseTime is after how long the entries of the servers are removed, which
-	// can't write them meanwhile: three check-in intervals.
-	lapseTime = 3 * heartbeat
+	// lapseTime is after how long the entries of the servers are removed, which can't
+	// write them meanwhile: three check-in intervals and a bit.
+	lapseTime = 3*heartbeat + 300*time.Millisecond
 	// killTime is how long after the beginning of the outage all instances are
 	// killed.
 	killTime = 4100 * time.Millisecond
@@ -56,7 +56,7 @@
 		d.store.Fail(http.StatusServiceUnavailable)
 		d.record.note("store: answers 503")
 	}
-	acked = append(acked, writeOrders(one, 1000, outage.Add(killTime-orderPause))...)
+	acked = append(acked, writeOrders(one, 1000, outage.Add(lapseTime))...)
 	if trouble {
 		if err := d.restartInOutage(ctx, outage, deaf); err != nil {
 			return nil, err
