review: case 4, two holders promote with the same epoch number

After a drill in which the store comes back from a copy of some seconds before, the next holder of a group's duty claims an epoch number that the one before has promoted with.

Shown by review/4/run.sh: three changes of primary and one drill.

--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -102,8 +102,11 @@
 	routes    []route
 	tenants   []tenant
 	version   int
+	config    []byte // the newest configuration
 	tokens    sync.Mutex
 	token     uint64 // newest fencing token
+	era       int    // of the store
+	promoted  []promotion
 	done      chan struct{}
 }
 
@@ -234,7 +237,8 @@
 	if err != nil {
 		panic(err) // the values are texts and numbers only
 	}
-	d.store.Put("op", "config", text)
+	d.config = text
+	d.currentStore().Put("op", "config", text)
 	d.record.note("operator: the store has acknowledged version %d with routes %v and tenants %v", d.version, d.routes, d.tenants)
 }
 
@@ -244,17 +248,35 @@
 		d.putGroup()
 		return
 	}
-	for _, v := range d.service.servers {
-		role := "replica"
-		if v.isPrimary() {
-			role = "primary"
+	for _, v := range d.service.all() {
+		role, state := "replica", "ready"
+		gone := false
+		v.set(func() {
+			if v.primary {
+				role = "primary"
+			}
+			if v.draining {
+				state = "draining"
+			}
+			gone = v.gone
+		})
+		if gone {
+			d.currentStore().Drop("servers", v.id)
+			continue
 		}
-		text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"db_role":%q,"sequence":4,"born":1000}`,
-			serviceName, v.listener.Addr().String(), v.zone, d.site.slots, role)
-		d.store.Put("servers", v.id, []byte(text))
+		text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"db_role":%q,"sequence":4,"born":1000}`,
+			serviceName, v.listener.Addr().String(), v.zone, d.site.slots, state, role)
+		d.currentStore().Put("servers", v.id, []byte(text))
 	}
 }
 
+// currentStore returns the store that answers now.
+func (d *deployment) currentStore() *emul.Store {
+	d.tokens.Lock()
+	defer d.tokens.Unlock()
+	return d.store
+}
+
 // beat writes the entries of the servers again and again.
 func (d *deployment) beat() {
 	for {
@@ -273,7 +295,7 @@
 		if r.URL.Path == "/promotion" {
 			d.record.note("platform: promotion asked for by %s with %s", r.Header.Get("X-Marjoramrudder-Duty-Holder"), r.Header.Get("X-Marjoramrudder-Fencing-Token"))
 		}
-		d.store.ServeHTTP(w, r)
+		d.serveStore(w, r)
 		return
 	}
 	var call struct{ Service, ID string }
@@ -282,16 +304,40 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	d.record.note("platform: promotion of %s by %s with %d", call.ID, r.Header.Get("X-Marjoramrudder-Duty-Holder"), token)
+	p := promotion{holder: r.Header.Get("X-Marjoramrudder-Duty-Holder"), server: call.ID, token: token}
 	d.tokens.Lock()
-	outdated := token < d.token
+	accepted := token >= d.token
 	d.token = max(d.token, token)
+	if accepted {
+		d.promoted = append(d.promoted, p)
+	}
 	d.tokens.Unlock()
-	if outdated || !d.service.promote(call.ID) {
+	d.record.note("platform: promotion of %s by %s with %d, accepted %t", p.server, p.holder, p.token, accepted)
+	if !accepted || !d.service.promote(call.ID) {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
 
+// promotion is a promotion call that the platform has accepted.
+type promotion struct {
+	holder, server string
+	token          uint64
+}
+
+// serveStore answers a call of the store.
+func (d *deployment) serveStore(w http.ResponseWriter, r *http.Request) {
+	d.tokens.Lock()
+	store, era := d.store, d.era
+	d.tokens.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(era))
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err == nil && after > storeVersion(store) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	store.ServeHTTP(w, r)
+}
+
 // startAll starts all instances and waits until they are ready and have run for
 // stable_window_ms and settleMargin.
 func (d *deployment) startAll(ctx context.Context) error {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -38,6 +38,7 @@
 	"answer-after-restart":      {tamarind, playAnswerAfterRestart},
 	"key-in-transaction":        {carbonella, playKeyInTransaction},
 	"stale-replica":             {withLogs(carbonella), playStaleReplica},
+	"epoch-after-drill":         {carbonella, playEpochAfterDrill},
 	"line-feed":                 {grown, playLineFeed},
 }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -65,27 +65,57 @@
 	listener net.Listener
 	slots    chan struct{}
 
-	primary bool
-	paused  int // term of the latest PAUSE
-	open    int
+	primary  bool
+	draining bool
+	gone     bool
+	paused   int // term of the latest PAUSE
+	open     int
 }
 
 func newService(name string, slots, maxConns int, zones []string, r *record) (*service, error) {
 	s := &service{name: name, maxConns: maxConns, record: r, term: 3, work: func(string, string) time.Duration { return workTime }}
-	for i, zone := range zones {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for range zones {
+		if err := s.add(zones[len(s.servers)], slots); err != nil {
 			return nil, err
 		}
-		v := &server{id: fmt.Sprintf("i-%s-%c", name, 'a'+i), zone: zone, service: s, listener: l, slots: make(chan struct{}, slots), primary: i == 0}
-		s.servers = append(s.servers, v)
-		go v.accept()
 	}
+	s.servers[0].primary = true
 	return s, nil
 }
 
+// add starts a further server, a replica.
+func (s *service) add(zone string, slots int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &server{id: fmt.Sprintf("i-%s-%c", s.name, 'a'+len(s.servers)), zone: zone, service: s, listener: l, slots: make(chan struct{}, slots)}
+	s.servers = append(s.servers, v)
+	go v.accept()
+	return nil
+}
+
+// all returns all servers, also those that are gone.
+func (s *service) all() []*server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*server(nil), s.servers...)
+}
+
+// leader returns the primary.
+func (s *service) leader() *server {
+	for _, v := range s.all() {
+		if v.isPrimary() {
+			return v
+		}
+	}
+	return nil
+}
+
 func (s *service) close() {
-	for _, v := range s.servers {
+	for _, v := range s.all() {
 		_ = v.listener.Close()
 	}
 }
@@ -100,7 +130,7 @@
 // promote makes a server the primary of the next term. It reports whether the
 // server exists.
 func (s *service) promote(id string) bool {
-	for _, v := range s.servers {
+	for _, v := range s.all() {
 		if v.id != id {
 			continue
 		}
@@ -289,6 +319,13 @@
 	return v.primary
 }
 
+// set changes the server.
+func (v *server) set(change func()) {
+	v.service.mu.Lock()
+	defer v.service.mu.Unlock()
+	change()
+}
+
 // holds reports whether the server's log holds a position.
 func (v *server) holds(position string) bool {
 	term, number, _ := strings.Cut(position, ".")
