Count the servers of a group's record before a replica is promoted

After an outage of the store in which all entries lapsed, and a restart of all instances, the replica whose entry was back first was promoted, though it lagged and the primary was alive.

Cause: the quorum for a promotion was taken from the servers that are listed or that this process has seen leave. A process that has just started has seen none leave, so one entry made a group of one server. Ruled out: a seal that did not hold, and a target chosen in spite of a known commit; the new log line PromotionDecided shows one seal of one needed, one server known.

Change: the group's row in the store, which is read and written with the epoch, records the servers that may hold acknowledged commits. Those that are not listed count until departedRetention. Without a record an instance waits until servers that are alive had the time to be listed. A new elector waits for a primary as any other one does, no seal is requested before enough replicas answer, and an empty log confirms nothing.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -21,6 +21,7 @@
 		return
 	}
 	el.requestEpoch(now)
+	el.updateRecord(now)
 	switch el.state {
 	case Searching:
 		el.probeAll(now)
@@ -43,7 +44,7 @@
 func (el *Elector) forgetDeparted(now time.Time) {
 	for id, s := range el.sortedServers() {
 		if !s.departedAt.IsZero() && now.Sub(s.departedAt) > departedRetention {
-			delete(el.servers, id)
+			el.forget(id)
 		}
 	}
 }
@@ -55,7 +56,7 @@
 		return
 	}
 	el.epochRequestedAt = now
-	el.emit(AcquireEpoch{})
+	el.emit(AcquireEpoch{Servers: el.knownServers()})
 }
 
 // expireUnreachable withdraws this instance's report that it can't reach the
@@ -97,9 +98,11 @@
 }
 
 // replaceMissing starts the promotion of a replica if no endpoint reports that
-// it is the primary.
+// it is the primary, and enough of them answer. Seals would keep replicas from
+// receiving, so none is requested before. The primary may be the next endpoint to
+// be listed.
 func (el *Elector) replaceMissing(now time.Time) {
-	if now.Sub(el.stateSince) < 2*primaryTimeout || el.countAnsweredSince(el.stateSince) == 0 {
+	if now.Sub(el.stateSince) < 2*primaryTimeout || now.Sub(el.listedAt) < 2*primaryTimeout {
 		return
 	}
 	primary := el.servers[el.primary]
@@ -110,13 +113,20 @@
 	case now.Sub(primary.refusedAt) < primaryTimeout:
 		return // it lives, and is too busy to tell its role
 	}
+	answered := el.countReplicasSince(el.stateSince)
+	if answered < el.quorum() || !el.serversKnown(now) {
+		el.reportUnreachable(now, answered) // the primary may be among the missing ones
+		return
+	}
 	el.setState(now, Sealing, "no endpoint is the primary")
 }
 
-func (el *Elector) countAnsweredSince(t time.Time) int {
+// countReplicasSince returns how many servers other than the primary have answered
+// since t.
+func (el *Elector) countReplicasSince(t time.Time) int {
 	n := 0
-	for _, s := range el.sortedServers() {
-		if s.answeredSince(t) {
+	for id, s := range el.sortedServers() {
+		if id != el.primary && s.answeredSince(t) {
 			n++
 		}
 	}
@@ -177,13 +187,7 @@
 // that enough replicas answer. Until then the primary is announced as unable to
 // take writes.
 func (el *Elector) replaceStalled(now time.Time) {
-	replicas := 0
-	for id, s := range el.sortedServers() {
-		if id != el.primary && s.answeredSince(el.stateSince) {
-			replicas++
-		}
-	}
-	if replicas >= el.quorum() && now.Sub(el.promotedAt) > promotionGrace {
+	if el.countReplicasSince(el.stateSince) >= el.quorum() && now.Sub(el.promotedAt) > promotionGrace {
 		el.setState(now, Sealing, "no replica receives from it")
 		return
 	}
@@ -212,7 +216,7 @@
 	if el.peerPromotionPending(now) {
 		return
 	}
-	if confirmed < el.quorum() || el.epoch == 0 {
+	if confirmed < el.quorum() || el.epoch == 0 || !el.serversKnown(now) {
 		el.reportUnreachable(now, confirmed)
 		return
 	}
@@ -222,6 +226,7 @@
 	}
 	el.target = target.ID
 	el.promotion.resend()
+	el.emit(PromotionDecided{Endpoint: el.target, Sealed: confirmed, Needed: el.quorum(), Servers: el.knownServers(), Recorded: el.recorded})
 	el.setState(now, Promoting, "enough replicas are sealed")
 	el.awaitPromotion(now)
 }
@@ -229,7 +234,7 @@
 // reportUnreachable hands the group over to another instance when too few
 // replicas answer this one.
 func (el *Elector) reportUnreachable(now time.Time, answered int) {
-	if now.Sub(el.stateSince) < sealTimeout || !el.unreachableSince.IsZero() {
+	if answered == 0 && el.state == Searching || now.Sub(el.stateSince) < sealTimeout || !el.unreachableSince.IsZero() {
 		return
 	}
 	el.unreachableSince = now
@@ -245,21 +250,21 @@
 func (s *server) answeredSince(t time.Time) bool { return !s.answeredAt.Before(t) }
 
 // hasSeal reports whether a replica has recently confirmed a seal at the term.
+// An empty log confirms nothing: the server has started without its data.
 func (s *server) hasSeal(now time.Time, term ident.Term) bool {
-	return s.sealedTerm >= term && !s.lastResult.IsPrimary && now.Sub(s.sealedAt) < sealValidity
+	return s.sealedTerm >= term && !s.lastResult.IsPrimary && !s.lastResult.Received.Zero() && now.Sub(s.sealedAt) < sealValidity
 }
 
 // quorum returns how many sealed replicas are guaranteed to hold every
-// acknowledged commit between them. Replicas that have left the directory count
-// until replacements are listed, or for departedRetention.
+// acknowledged commit between them: a commit is held by its primary and by
+// SyncReplicas replicas. Servers that have left the directory, or that are only
+// recorded, count until replacements are listed, or for departedRetention.
 func (el *Elector) quorum() int {
-	replicas := 0
-	for id := range el.sortedServers() {
-		if id != el.primary {
-			replicas++
-		}
+	servers := len(el.servers)
+	if !el.primaryCounted() {
+		servers++
 	}
-	return max(1, replicas-el.syncReplicas+1)
+	return max(1, servers-el.syncReplicas)
 }
 
 // sealsValid reports whether the seals that a promotion depends on are recent:
@@ -286,7 +291,7 @@
 func (el *Elector) mostAdvanced(now time.Time, term ident.Term) *server {
 	var all []*server
 	for id, s := range el.sortedServers() {
-		if id != el.primary && s.hasSeal(now, term) && s.lastResult.Received.Position >= el.acked.Position && !s.lastResult.Received.Zero() {
+		if id != el.primary && s.hasSeal(now, term) && s.lastResult.Received.Position >= el.acked.Position {
 			all = append(all, s)
 		}
 	}
--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -80,6 +80,7 @@
 	primary        ident.Endpoint
 	term           ident.Term
 	servers        map[ident.Endpoint]*server
+	record
 
 	acked            ident.LogPosition
 	newestTerm       ident.Term // newest term that any endpoint is known to have been the primary of
@@ -113,13 +114,16 @@
 
 // New returns an elector without endpoints.
 func New() *Elector {
-	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), promotingPeers: make(map[ident.Instance]time.Time), syncReplicas: 1}
+	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), record: newRecord(), promotingPeers: make(map[ident.Instance]time.Time), syncReplicas: 1}
 }
 
 // Update applies one message at the given time and returns the commands to
 // execute.
 func (el *Elector) Update(now time.Time, m Message) []Command {
 	el.commands = nil
+	if el.stateSince.IsZero() {
+		el.stateSince = now
+	}
 	switch m := m.(type) {
 	case Directory:
 		el.setDirectory(now, m)
@@ -140,7 +144,9 @@
 	case PeerOpinion:
 		el.peerOpinion(now, m)
 	case EpochAcquired:
-		el.epochAcquired(m)
+		el.epochAcquired(now, m)
+	case ServersRecorded:
+		el.recorded = m.Servers
 	case Promoted:
 		el.promotionResult(now, m)
 	}
@@ -184,11 +190,18 @@
 }
 
 func (el *Elector) setDirectory(now time.Time, m Directory) {
+	if el.listedSince.IsZero() && len(m.Endpoints) > 0 {
+		el.listedSince = now
+	}
 	seen := make(map[ident.Endpoint]bool, len(m.Endpoints))
 	added := 0
 	for _, e := range m.Endpoints {
 		seen[e.ID] = true
+		delete(el.forgotten, e.ID)
 		s := el.servers[e.ID]
+		if s == nil || !s.departedAt.IsZero() {
+			el.listedAt = now
+		}
 		if s == nil {
 			s = &server{}
 			el.servers[e.ID] = s
@@ -217,7 +230,7 @@
 func (el *Elector) forgetReplaced(added int) {
 	for id, s := range el.sortedServers() {
 		if added > 0 && !s.departedAt.IsZero() && s.Draining {
-			delete(el.servers, id)
+			el.forget(id)
 			added--
 		}
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -117,12 +117,20 @@
 }
 
 // EpochAcquired is the answer to AcquireEpoch. Epoch is zero if the request
-// failed. SentAt is when the request was sent.
+// failed. SentAt is when the request was sent. Recorded are the servers in the
+// group's record before the request, nil if there was none, and Added those of the
+// request.
 type EpochAcquired struct {
-	Epoch  ident.Epoch
-	SentAt time.Time
+	Epoch    ident.Epoch
+	Recorded []ident.Endpoint
+	Added    []ident.Endpoint
+	SentAt   time.Time
 }
 
+// ServersRecorded is the answer to RecordServers. It is left out if the request
+// failed.
+type ServersRecorded struct{ Servers []ident.Endpoint }
+
 // Promoted is the answer to Promote.
 type Promoted struct {
 	Endpoint ident.Endpoint
@@ -153,6 +161,7 @@
 func (ProbeResult) message()      {}
 func (PeerOpinion) message()      {}
 func (EpochAcquired) message()    {}
+func (ServersRecorded) message()  {}
 func (Promoted) message()         {}
 func (Tick) message()             {}
 
@@ -173,8 +182,16 @@
 // AskPeers asks the other instances whether they reach an endpoint.
 type AskPeers struct{ Endpoint ident.Endpoint }
 
-// AcquireEpoch requests a new epoch, which is required for a promotion.
-type AcquireEpoch struct{}
+// AcquireEpoch requests a new epoch, which is required for a promotion. Servers
+// are added to the group's record.
+type AcquireEpoch struct{ Servers []ident.Endpoint }
+
+// RecordServers replaces the servers in the group's record, provided that Epoch is
+// the newest one.
+type RecordServers struct {
+	Epoch   ident.Epoch
+	Servers []ident.Endpoint
+}
 
 // Promote makes an endpoint the primary of the next term.
 type Promote struct {
@@ -209,6 +226,17 @@
 	Reason   string
 }
 
+// PromotionDecided is a log record of the evidence for a promotion: how many
+// replicas are sealed, how many are needed, and which servers count and are
+// recorded.
+type PromotionDecided struct {
+	Endpoint ident.Endpoint
+	Sealed   int
+	Needed   int
+	Servers  []ident.Endpoint
+	Recorded []ident.Endpoint
+}
+
 // SwitchPauseChanged reports the minimum time to the next change of a primary that
 // serves badly.
 type SwitchPauseChanged struct{ Pause time.Duration }
@@ -217,9 +245,11 @@
 func (Seal) command()               {}
 func (AskPeers) command()           {}
 func (AcquireEpoch) command()       {}
+func (RecordServers) command()      {}
 func (Promote) command()            {}
 func (PrimaryChanged) command()     {}
 func (PrimaryUnreachable) command() {}
 func (BroadcastProgress) command()  {}
 func (StateChanged) command()       {}
+func (PromotionDecided) command()   {}
 func (SwitchPauseChanged) command() {}
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -75,7 +75,7 @@
 	}
 	if el.promotion.pendingTarget != "" && el.promotion.pendingTarget != el.target && el.epoch != 0 {
 		el.epoch, el.epochRequestedAt = 0, now
-		el.emit(AcquireEpoch{})
+		el.emit(AcquireEpoch{Servers: el.knownServers()})
 	}
 	if el.promotion.sentAt.IsZero() && el.epoch != 0 && !el.sealsValid(now) {
 		el.setState(now, Sealing, "the seals have expired")
@@ -186,8 +186,11 @@
 }
 
 // epochAcquired stores an acquired epoch, unless another instance may have acquired
-// a newer one since it was requested.
-func (el *Elector) epochAcquired(m EpochAcquired) {
+// a newer one since it was requested, and takes in what the group's record says.
+func (el *Elector) epochAcquired(now time.Time, m EpochAcquired) {
+	if m.Epoch != 0 {
+		el.addRecorded(now, m)
+	}
 	if m.SentAt.Before(el.peerPromotedAt) {
 		return
 	}
--- /dev/null
+++ b/internal/lead/record.go
@@ -0,0 +1,92 @@
+package lead
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
+)
+
+// This file handles the group's record in the platform's store. It lists the
+// servers that may hold acknowledged commits, and outlasts all instances: an
+// instance that has just started sees only the servers that are listed at that
+// moment, and one of them alone may lack commits.
+
+const (
+	// recordPause is the least time between two requests to change the record.
+	recordPause = time.Second
+	// entryReturnTime is how long the entries of servers that are alive may be
+	// missing from the directory after the store was unavailable. The platform
+	// states about two seconds.
+	entryReturnTime = 3 * time.Second
+)
+
+// record is what the elector knows of the group's record.
+type record struct {
+	// recorded are the servers in the record when it was last written. found is set
+	// if they were there before this instance first wrote it.
+	recorded    []ident.Endpoint
+	found       bool
+	requestedAt time.Time // time of the latest RecordServers
+	listedSince time.Time // when the directory first listed a server
+	listedAt    time.Time // when the directory last listed a further server
+	// forgotten are the servers that do not count any more.
+	forgotten map[ident.Endpoint]bool
+}
+
+func newRecord() record { return record{forgotten: make(map[ident.Endpoint]bool)} }
+
+// forget makes a server that has left the directory not count any more.
+func (el *Elector) forget(id ident.Endpoint) {
+	delete(el.servers, id)
+	el.forgotten[id] = true
+}
+
+// knownServers returns the names of the servers that count, sorted.
+func (el *Elector) knownServers() []ident.Endpoint {
+	return slices.Sorted(maps.Keys(el.servers))
+}
+
+// addRecorded makes the servers of the record count that this instance does not
+// know. They have left the directory, or are not listed yet.
+func (el *Elector) addRecorded(now time.Time, m EpochAcquired) {
+	el.found = el.found || len(m.Recorded) > 0
+	el.recorded = slices.Compact(slices.Sorted(slices.Values(slices.Concat(m.Recorded, m.Added))))
+	for _, id := range m.Recorded {
+		if el.servers[id] == nil && !el.forgotten[id] {
+			el.servers[id] = &server{Endpoint: Endpoint{ID: id}, departedAt: now}
+		}
+	}
+}
+
+// updateRecord requests that the record lists exactly the servers that count. Only
+// the owner of a group with a primary does so, because the primary has to be one of
+// them.
+func (el *Elector) updateRecord(now time.Time) {
+	if el.state != Steady || el.servers[el.primary] == nil || el.epoch == 0 || now.Sub(el.requestedAt) < recordPause {
+		return
+	}
+	known := el.knownServers()
+	if slices.Equal(known, el.recorded) {
+		return
+	}
+	el.requestedAt = now
+	el.emit(RecordServers{Epoch: el.epoch, Servers: known})
+}
+
+// serversKnown reports whether no server that may hold acknowledged commits is
+// missing from those that count: the record lists them, or all that are alive had
+// the time to be listed.
+func (el *Elector) serversKnown(now time.Time) bool {
+	return el.found || !el.listedSince.IsZero() && now.Sub(el.listedSince) >= entryReturnTime
+}
+
+// primaryCounted reports whether the servers that count include the latest primary.
+// The record includes it, also if this instance does not know which one it is.
+func (el *Elector) primaryCounted() bool {
+	if el.primary == "" {
+		return el.found && len(el.forgotten) == 0
+	}
+	return el.servers[el.primary] != nil
+}
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -28,6 +28,10 @@
 	now     time.Time
 	// epochRequests are the times of the unanswered requests for an epoch.
 	epochRequests []time.Time
+	// recorded are the servers in the group's record in the store, which an earlier
+	// owner wrote.
+	recorded []ident.Endpoint
+	added    []ident.Endpoint // by the latest request for an epoch
 }
 
 func (s *leadScript) command(t *testing.T, d *datadriven.TestData) string {
@@ -59,12 +63,24 @@
 			m.Endpoints = append(m.Endpoints, e)
 		}
 		return s.send(m)
+	case "record":
+		s.recorded = []ident.Endpoint{}
+		for _, a := range d.CmdArgs {
+			s.recorded = append(s.recorded, ident.Endpoint(a.Key))
+		}
+		return ""
+	case "recorded":
+		m := ServersRecorded{}
+		for _, a := range d.CmdArgs {
+			m.Servers = append(m.Servers, ident.Endpoint(a.Key))
+		}
+		return s.send(m)
 	case "owner":
 		return s.send(Ownership{Owner: true})
 	case "nonowner":
 		return s.send(Ownership{})
 	case "epoch":
-		m := EpochAcquired{Epoch: ident.Epoch(epoch), SentAt: s.now}
+		m := EpochAcquired{Epoch: ident.Epoch(epoch), SentAt: s.now, Recorded: s.recorded, Added: s.added}
 		if len(s.epochRequests) > 0 {
 			m.SentAt, s.epochRequests = s.epochRequests[0], s.epochRequests[1:]
 		}
@@ -109,6 +125,14 @@
 	return ""
 }
 
+func joinNames(all []ident.Endpoint) string {
+	var names []string
+	for _, id := range all {
+		names = append(names, string(id))
+	}
+	return strings.Join(names, " ")
+}
+
 func duration(t *testing.T, text string) time.Duration {
 	span, err := time.ParseDuration(text)
 	if err != nil {
@@ -142,8 +166,14 @@
 		case AskPeers:
 			fmt.Fprintf(&out, "ask peers about %s\n", c.Endpoint)
 		case AcquireEpoch:
+			s.added = c.Servers
+			if s.recorded == nil {
+				s.recorded = c.Servers
+			}
 			s.epochRequests = append(s.epochRequests, s.now)
 			fmt.Fprintf(&out, "acquire epoch\n")
+		case RecordServers:
+			fmt.Fprintf(&out, "record %s\n", joinNames(c.Servers))
 		case Promote:
 			fmt.Fprintf(&out, "promote %s with epoch %d\n", c.Endpoint, c.Epoch)
 		case PrimaryChanged:
--- a/internal/lead/sim_promotion_test.go
+++ b/internal/lead/sim_promotion_test.go
@@ -9,6 +9,7 @@
 // promote simulates a promotion that takes effect immediately, late, or without
 // an answer.
 func (s *sim) promote(i int, c Promote) {
+	answer := s.answerTo(i)
 	s.pending++
 	arrive := func() PromoteResult {
 		s.pending--
@@ -27,10 +28,10 @@
 	}
 	if s.chance(4) {
 		s.schedule(time.Duration(s.random.IntN(6000))*time.Millisecond, func() { arrive() })
-		s.schedule(time.Second, func() { s.send(i, Promoted{Endpoint: c.Endpoint, Result: NoAnswer}) })
+		s.schedule(time.Second, func() { answer(Promoted{Endpoint: c.Endpoint, Result: NoAnswer}) })
 		return
 	}
-	s.schedule(20*time.Millisecond, func() { s.send(i, Promoted{Endpoint: c.Endpoint, Result: arrive()}) })
+	s.schedule(20*time.Millisecond, func() { answer(Promoted{Endpoint: c.Endpoint, Result: arrive()}) })
 }
 
 // completePromotion makes a server the primary of the next term and checks that
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	announced           []PrimaryChanged // latest announcement of each elector
 	cut                 map[string]bool  // "elector/server"
 	epoch               ident.Epoch      // latest epoch in the store
+	recorded            []ident.Endpoint // servers in the group's record in the store
 	fence               ident.Epoch      // highest epoch that the promotion service has seen
 	term                ident.Term
 	exchangedAt         time.Time
@@ -42,6 +44,7 @@
 	restartWhilePending bool // sealed servers may restart while a promotion is pending
 	log                 []string
 	evacuations         *simEvacuations // nil for none
+	restarts            *simRestarts    // nil for none
 	quiet               bool            // no faults and no losses
 }
 
@@ -59,6 +62,7 @@
 	s := &sim{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		servers: map[ident.Endpoint]*simServer{}, cut: map[string]bool{}, term: 1, acked: map[int]int{},
+		recorded: simIDs,
 	}
 	for _, id := range simIDs {
 		s.servers[id] = &simServer{id: id, term: 1, isPrimary: id == "a"}
@@ -106,6 +110,7 @@
 	s.injectFault()
 	s.failCalls()
 	s.evacuations.inject(s)
+	s.restarts.inject(s)
 	for i := range s.electors {
 		s.send(i, Tick{})
 	}
@@ -128,7 +133,8 @@
 func (s *sim) broadcast(i int) {
 	m := s.electors[i].Progress(s.now)
 	m.From = ident.Instance(fmt.Sprint(i))
-	s.schedule(time.Duration(s.random.IntN(80))*time.Millisecond, func() { s.send(1-i, m) })
+	answer := s.answerTo(1 - i)
+	s.schedule(time.Duration(s.random.IntN(80))*time.Millisecond, func() { answer(m) })
 }
 
 // commit sends a commit to each primary that an elector has announced.
@@ -159,9 +165,9 @@
 	if primary == nil || !old.Usable || old.NoWrites {
 		return
 	}
-	starts := primary.starts
+	starts, sender := primary.starts, s.electors[i]
 	s.schedule(time.Duration(s.random.Int64N(int64(maxCommitDelay))), func() {
-		if primary.isPrimary && !primary.down && primary.starts == starts {
+		if s.electors[i] == sender && primary.isPrimary && !primary.down && primary.starts == starts {
 			s.commitAt(i, primary)
 		}
 	})
@@ -288,13 +294,24 @@
 	for _, id := range simIDs {
 		v := s.servers[id]
 		v.draining = v.draining || v.isPrimary && s.chance(20)
-		if !v.down || v.draining || s.chance(2) {
+		if !s.restarts.isLapsed(id) && (!v.down || v.draining || s.chance(2)) {
 			d.Endpoints = append(d.Endpoints, Endpoint{ID: id, IsPrimary: v.isPrimary, StartedAt: v.starts, Draining: v.draining, Evacuated: s.evacuations.contains(id)})
 		}
 	}
 	s.send(i, d)
 }
 
+// answerTo returns a function that sends a message to an instance, unless the
+// instance has started again since.
+func (s *sim) answerTo(i int) func(Message) {
+	el := s.electors[i]
+	return func(m Message) {
+		if s.electors[i] == el {
+			s.send(i, m)
+		}
+	}
+}
+
 // send applies a message and executes the commands with random delays.
 func (s *sim) send(i int, m Message) {
 	for _, c := range s.electors[i].Update(s.now, m) {
@@ -303,13 +320,13 @@
 }
 
 func (s *sim) execute(i int, c Command) {
-	sentAt := s.now
+	sentAt, answer := s.now, s.answerTo(i)
 	delay := time.Duration(s.random.IntN(80)) * time.Millisecond
 	switch c := c.(type) {
 	case Probe:
-		s.schedule(delay, func() { s.report(i, c.Endpoint, sentAt, 0) })
+		s.schedule(delay, func() { s.report(i, c.Endpoint, sentAt, 0, answer) })
 	case Seal:
-		s.schedule(delay, func() { s.report(i, c.Endpoint, sentAt, c.Term) })
+		s.schedule(delay, func() { s.report(i, c.Endpoint, sentAt, c.Term, answer) })
 	case AskPeers:
 		s.schedule(delay, func() {
 			other := 1 - i
@@ -318,16 +335,25 @@
 			if m.Reached {
 				m.IsPrimary, m.Term = v.isPrimary, v.term
 			}
-			s.send(i, m)
+			answer(m)
 		})
 	case AcquireEpoch:
 		s.schedule(delay, func() {
 			if s.chance(5) {
-				s.send(i, EpochAcquired{SentAt: sentAt})
+				answer(EpochAcquired{SentAt: sentAt})
 				return
 			}
 			s.epoch++
-			s.send(i, EpochAcquired{Epoch: s.epoch, SentAt: sentAt})
+			recorded := s.recorded
+			s.recorded = union(recorded, c.Servers)
+			answer(EpochAcquired{Epoch: s.epoch, Recorded: recorded, Added: c.Servers, SentAt: sentAt})
+		})
+	case RecordServers:
+		s.schedule(delay, func() {
+			if c.Epoch == s.epoch && !s.chance(5) {
+				s.recorded = c.Servers
+				answer(ServersRecorded{Servers: c.Servers})
+			}
 		})
 	case Promote:
 		s.promote(i, c)
@@ -340,14 +366,19 @@
 	}
 }
 
-func (s *sim) report(i int, id ident.Endpoint, sentAt time.Time, seal ident.Term) {
+// union returns the names of two lists, sorted.
+func union(a, b []ident.Endpoint) []ident.Endpoint {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+}
+
+func (s *sim) report(i int, id ident.Endpoint, sentAt time.Time, seal ident.Term, answer func(Message)) {
 	v := s.servers[id]
 	if v.down || s.cut[key(i, id)] {
-		s.send(i, ProbeResult{Endpoint: id, SentAt: sentAt, Failed: true})
+		answer(ProbeResult{Endpoint: id, SentAt: sentAt, Failed: true})
 		return
 	}
 	if s.busyServers && s.chance(3) {
-		s.send(i, ProbeResult{Endpoint: id, SentAt: sentAt, Refused: true})
+		answer(ProbeResult{Endpoint: id, SentAt: sentAt, Refused: true})
 		return
 	}
 	if seal != 0 && !v.isPrimary {
@@ -355,8 +386,8 @@
 	}
 	m := ProbeResult{Endpoint: id, SentAt: sentAt, IsPrimary: v.isPrimary, Term: v.term, Received: v.received(), SealedTerm: seal}
 	if s.chance(8) {
-		s.schedule(200*time.Millisecond, func() { s.send(i, ProbeResult{Endpoint: id, SentAt: sentAt, Failed: true}) })
+		s.schedule(200*time.Millisecond, func() { answer(ProbeResult{Endpoint: id, SentAt: sentAt, Failed: true}) })
 		return // the server is sealed but its answer is lost
 	}
-	s.send(i, m)
+	answer(m)
 }
--- a/internal/relay/endpoint.go
+++ b/internal/relay/endpoint.go
@@ -84,8 +84,12 @@
 // Promoter is the platform's service for promotions.
 type Promoter interface {
 	// AcquireEpoch returns an epoch above all earlier ones. Only the holder of
-	// the highest epoch may promote in the group.
-	AcquireEpoch(ctx context.Context, g ident.Group) (ident.Epoch, error)
+	// the highest epoch may promote in the group. It adds servers to the group's
+	// record and returns those that were in it before.
+	AcquireEpoch(ctx context.Context, g ident.Group, servers []ident.Endpoint) (epoch ident.Epoch, recorded []ident.Endpoint, err error)
+	// RecordServers replaces the servers in the group's record, provided that the
+	// epoch is the highest one.
+	RecordServers(ctx context.Context, g ident.Group, epoch ident.Epoch, servers []ident.Endpoint) error
 	// Promote makes an endpoint the next primary. The result states what is
 	// known of the promotion; an error explains a result other than Accepted.
 	Promote(ctx context.Context, g ident.Group, e ident.Endpoint, epoch ident.Epoch) (lead.PromoteResult, error)
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -131,7 +131,9 @@
 	case lead.AskPeers:
 		rn.host.askPeers(rn.group, c.Endpoint)
 	case lead.AcquireEpoch:
-		rn.tasks.Go(rn.acquireEpoch)
+		rn.tasks.Go(func(ctx context.Context) error { return rn.acquireEpoch(ctx, c) })
+	case lead.RecordServers:
+		rn.tasks.Go(func(ctx context.Context) error { return rn.recordServers(ctx, c) })
 	case lead.Promote:
 		rn.tasks.Go(func(ctx context.Context) error { return rn.promote(ctx, c) })
 	case lead.PrimaryChanged:
@@ -140,6 +142,8 @@
 		rn.host.setUnreachable(rn.group, c.Unreachable)
 	case lead.BroadcastProgress:
 		rn.host.broadcastProgress()
+	case lead.PromotionDecided:
+		trace.Event("PromotionDecided", "Group", rn.group, "Endpoint", c.Endpoint, "Sealed", c.Sealed, "Needed", c.Needed, "Servers", c.Servers, "Recorded", c.Recorded)
 	case lead.SwitchPauseChanged:
 		trace.Event("PrimaryChangePause", "Group", rn.group, "Pause", c.Pause.String())
 		metrics.GetOrCreateGauge(fmt.Sprintf("marjoram_primary_change_pause_seconds{group=%q}", string(rn.group)), nil).Set(c.Pause.Seconds())
@@ -224,17 +228,29 @@
 	rn.update(m)
 }
 
-func (rn *groupRunner) acquireEpoch(ctx context.Context) error {
+func (rn *groupRunner) acquireEpoch(ctx context.Context, c lead.AcquireEpoch) error {
 	ctx, cancel := context.WithTimeout(ctx, epochTimeout)
 	defer cancel()
 	sentAt := clock.Now()
-	epoch, err := rn.promoter.AcquireEpoch(ctx, rn.group)
+	epoch, recorded, err := rn.promoter.AcquireEpoch(ctx, rn.group, c.Servers)
 	if err != nil {
 		trace.Failure("ClaimFailed", err, "Group", rn.group)
 	} else {
-		trace.Event("Claimed", "Group", rn.group, "Epoch", epoch)
+		trace.Event("Claimed", "Group", rn.group, "Epoch", epoch, "Recorded", recorded)
 	}
-	rn.update(lead.EpochAcquired{Epoch: epoch, SentAt: sentAt})
+	rn.update(lead.EpochAcquired{Epoch: epoch, Recorded: recorded, Added: c.Servers, SentAt: sentAt})
+	return nil
+}
+
+func (rn *groupRunner) recordServers(ctx context.Context, c lead.RecordServers) error {
+	ctx, cancel := context.WithTimeout(ctx, epochTimeout)
+	defer cancel()
+	if err := rn.promoter.RecordServers(ctx, rn.group, c.Epoch, c.Servers); err != nil {
+		trace.Failure("RecordFailed", err, "Group", rn.group, "Epoch", c.Epoch, "Servers", c.Servers)
+		return nil
+	}
+	trace.Event("ServersRecorded", "Group", rn.group, "Epoch", c.Epoch, "Servers", c.Servers)
+	rn.update(lead.ServersRecorded{Servers: c.Servers})
 	return nil
 }
 
