Name a transaction by the process that holds it

Cause: a transaction's location was the instance and a number, and each process counts from one. Neither the session's instance nor the owner compared which process the number came from. Ruled out: a connection lent twice; in the scenario's log two sessions name one transaction number of one instance, with a start between them.

Change: ident.Process names an instance and its incarnation, which the first message of a link already carries. A location names the process, Mesh.Deliver sends to that process or not at all, and the owner runs and rolls back a transaction for the process that opened it only.

--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -219,7 +219,7 @@
 }
 
 // Receive handles the state of a group that a peer sent.
-func (s *Groups) Receive(_ ident.Instance, state peer.GroupState, now time.Time) {
+func (s *Groups) Receive(_ ident.Process, state peer.GroupState, now time.Time) {
 	s.mu.Lock()
 	t := s.served[state.Group]
 	s.mu.Unlock()
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -15,6 +15,7 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/store"
 	"github.com/marjoramrudder/marjoramrudder/pkg/envdoc"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 // The providers below build the components of a Proxy. wire.go lists them.
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	hello := peer.Hello{Instance: s.Instance, Environment: s.Environment, Start: uint64(start)}
+	hello := peer.Hello{Instance: s.Instance, Environment: s.Environment, Start: ident.Incarnation(start)}
 	options, err := peerTLS(s.TLS)
 	if err != nil {
 		return nil, errors.CombineErrors(err, listener.Close())
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -89,7 +89,7 @@
 
 // handleQuota routes the messages of one type to the accounts' runner.
 func handleQuota[M peer.Message](components Components) {
-	peer.Handle(components.Router, func(from ident.Instance, m M, now time.Time) { components.Accounts.Receive(from, m, now) })
+	peer.Handle(components.Router, func(from ident.Process, m M, now time.Time) { components.Accounts.Receive(from.Instance, m, now) })
 }
 
 // Start starts serving.
--- a/internal/fleet/fake_test.go
+++ b/internal/fleet/fake_test.go
@@ -168,7 +168,7 @@
 	cut := w.peersCut[to] || w.peersCut[w.self]
 	w.mu.Unlock()
 	if f != nil && !cut {
-		f.Receive(w.self, m, time.Now())
+		f.Receive(ident.Process{Instance: w.self}, m, time.Now())
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,13 +122,13 @@
 }
 
 func registerType[M peer.Message](f *Fleet, r *peer.Router) {
-	peer.Handle(r, func(from ident.Instance, message M, now time.Time) { f.Receive(from, message, now) })
+	peer.Handle(r, func(from ident.Process, message M, now time.Time) { f.Receive(from, message, now) })
 }
 
 // Receive implements peer.Handler. It never blocks; a message that arrives
 // while the inbox is full is dropped and counted.
-func (f *Fleet) Receive(from ident.Instance, message peer.Message, _ time.Time) {
-	m, ok := msgOf(from, message)
+func (f *Fleet) Receive(from ident.Process, message peer.Message, _ time.Time) {
+	m, ok := msgOf(from.Instance, message)
 	if !ok {
 		return
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -108,6 +108,28 @@
 	return ok && l.send(f)
 }
 
+// Process returns the process that the link to an instance leads to.
+func (m *Mesh) Process(of ident.Instance) (ident.Process, bool) {
+	l := (*m.links.Load())[of]
+	if l == nil {
+		return ident.Process{}, false
+	}
+	return l.peer.Process(), true
+}
+
+// Deliver queues a message for one process of an instance, and reports whether it
+// was queued. It is dropped if the instance has started again. Messages that refer
+// to what the process has said before are sent this way.
+func (m *Mesh) Deliver(to ident.Process, message Message) bool {
+	l := (*m.links.Load())[to.Instance]
+	if l == nil || l.peer.Process() != to {
+		m.stats.dropped.Inc()
+		return false
+	}
+	f, ok := m.encode(message)
+	return ok && l.send(f)
+}
+
 // Broadcast implements Sender.
 func (m *Mesh) Broadcast(message Message) {
 	f, ok := m.encode(message)
@@ -249,10 +271,10 @@
 	m.stats.connected.Inc()
 	connected := m.log.Emit(now, PeerConnected, event.Subject{Peer: l.peer.Instance}, event.Ref{}, "")
 	klog.V(1).InfoS("Peer connected", "peer", l.peer.Instance)
-	m.options.onLinkChange(l.peer.Instance, true, LinkEnd{})
+	m.options.onLinkChange(l.peer.Process(), true, LinkEnd{})
 	err := l.run()
 	m.unregister(l)
-	m.options.onLinkChange(l.peer.Instance, false, l.end(err))
+	m.options.onLinkChange(l.peer.Process(), false, l.end(err))
 	m.stats.connected.Dec()
 	m.log.Emit(time.Now(), PeerLost, event.Subject{Peer: l.peer.Instance}, connected, err.Error())
 	klog.V(1).InfoS("Peer disconnected", "peer", l.peer.Instance, "reason", err)
@@ -311,6 +333,6 @@
 		if s := stampOf(message); s != (event.Stamp{}) {
 			m.log.Observe(s, now)
 		}
-		m.handler.Receive(peer.Instance, message, now)
+		m.handler.Receive(peer.Process(), message, now)
 	})
 }
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -34,7 +34,7 @@
 	received []Message
 }
 
-func (b *inbox) Receive(_ ident.Instance, message Message, _ time.Time) {
+func (b *inbox) Receive(_ ident.Process, message Message, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.received = append(b.received, message)
@@ -74,7 +74,7 @@
 }
 
 func (n *node) member() store.Member {
-	return store.Member{Instance: n.self.Instance, Peer: n.Address(), Start: n.self.Start}
+	return store.Member{Instance: n.self.Instance, Peer: n.Address(), Start: uint64(n.self.Start)}
 }
 
 func connectAll(nodes ...*node) {
@@ -164,7 +164,7 @@
 
 // connectBarePeer opens a connection without a Mesh behind it and completes the
 // handshake.
-func connectBarePeer(t *testing.T, n *node, name ident.Instance, start uint64) (context.Context, *websocket.Conn) {
+func connectBarePeer(t *testing.T, n *node, name ident.Instance, start ident.Incarnation) (context.Context, *websocket.Conn) {
 	t.Helper()
 	ctx, c := dialRaw(t, n)
 	_, err := handshakeAsDialer(ctx, c, Hello{Instance: name, Environment: "trial", Protocol: 1, Start: start}, n.self.Instance, []byte(testSecret))
@@ -252,15 +252,20 @@
 	g.Eventually(c.Connected, eventTimeout).Should(Equal([]ident.Instance{"b"}))
 	first := (*c.links.Load())["b"]
 	connectBarePeer(t, c, "b", 2)
-	current := func() uint64 {
+	current := func() ident.Incarnation {
 		l := (*c.links.Load())["b"]
 		if l == nil {
 			return 0
 		}
 		return l.peer.Start
 	}
-	g.Eventually(current, eventTimeout).Should(Equal(uint64(2)))
+	g.Eventually(current, eventTimeout).Should(Equal(ident.Incarnation(2)))
 	g.Expect(first.done).To(BeClosed())
+	now, ok := c.Process("b")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(now).To(Equal(ident.Process{Instance: "b", Incarnation: 2}))
+	g.Expect(c.Deliver(ident.Process{Instance: "b", Incarnation: 1}, Leaving{})).To(BeFalse(), "the message is for the former process")
+	g.Expect(c.Deliver(now, Leaving{})).To(BeTrue())
 	_, _, err := old.Read(context.Background())
 	g.Expect(err).To(HaveOccurred())
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -20,8 +20,8 @@
 type Hello struct {
 	Instance    ident.Instance
 	Environment ident.Environment
-	Protocol    int    // highest protocol version the sender supports
-	Start       uint64 // identifies the sender's process start
+	Protocol    int // highest protocol version the sender supports
+	Start       ident.Incarnation
 	Stamp       event.Stamp
 	// Unordered is set if the dialer may have the greater name, because it uses
 	// a seed address or the recipient need not know of the link.
@@ -305,10 +305,15 @@
 func (QuotaRequest) message()     {}
 func (QuotaGrant) message()       {}
 
+// Process returns the process that sent the message.
+func (h Hello) Process() ident.Process {
+	return ident.Process{Instance: h.Instance, Incarnation: h.Start}
+}
+
 // Handler receives messages. It is called from one goroutine per peer and must
 // not block.
 type Handler interface {
-	Receive(from ident.Instance, message Message, now time.Time)
+	Receive(from ident.Process, message Message, now time.Time)
 }
 
 // Sender sends messages without blocking. A message to a peer that is
--- a/internal/peer/option.go
+++ b/internal/peer/option.go
@@ -52,7 +52,7 @@
 	serverTLS         *tls.Config
 	clientTLS         *tls.Config
 	connect           func(ctx context.Context, network, address string) (net.Conn, error)
-	onLinkChange      func(peer ident.Instance, up bool, end LinkEnd)
+	onLinkChange      func(peer ident.Process, up bool, end LinkEnd)
 	onUnreachable     func(peer ident.Instance)
 	fleetSize         func() int
 }
@@ -65,7 +65,7 @@
 		minBackoff:        minBackoff,
 		maxBackoff:        maxBackoff,
 		maxQueuedMessages: maxQueuedMessages,
-		onLinkChange:      func(ident.Instance, bool, LinkEnd) {},
+		onLinkChange:      func(ident.Process, bool, LinkEnd) {},
 		onUnreachable:     func(ident.Instance) {},
 		fleetSize:         func() int { return 0 },
 	}
@@ -100,7 +100,7 @@
 
 // WithLinkObserver makes the mesh call f when a connection to a peer is opened
 // and when it is lost, then with how it ended. f must not block.
-func WithLinkObserver(f func(peer ident.Instance, up bool, end LinkEnd)) Option {
+func WithLinkObserver(f func(peer ident.Process, up bool, end LinkEnd)) Option {
 	return func(o *options) { o.onLinkChange = f }
 }
 
--- a/internal/peer/parts_test.go
+++ b/internal/peer/parts_test.go
@@ -37,7 +37,7 @@
 func TestLinkThatCarriesDataIsAlive(t *testing.T) {
 	g := NewWithT(t)
 	var ended atomic.Int64
-	a, b := slowPair(t, 1<<20, WithPing(20*time.Millisecond, 100*time.Millisecond), WithLinkObserver(func(_ ident.Instance, up bool, _ LinkEnd) {
+	a, b := slowPair(t, 1<<20, WithPing(20*time.Millisecond, 100*time.Millisecond), WithLinkObserver(func(_ ident.Process, up bool, _ LinkEnd) {
 		if !up {
 			ended.Add(1)
 		}
--- a/internal/peer/router.go
+++ b/internal/peer/router.go
@@ -16,7 +16,7 @@
 	unhandled *metrics.Counter
 }
 
-type handlerFunc func(from ident.Instance, message Message, now time.Time)
+type handlerFunc func(from ident.Process, message Message, now time.Time)
 
 // NewRouter returns a router without handlers.
 func NewRouter() *Router {
@@ -25,9 +25,9 @@
 
 // Handle registers f for messages of type M and replaces an earlier handler. f
 // is called from one goroutine per peer and must not block.
-func Handle[M Message](r *Router, f func(from ident.Instance, message M, now time.Time)) {
+func Handle[M Message](r *Router, f func(from ident.Process, message M, now time.Time)) {
 	var zero M
-	h := handlerFunc(func(from ident.Instance, message Message, now time.Time) {
+	h := handlerFunc(func(from ident.Process, message Message, now time.Time) {
 		f(from, message.(M), now)
 	})
 	r.handlers[KindOf(zero)].Store(&h)
@@ -35,7 +35,7 @@
 
 // Receive implements Handler. Messages without a handler are counted and
 // dropped.
-func (r *Router) Receive(from ident.Instance, message Message, now time.Time) {
+func (r *Router) Receive(from ident.Process, message Message, now time.Time) {
 	h := r.handlers[KindOf(message)].Load()
 	if h == nil {
 		r.unhandled.Inc()
--- a/internal/relay/ejection_test.go
+++ b/internal/relay/ejection_test.go
@@ -62,7 +62,7 @@
 	tries := 0
 	for range 30 {
 		call := engine.Call{Phase: engine.Single, Account: "shop", MaxLag: time.Minute, Timeout: 5 * time.Second, Statement: engine.Statement{Op: engine.Read}}
-		a, _ := p.Run(t.Context(), "i", &call)
+		a, _ := p.Run(t.Context(), processOf("i"), &call)
 		g.Expect(a.OK()).To(BeTrue(), a.Detail)
 		tries += a.Tries
 	}
@@ -84,7 +84,7 @@
 	for n := range 12 {
 		account := []ident.Account{"x", "y", "z"}[n%3]
 		call := engine.Call{Phase: engine.Single, Account: account, PrimaryOnly: true, Timeout: 5 * time.Second, Statement: engine.Statement{Op: engine.Write}}
-		a, _ := p.Run(t.Context(), "i", &call)
+		a, _ := p.Run(t.Context(), processOf("i"), &call)
 		g.Expect(a.Reason).To(Equal(engine.Failed))
 	}
 	p.reportPrimary(clock.Now())
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -220,7 +220,7 @@
 	inTime := f.stop.limit(now, step)
 	f.begin(now, s, statement, step.Call)
 	if step.RollbackTx != 0 {
-		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: step.RollbackTx})
+		f.router.Rollback(group, TxLocation{Process: s.location.Process, Tx: step.RollbackTx})
 	}
 	if !inTime {
 		return false, f.refuseStopping(s, step)
@@ -249,9 +249,9 @@
 		s.location = location
 	}
 	if rollback := s.state.Finish(call, &a, location.Tx); rollback != 0 {
-		f.router.Rollback(call.Group, TxLocation{Instance: s.location.Instance, Tx: rollback})
+		f.router.Rollback(call.Group, TxLocation{Process: s.location.Process, Tx: rollback})
 	}
-	return a, location.Instance
+	return a, location.Process.Instance
 }
 
 func (f *Front) spendQuota(s *session) (engine.Answer, bool) {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -136,10 +136,11 @@
 	n.configFetch = fetch.NewDocument(cmp.Or(c.ConfigTime, defaultConfigTime), spread.Of(string(c.Self.Instance)))
 	n.catalog.Store(emptyCatalog())
 	n.publish()
-	n.router = NewRouter(n.tasks.Context(), c.Self.Instance, n)
+	self := ident.Process{Instance: c.Self.Instance, Incarnation: ident.NewIncarnation()}
+	n.router = NewRouter(n.tasks.Context(), self, n)
 	n.limiter = newLimiter(c.Self.Instance, n, c.Overshoot, n.quotaOf)
 	n.front = NewFront(n.router, n.limiter, &n.catalog)
-	hello := peer.Hello{Instance: c.Self.Instance, Environment: c.Environment, Start: uint64(c.Self.Start)}
+	hello := peer.Hello{Instance: c.Self.Instance, Environment: c.Environment, Start: self.Incarnation}
 	log := event.NewLog(c.Self.Instance, logCapacity)
 	mesh, err := peer.NewMesh(hello, c.Listener, c.Secret, n.handlers(), log,
 		peer.WithPing(pingInterval, pingTimeout), peer.WithQueue(linkQueue),
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -18,7 +18,8 @@
 )
 
 // linkChanged handles a link to another instance that opened or was lost.
-func (n *Node) linkChanged(p ident.Instance, up bool, end peer.LinkEnd) {
+func (n *Node) linkChanged(process ident.Process, up bool, end peer.LinkEnd) {
+	p := process.Instance
 	silent := errors.Is(end.Cause, context.DeadlineExceeded)
 	n.mu.Lock()
 	n.roster.SetConnected(p, up, silent)
@@ -32,9 +33,9 @@
 		return
 	}
 	n.forgetSource(p)
-	n.router.PeerLost(p)
+	n.router.PeerLost(process)
 	for _, r := range runners {
-		r.pool.RollbackAll(p)
+		r.pool.RollbackAll(process)
 	}
 	n.assignGroups()
 }
@@ -62,24 +63,24 @@
 
 func (n *Node) handlers() *peer.Router {
 	r := peer.NewRouter()
-	peer.Handle(r, func(from ident.Instance, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.CallWithdrawn, _ time.Time) { n.router.ReceiveWithdrawal(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.Heartbeat, _ time.Time) { n.receiveHeartbeat(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.DocumentRequest, _ time.Time) { n.sendConfig(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.ReachRequest, _ time.Time) { n.replyReach(from, m) })
-	peer.Handle(r, func(_ ident.Instance, m peer.ReachReply, _ time.Time) { n.receiveReach(m) })
-	peer.Handle(r, func(from ident.Instance, m peer.QuotaRequest, _ time.Time) { n.limiter.receiveRequest(from, m) })
-	peer.Handle(r, func(_ ident.Instance, m peer.QuotaGrant, _ time.Time) { n.limiter.receiveGrant(m) })
-	peer.Handle(r, func(from ident.Instance, m peer.DirectoryRequest, _ time.Time) { n.sendDirectory(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.EvacuationRequest, _ time.Time) { n.sendEvacuations(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.EvacuationList, _ time.Time) { n.receiveEvacuations(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.MemberRequest, _ time.Time) { n.sendMembers(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.MemberList, _ time.Time) { n.receiveMembers(from, m) })
-	peer.Handle(r, func(from ident.Instance, m peer.Directory, _ time.Time) {
-		n.SetDirectory(m.Revision, m.Listings, string(from))
+	peer.Handle(r, func(from ident.Process, m peer.Call, _ time.Time) { n.router.ReceiveCall(from, m) })
+	peer.Handle(r, func(from ident.Process, m peer.CallWithdrawn, _ time.Time) { n.router.ReceiveWithdrawal(from, m) })
+	peer.Handle(r, func(from ident.Process, m peer.Answer, _ time.Time) { n.router.ReceiveAnswer(from, m) })
+	peer.Handle(r, func(from ident.Process, m peer.Heartbeat, _ time.Time) { n.receiveHeartbeat(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.DocumentRequest, _ time.Time) { n.sendConfig(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.ReachRequest, _ time.Time) { n.replyReach(from.Instance, m) })
+	peer.Handle(r, func(_ ident.Process, m peer.ReachReply, _ time.Time) { n.receiveReach(m) })
+	peer.Handle(r, func(from ident.Process, m peer.QuotaRequest, _ time.Time) { n.limiter.receiveRequest(from.Instance, m) })
+	peer.Handle(r, func(_ ident.Process, m peer.QuotaGrant, _ time.Time) { n.limiter.receiveGrant(m) })
+	peer.Handle(r, func(from ident.Process, m peer.DirectoryRequest, _ time.Time) { n.sendDirectory(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.EvacuationRequest, _ time.Time) { n.sendEvacuations(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.EvacuationList, _ time.Time) { n.receiveEvacuations(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.MemberRequest, _ time.Time) { n.sendMembers(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.MemberList, _ time.Time) { n.receiveMembers(from.Instance, m) })
+	peer.Handle(r, func(from ident.Process, m peer.Directory, _ time.Time) {
+		n.SetDirectory(m.Revision, m.Listings, string(from.Instance))
 	})
-	peer.Handle(r, func(from ident.Instance, m peer.Document, _ time.Time) { n.receiveConfig(from, m) })
+	peer.Handle(r, func(from ident.Process, m peer.Document, _ time.Time) { n.receiveConfig(from.Instance, m) })
 	return r
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -42,7 +42,7 @@
 // openTx is a connection with an open transaction.
 type openTx struct {
 	conn   *endpointConn
-	origin ident.Instance
+	origin ident.Process // of the session
 	busy   bool
 	wrote  bool // one of its statements changed data
 	ended  bool // roll back once the current statement is done
@@ -150,14 +150,15 @@
 	return err
 }
 
-// Run runs a call for a session of the instance origin. It returns the
-// transaction that now holds a connection, or zero.
-func (p *GroupPool) Run(ctx context.Context, origin ident.Instance, call *engine.Call) (engine.Answer, engine.TxID) {
+// Run runs a call for a session of the process origin. It returns the
+// transaction that now holds a connection, or zero. A transaction serves the process
+// that opened it only.
+func (p *GroupPool) Run(ctx context.Context, origin ident.Process, call *engine.Call) (engine.Answer, engine.TxID) {
 	switch call.Phase {
 	case engine.Next:
-		return p.next(call)
+		return p.next(origin, call)
 	case engine.End:
-		p.rollback(call.Tx)
+		p.rollbackOf(origin, call.Tx)
 		return engine.Answer{Outcome: engine.Answered}, 0
 	}
 	return p.start(ctx, origin, call)
@@ -165,7 +166,7 @@
 
 // start tries a call that is outside a transaction, or opens one, at several
 // endpoints until one of them runs it.
-func (p *GroupPool) start(ctx context.Context, origin ident.Instance, call *engine.Call) (engine.Answer, engine.TxID) {
+func (p *GroupPool) start(ctx context.Context, origin ident.Process, call *engine.Call) (engine.Answer, engine.TxID) {
 	deadline := clock.Now().Add(call.Timeout)
 	var avoid []ident.Endpoint
 	var waited time.Duration
@@ -201,7 +202,7 @@
 
 // attempt runs a call on a granted connection. retry is set when nothing of the
 // call took effect and another endpoint may run it.
-func (p *GroupPool) attempt(call *engine.Call, g grant, origin ident.Instance, deadline time.Time) (a engine.Answer, tx engine.TxID, retry bool) {
+func (p *GroupPool) attempt(call *engine.Call, g grant, origin ident.Process, deadline time.Time) (a engine.Answer, tx engine.TxID, retry bool) {
 	began, kind := clock.Now(), sched.KindOf(call)
 	if firstTry := began.Add(firstReadTimeout); call.Repeatable() && firstTry.Before(deadline) {
 		deadline = firstTry
@@ -308,8 +309,8 @@
 }
 
 // next runs a further statement of an open transaction.
-func (p *GroupPool) next(call *engine.Call) (engine.Answer, engine.TxID) {
-	t := p.resumeTx(call.Tx)
+func (p *GroupPool) next(origin ident.Process, call *engine.Call) (engine.Answer, engine.TxID) {
+	t := p.resumeTx(origin, call.Tx)
 	if t == nil {
 		return engine.Refuse(engine.Aborted, 0, "the transaction has ended"), 0
 	}
--- a/internal/relay/pool_abort_test.go
+++ b/internal/relay/pool_abort_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
-	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 // sentConn records the requests that are sent. hold is called with each of them.
@@ -57,7 +56,7 @@
 		}
 	}
 	g := grant{conn: p.conns[1]}
-	a, _, retry := p.attempt(call, g, "one", time.Now().Add(time.Minute))
+	a, _, retry := p.attempt(call, g, processOf("one"), time.Now().Add(time.Minute))
 	return a, retry, raw
 }
 
@@ -103,7 +102,7 @@
 	p := NewGroupPool(t.Context(), "orders", nil, func(sched.Message) {})
 	defer func() { _ = p.Close() }()
 	c := newEndpointConn(1, "a", raw)
-	p.conns[1], p.txs[7] = c, &openTx{conn: c, origin: ident.Instance("one"), busy: true}
+	p.conns[1], p.txs[7] = c, &openTx{conn: c, origin: processOf("one"), busy: true}
 	p.mu.Lock()
 	p.abortConn(1)
 	p.mu.Unlock()
--- a/internal/relay/pool_conn.go
+++ b/internal/relay/pool_conn.go
@@ -172,7 +172,7 @@
 }
 
 // holdTx keeps a connection for the transaction that is open on it.
-func (p *GroupPool) holdTx(c *endpointConn, origin ident.Instance, wrote bool) engine.TxID {
+func (p *GroupPool) holdTx(c *endpointConn, origin ident.Process, wrote bool) engine.TxID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastTx++
@@ -193,12 +193,13 @@
 	return p.scheduler.NoWrites()
 }
 
-// resumeTx takes the connection of a transaction for its next statement.
-func (p *GroupPool) resumeTx(id engine.TxID) *openTx {
+// resumeTx takes the connection of a transaction for its next statement. It returns
+// nil if the process has no such transaction.
+func (p *GroupPool) resumeTx(origin ident.Process, id engine.TxID) *openTx {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.txs[id]
-	if t == nil || t.busy || t.ended {
+	if t == nil || t.origin != origin || t.busy || t.ended {
 		return nil
 	}
 	t.busy = true
@@ -249,8 +250,18 @@
 	}
 }
 
-// RollbackAll rolls back the transactions of an instance that has disconnected.
-func (p *GroupPool) RollbackAll(origin ident.Instance) {
+// rollbackOf rolls a transaction back if it belongs to the process.
+func (p *GroupPool) rollbackOf(origin ident.Process, id engine.TxID) {
+	p.mu.Lock()
+	t := p.txs[id]
+	p.mu.Unlock()
+	if t != nil && t.origin == origin {
+		p.rollback(id)
+	}
+}
+
+// RollbackAll rolls back the transactions of a process that has disconnected.
+func (p *GroupPool) RollbackAll(origin ident.Process) {
 	for _, id := range p.selectTxs(func(t *openTx) bool { return t.origin == origin }) {
 		p.rollback(id)
 	}
--- a/internal/relay/pool_evacuation_test.go
+++ b/internal/relay/pool_evacuation_test.go
@@ -139,7 +139,7 @@
 
 // begin opens a transaction at the primary.
 func begin(g *WithT, p *GroupPool) engine.TxID {
-	a, tx := p.Run(context.Background(), "i", &engine.Call{
+	a, tx := p.Run(context.Background(), processOf("i"), &engine.Call{
 		Group: "db", Phase: engine.First, PrimaryOnly: true, Timeout: time.Second,
 		Begin: engine.Statement{Op: engine.Begin}, Statement: engine.Statement{Op: engine.Write},
 	})
@@ -163,7 +163,7 @@
 		evacuate(p)
 		g.Expect(p.OpenTransactions()).To(BeZero())
 		g.Expect(r.closes("a")).To(Equal(1))
-		a, _ := p.Run(context.Background(), "i", next(tx, engine.Write))
+		a, _ := p.Run(context.Background(), processOf("i"), next(tx, engine.Write))
 		g.Expect(a.Reason).To(Equal(engine.Aborted))
 		g.Expect(r.ops("a")).To(Equal(before))
 		g.Expect(r.failed()).To(BeEmpty())
@@ -174,7 +174,7 @@
 func runInBackground(p *GroupPool, call *engine.Call) <-chan engine.Answer {
 	answered := make(chan engine.Answer, 1)
 	p.tasks.Go(func(ctx context.Context) error {
-		a, _ := p.Run(ctx, "i", call)
+		a, _ := p.Run(ctx, processOf("i"), call)
 		answered <- a
 		return nil
 	})
@@ -242,7 +242,7 @@
 func TestEvacuationAbortsCommitThatWasNotSent(t *testing.T) {
 	evacuatedPool(t, time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
 		tx := begin(g, p)
-		open := p.resumeTx(tx)
+		open := p.resumeTx(processOf("i"), tx)
 		evacuate(p)
 		open.conn.committing.Store(true)
 		_, err := open.conn.run(engine.Statement{Op: engine.Commit}, ident.LogPosition{}, clock.Now().Add(time.Second))
@@ -315,7 +315,7 @@
 		r.mu.Lock()
 		r.took, r.reason, r.state = 2*time.Second, engine.Overloaded, engine.InTx
 		r.mu.Unlock()
-		a, _ := p.Run(context.Background(), "i", next(tx, engine.Write))
+		a, _ := p.Run(context.Background(), processOf("i"), next(tx, engine.Write))
 		g.Expect(r.ops("a")).To(Equal(append(before, engine.Write)))
 		g.Expect(a.Outcome).To(Equal(engine.NotRun))
 		g.Expect(a.Reason).To(Equal(engine.Aborted))
@@ -329,7 +329,7 @@
 // before a transaction is rolled back. Neither request may be sent.
 func TestFrozenPoolSendsNoSetupOrRollback(t *testing.T) {
 	evacuatedPool(t, time.Millisecond, func(g *WithT, p *GroupPool, r *recorder) {
-		rolledBack, open := p.resumeTx(begin(g, p)), p.resumeTx(begin(g, p))
+		rolledBack, open := p.resumeTx(processOf("i"), begin(g, p)), p.resumeTx(processOf("i"), begin(g, p))
 		before := r.ops("a")
 		p.Update(sched.Directory{Endpoints: poolEndpoints(true)})
 		time.Sleep(testEvacuationTime)
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -18,6 +18,7 @@
 // otherOwner locates every group at the instance "other" and records what is
 // sent to it.
 type otherOwner struct {
+	oneProcessEach
 	mu        sync.Mutex
 	sent      []peer.Call
 	withdrawn []peer.CallWithdrawn
@@ -38,13 +39,25 @@
 	return true
 }
 
+// Deliver implements Sender.
+func (o *otherOwner) Deliver(to ident.Process, m peer.Message) bool { return o.Offer(to.Instance, m) }
+
+// oneProcessEach is the part of a Sender for instances that do not start again.
+type oneProcessEach struct{}
+
+// Process implements Sender.
+func (oneProcessEach) Process(of ident.Instance) (ident.Process, bool) { return processOf(of), true }
+
+// processOf returns the only process of an instance.
+func processOf(n ident.Instance) ident.Process { return ident.Process{Instance: n, Incarnation: 1} }
+
 // routed runs f with a router that sends all calls to another instance.
 func routed(t *testing.T, f func(g Gomega, r *Router, o *otherOwner)) {
 	synctest.Test(t, func(t *testing.T) {
 		defer clock.Replace(time.Now)()
 		g := NewWithT(t)
 		o := &otherOwner{}
-		r := NewRouter(t.Context(), "self", o)
+		r := NewRouter(t.Context(), processOf("self"), o)
 		r.SetSender(o)
 		f(g, r, o)
 		g.Expect(r.Close()).To(Succeed())
@@ -69,7 +82,7 @@
 func TestLateTransactionIsRolledBack(t *testing.T) {
 	routed(t, func(g Gomega, r *Router, o *otherOwner) {
 		r.Run(context.Background(), &engine.Call{Group: "db", Phase: engine.First, Timeout: time.Second}, TxLocation{})
-		r.ReceiveAnswer("other", peer.Answer{Number: o.sent[0].Number, Tx: 7})
+		r.ReceiveAnswer(processOf("other"), peer.Answer{Number: o.sent[0].Number, Tx: 7})
 		g.Expect(o.sent).To(HaveLen(2))
 		g.Expect(o.sent[1].Call.Phase).To(Equal(engine.End))
 		g.Expect(o.sent[1].Call.Tx).To(Equal(engine.TxID(7)))
@@ -81,7 +94,7 @@
 // would keep its connection otherwise.
 func TestUnansweredTransactionKeepsItsLocation(t *testing.T) {
 	routed(t, func(g Gomega, r *Router, _ *otherOwner) {
-		open := TxLocation{Instance: "other", Tx: 7}
+		open := TxLocation{Process: processOf("other"), Tx: 7}
 		call := &engine.Call{Group: "db", Phase: engine.Next, Tx: open.Tx, Timeout: time.Second}
 		a, at := r.Run(context.Background(), call, open)
 		g.Expect(a.OK()).To(BeFalse())
@@ -101,8 +114,38 @@
 		})
 		synctest.Wait()
 		right := engine.Answer{Outcome: engine.Answered, Signature: "right"}
-		r.ReceiveAnswer("stranger", peer.Answer{Number: o.sent[0].Number, Answer: engine.Answer{Outcome: engine.Answered}})
-		r.ReceiveAnswer("other", peer.Answer{Number: o.sent[0].Number, Answer: right})
+		r.ReceiveAnswer(processOf("stranger"), peer.Answer{Number: o.sent[0].Number, Answer: engine.Answer{Outcome: engine.Answered}})
+		r.ReceiveAnswer(processOf("other"), peer.Answer{Number: o.sent[0].Number, Answer: right})
 		g.Expect(<-answered).To(Equal(right))
 	})
 }
+
+// restartedOwner is an otherOwner that has started again: there is a link to its second
+// process only.
+type restartedOwner struct{ otherOwner }
+
+// Process implements ProcessSender.
+func (o *restartedOwner) Process(of ident.Instance) (ident.Process, bool) {
+	return ident.Process{Instance: of, Incarnation: 2}, true
+}
+
+// Deliver implements ProcessSender.
+func (o *restartedOwner) Deliver(to ident.Process, m peer.Message) bool {
+	return to.Incarnation == 2 && o.Offer(to.Instance, m)
+}
+
+// The owner of a group has started again, and has opened another transaction of the same
+// number. A statement of the former one must not run there, nor its rollback.
+func TestTransactionEndsWithItsProcess(t *testing.T) {
+	routed(t, func(g Gomega, r *Router, _ *otherOwner) {
+		o := &restartedOwner{}
+		r.SetSender(o)
+		open := TxLocation{Process: processOf("other"), Tx: 1}
+		call := &engine.Call{Group: "db", Phase: engine.Next, Tx: open.Tx, Timeout: time.Second, Statement: engine.Statement{Op: engine.Commit}}
+		a, _ := r.Run(context.Background(), call, open)
+		g.Expect(a.Outcome).To(Equal(engine.NotRun), "the commit was not sent")
+		g.Expect(a.Reason).To(Equal(engine.Aborted))
+		r.Rollback("db", open)
+		g.Expect(o.sent).To(BeEmpty())
+	})
+}
--- a/internal/relay/scheduling_test.go
+++ b/internal/relay/scheduling_test.go
@@ -101,7 +101,7 @@
 		call := &engine.Call{
 			Phase: engine.Single, Account: "shop", PrimaryOnly: true, Priority: 2, Timeout: time.Second, Statement: engine.Statement{Op: engine.Write},
 		}
-		a, _ := pool.Run(t.Context(), "self", call)
+		a, _ := pool.Run(t.Context(), processOf("self"), call)
 		g.Expect(a.OK()).To(BeTrue())
 		g.Expect(observed).To(ConsistOf(sched.CallKind{PrimaryOnly: true, Writes: true, Priority: 2}))
 		g.Expect(pool.Close()).To(Succeed())
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -99,7 +99,7 @@
 func (f *Front) abandonTx(s *session) {
 	group := s.state.Group()
 	if tx := s.state.Abandon(); tx != 0 {
-		f.router.Rollback(group, TxLocation{Instance: s.location.Instance, Tx: tx})
+		f.router.Rollback(group, TxLocation{Process: s.location.Process, Tx: tx})
 	}
 }
 
--- a/internal/relay/withdraw.go
+++ b/internal/relay/withdraw.go
@@ -25,7 +25,7 @@
 
 // callKey identifies a call that runs here for another instance.
 type callKey struct {
-	from   ident.Instance
+	from   ident.Process
 	number uint64
 }
 
@@ -40,7 +40,7 @@
 }
 
 // add returns a context for a call. done has to be called when it is answered.
-func (f forwardedCalls) add(parent context.Context, from ident.Instance, number uint64) (ctx context.Context, done func()) {
+func (f forwardedCalls) add(parent context.Context, from ident.Process, number uint64) (ctx context.Context, done func()) {
 	ctx, cancel := context.WithCancel(parent)
 	key := callKey{from: from, number: number}
 	f.cancels.Store(key, cancel)
@@ -51,14 +51,14 @@
 }
 
 // withdraw ends the context of a call.
-func (f forwardedCalls) withdraw(from ident.Instance, number uint64) {
+func (f forwardedCalls) withdraw(from ident.Process, number uint64) {
 	if cancel, ok := f.cancels.Load(callKey{from: from, number: number}); ok {
 		cancel()
 	}
 }
 
-// withdrawAll ends the contexts of the calls of an instance.
-func (f forwardedCalls) withdrawAll(from ident.Instance) {
+// withdrawAll ends the contexts of the calls of a process.
+func (f forwardedCalls) withdrawAll(from ident.Process) {
 	f.cancels.Range(func(key callKey, cancel context.CancelFunc) bool {
 		if key.from == from {
 			cancel()
@@ -68,7 +68,7 @@
 }
 
 // ReceiveWithdrawal removes a call of another instance from the queue.
-func (r *Router) ReceiveWithdrawal(from ident.Instance, m peer.CallWithdrawn) {
+func (r *Router) ReceiveWithdrawal(from ident.Process, m peer.CallWithdrawn) {
 	r.forwarded.withdraw(from, m.Number)
 }
 
--- a/internal/relay/withdraw_test.go
+++ b/internal/relay/withdraw_test.go
@@ -19,6 +19,7 @@
 // busyOwner owns every group. Its endpoint does not accept connections, so that
 // all calls wait. It records the answers to other instances.
 type busyOwner struct {
+	oneProcessEach
 	pool    *GroupPool
 	mu      sync.Mutex
 	answers []peer.Answer
@@ -35,6 +36,9 @@
 	return true
 }
 
+// Deliver implements Sender.
+func (o *busyOwner) Deliver(to ident.Process, m peer.Message) bool { return o.Offer(to.Instance, m) }
+
 // Dial implements Dialer.
 func (o *busyOwner) Dial(ctx context.Context, _ ident.Group, _ sched.Endpoint, _ ident.Account) (Conn, error) {
 	<-ctx.Done()
@@ -58,11 +62,11 @@
 		o.pool = NewGroupPool(t.Context(), "db", o, func(sched.Message) {})
 		o.pool.Update(sched.Directory{Endpoints: []sched.Endpoint{{ID: "a", Slots: 1}}})
 		o.pool.Update(sched.Primary{Endpoint: "a", Usable: true})
-		r := NewRouter(t.Context(), "self", o)
+		r := NewRouter(t.Context(), processOf("self"), o)
 		r.SetSender(o)
 		call := func(from ident.Instance, number uint64) {
 			c := engine.Call{Group: "db", Phase: engine.Single, Account: "shop", PrimaryOnly: true, Timeout: time.Second, Statement: engine.Statement{Op: engine.Read}}
-			r.ReceiveCall(from, peer.Call{Number: number, Call: c})
+			r.ReceiveCall(processOf(from), peer.Call{Number: number, Call: c})
 		}
 		call("near", 1)
 		call("near", 2)
@@ -78,11 +82,11 @@
 // A forwarded call whose caller has left must not keep its place in the queue.
 func TestWithdrawnCallLeavesTheQueue(t *testing.T) {
 	atBusyOwner(t, func(g Gomega, r *Router, o *busyOwner) {
-		r.ReceiveWithdrawal("near", peer.CallWithdrawn{Number: 1})
+		r.ReceiveWithdrawal(processOf("near"), peer.CallWithdrawn{Number: 1})
 		synctest.Wait()
 		g.Expect(o.waiting()).To(Equal(2))
 		g.Expect(o.answers).To(ConsistOf(And(HaveField("Number", uint64(1)), HaveField("Answer.Reason", engine.Aborted))))
-		r.ReceiveWithdrawal("near", peer.CallWithdrawn{Number: 7})
+		r.ReceiveWithdrawal(processOf("near"), peer.CallWithdrawn{Number: 7})
 		synctest.Wait()
 		g.Expect(o.waiting()).To(Equal(2), "no other call may be affected")
 	})
@@ -91,7 +95,7 @@
 // The calls of a lost instance must not keep their places in the queue.
 func TestCallsOfLostInstanceLeaveTheQueue(t *testing.T) {
 	atBusyOwner(t, func(g Gomega, r *Router, o *busyOwner) {
-		r.PeerLost("near")
+		r.PeerLost(processOf("near"))
 		synctest.Wait()
 		g.Expect(o.waiting()).To(Equal(1))
 		g.Expect(r.forwarded.cancels.Size()).To(Equal(1), "answered calls must be forgotten")
@@ -116,7 +120,7 @@
 		s.Expect(s.owner.withdrawn).To(ConsistOf(peer.CallWithdrawn{Number: s.owner.sent[0].Number}))
 		s.Expect(s.caller.replies()).To(BeEmpty())
 		done := engine.Answer{Outcome: engine.Answered, Signature: "done"}
-		s.front.router.ReceiveAnswer("other", peer.Answer{Number: s.owner.sent[0].Number, Answer: done})
+		s.front.router.ReceiveAnswer(processOf("other"), peer.Answer{Number: s.owner.sent[0].Number, Answer: done})
 		s.end()
 		s.Expect(s.caller.replies()).To(ConsistOf(done))
 	})
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -3,6 +3,8 @@
 package ident
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"hash/fnv"
 )
 
@@ -10,6 +12,24 @@
 // environment.
 type Instance string
 
+// Incarnation identifies one process of an instance. An instance that starts again
+// is another process: it knows nothing of the numbers that the former one gave out.
+type Incarnation uint64
+
+// NewIncarnation returns a random incarnation. A clock may show the same time at
+// two starts.
+func NewIncarnation() Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
+	return Incarnation(binary.LittleEndian.Uint64(b[:]))
+}
+
+// Process names one process of an instance.
+type Process struct {
+	Instance    Instance
+	Incarnation Incarnation
+}
+
 // DataCentre is the name of the data centre that an instance or an endpoint
 // runs in.
 type DataCentre string
