Deliver the answer to a call to the process that made it

Cause: each process numbers its calls from one, and the owner of a group sent an answer to the instance. A process that had started in place of the caller's took it for that to its own call of the same number. Ruled out: a connection that is used while its answer is outstanding; both statements ran on connections of their own and kept their receipts.

--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -44,12 +44,11 @@
 
 // ProcessSender sends messages that refer to what one process has said before.
 type ProcessSender interface {
-	Sender
 	// Process returns the process that the link to an instance leads to. It returns
 	// false if there is no link.
 	Process(of ident.Instance) (ident.Process, bool)
-	// Deliver is like Offer for a message to one process. The message is dropped
-	// if the instance has started again.
+	// Deliver queues a message to one process and reports whether it did. The message
+	// is dropped if the instance has started again.
 	Deliver(to ident.Process, m peer.Message) bool
 }
 
@@ -224,7 +223,8 @@
 
 func (r *Router) removeWaiting(number uint64) { r.waiting.Delete(number) }
 
-// ReceiveCall runs a call of another process. A call that could not be answered
+// ReceiveCall runs a call of another process. The answer is for that process only: the
+// next one of the same instance gives its calls the same numbers. A call that could not be answered
 // any more is refused, and its transaction rolled back.
 func (r *Router) ReceiveCall(from ident.Process, m peer.Call) {
 	if !r.inbound.admit(clock.Now(), &m.Call) {
@@ -239,7 +239,7 @@
 		if m.Call.Phase == engine.End {
 			return nil
 		}
-		if !r.sender.Offer(from.Instance, peer.Answer{Number: m.Number, Answer: a, Tx: tx}) && tx != 0 {
+		if !r.sender.Deliver(from, peer.Answer{Number: m.Number, Answer: a, Tx: tx}) && tx != 0 {
 			r.Rollback(m.Call.Group, TxLocation{Process: r.self, Tx: tx})
 		}
 		return nil
@@ -270,7 +270,7 @@
 	}
 	a := engine.Refuse(engine.Aborted, lostRetry, "the owner of the group is stopping")
 	trace.Event("CallRefused", "Request", m.Call.Statement.ID, "Group", m.Call.Group, "From", from.Instance, "Reason", a.Reason.String(), "Detail", a.Detail)
-	r.sender.Offer(from.Instance, peer.Answer{Number: m.Number, Answer: a})
+	r.sender.Deliver(from, peer.Answer{Number: m.Number, Answer: a})
 }
 
 // ReceiveAnswer delivers the answer to a forwarded call. If the call was
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -149,3 +149,49 @@
 		g.Expect(o.sent).To(BeEmpty())
 	})
 }
+
+// An instance starts again while the owner of a group runs its call. The answer must not
+// reach the next process, whose call of the same number is another one.
+func TestAnswerIsForTheCallingProcess(t *testing.T) {
+	routed(t, func(g Gomega, r *Router, _ *otherOwner) {
+		o := &restartedCaller{}
+		r.SetSender(o)
+		r.ReceiveCall(ident.Process{Instance: "other", Incarnation: 1}, peer.Call{Number: 2, Call: engine.Call{Group: "db", Phase: engine.Single}})
+		r.ReceiveCall(ident.Process{Instance: "other", Incarnation: 2}, peer.Call{Number: 2, Call: engine.Call{Group: "db", Phase: engine.Single}})
+		synctest.Wait()
+		g.Expect(o.delivered).To(ConsistOf(ident.Process{Instance: "other", Incarnation: 1}, ident.Process{Instance: "other", Incarnation: 2}))
+	})
+}
+
+// restartedCaller records to which processes answers are sent.
+type restartedCaller struct {
+	oneProcessEach
+	mu        sync.Mutex
+	delivered []ident.Process
+}
+
+// Deliver implements ProcessSender.
+func (o *restartedCaller) Deliver(to ident.Process, _ peer.Message) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.delivered = append(o.delivered, to)
+	return true
+}
+
+// An answer of the owner's former process is not that to a call which its next process
+// runs.
+func TestAnswerOfFormerProcessIsIgnored(t *testing.T) {
+	routed(t, func(g Gomega, r *Router, o *otherOwner) {
+		answered := make(chan engine.Answer, 1)
+		r.tasks.Go(func(context.Context) error {
+			a, _ := r.Run(context.Background(), &engine.Call{Group: "db", Phase: engine.Single, Timeout: time.Second}, TxLocation{})
+			answered <- a
+			return nil
+		})
+		synctest.Wait()
+		right := engine.Answer{Outcome: engine.Answered, Signature: "right"}
+		r.ReceiveAnswer(ident.Process{Instance: "other", Incarnation: 7}, peer.Answer{Number: o.sent[0].Number, Answer: engine.Answer{Outcome: engine.Answered}})
+		r.ReceiveAnswer(processOf("other"), peer.Answer{Number: o.sent[0].Number, Answer: right})
+		g.Expect(<-answered).To(Equal(right))
+	})
+}
