Put the store's era into epochs and revisions

Cause: an epoch was the number after that in the group's row, which is unique only while the store loses nothing. The store states in Store-Era that it has returned from a copy; nothing read it. Ruled out: a write without a condition, and an old epoch that is used on; both claims are successful conditional writes.

Change: the upper bits of an epoch, and of each revision that is a version of the store, are the era. A follower reads a table again when the era has risen, an answer of an earlier era is dropped, and the owner of a group records its servers again. Without the header all numbers are what they were.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -147,6 +147,10 @@
 		el.epochAcquired(now, m)
 	case ServersRecorded:
 		el.recorded = m.Servers
+	case EpochOutdated:
+		el.epochOutdated(now, m)
+	case RecordLost:
+		el.recorded = nil
 	case Promoted:
 		el.promotionResult(now, m)
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -131,6 +131,13 @@
 // failed.
 type ServersRecorded struct{ Servers []ident.Endpoint }
 
+// EpochOutdated reports that an epoch is not the newest one any more.
+type EpochOutdated struct{ Epoch ident.Epoch }
+
+// RecordLost reports that the group's record may have been lost or become older: the
+// platform's store has come back from a copy.
+type RecordLost struct{}
+
 // Promoted is the answer to Promote.
 type Promoted struct {
 	Endpoint ident.Endpoint
@@ -162,6 +169,8 @@
 func (PeerOpinion) message()      {}
 func (EpochAcquired) message()    {}
 func (ServersRecorded) message()  {}
+func (EpochOutdated) message()    {}
+func (RecordLost) message()       {}
 func (Promoted) message()         {}
 func (Tick) message()             {}
 
--- a/internal/lead/promotion.go
+++ b/internal/lead/promotion.go
@@ -197,6 +197,14 @@
 	el.epoch, el.promotion.pendingTarget, el.promotion.answerMissing = m.Epoch, "", false
 }
 
+// epochOutdated gives up an epoch that another instance has superseded, unless a
+// promotion with it has to be finished.
+func (el *Elector) epochOutdated(now time.Time, m EpochOutdated) {
+	if m.Epoch == el.epoch && !el.mustFinishPromotion(now) {
+		el.dropEpoch()
+	}
+}
+
 // peerPromotionPending reports whether a promotion of another instance may
 // still take effect. Such a promotion removes the seals that a promotion of
 // this instance would depend on, and drops the commits that the present primary
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -75,6 +75,10 @@
 			m.Servers = append(m.Servers, ident.Endpoint(a.Key))
 		}
 		return s.send(m)
+	case "outdated":
+		return s.send(EpochOutdated{Epoch: ident.Epoch(epoch)})
+	case "recordlost":
+		return s.send(RecordLost{})
 	case "owner":
 		return s.send(Ownership{Owner: true})
 	case "nonowner":
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -4,13 +4,19 @@
 	"maps"
 	"slices"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/marjoramrudder/marjoramrudder/internal/clock"
+	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/peer"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/internal/trace"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
+// storeReturns counts the returns of the platform's store from an older copy.
+var storeReturns = metrics.GetOrCreateCounter("marjoram_store_returns_total")
+
 // SetDirectory replaces the list of endpoints if the revision is newer. source
 // is logged.
 func (n *Node) SetDirectory(revision ident.Revision, all []sched.DirectoryEntry, source string) {
@@ -39,6 +45,13 @@
 	trace.Event("DirectoryInForce", "Revision", revision, "Before", before, "Source", source, "Endpoints", len(all))
 	for g, r := range runners {
 		r.setEndpoints(endpoints[g])
+		if before != 0 && revision.Era() > before.Era() {
+			r.update(lead.RecordLost{})
+		}
+	}
+	if before != 0 && revision.Era() > before.Era() {
+		trace.Event("StoreReturnedFromCopy", "Era", revision.Era(), "Before", before.Era())
+		storeReturns.Inc()
 	}
 	n.announceVersions() // the other instances may not be following the store
 }
--- a/internal/relay/endpoint.go
+++ b/internal/relay/endpoint.go
@@ -7,6 +7,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/lead"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
@@ -81,6 +83,9 @@
 	Dial(ctx context.Context, group ident.Group, e sched.Endpoint, account ident.Account) (Conn, error)
 }
 
+// ErrEpochOutdated reports that another instance has acquired a newer epoch.
+var ErrEpochOutdated = errors.New("the epoch is outdated")
+
 // Promoter is the platform's service for promotions.
 type Promoter interface {
 	// AcquireEpoch returns an epoch above all earlier ones. Only the holder of
@@ -88,7 +93,7 @@
 	// record and returns those that were in it before.
 	AcquireEpoch(ctx context.Context, g ident.Group, servers []ident.Endpoint) (epoch ident.Epoch, recorded []ident.Endpoint, err error)
 	// RecordServers replaces the servers in the group's record, provided that the
-	// epoch is the highest one.
+	// epoch is the highest one. It returns ErrEpochOutdated otherwise.
 	RecordServers(ctx context.Context, g ident.Group, epoch ident.Epoch, servers []ident.Endpoint) error
 	// Promote makes an endpoint the next primary. The result states what is
 	// known of the promotion; an error explains a result other than Accepted.
--- a/internal/relay/runner.go
+++ b/internal/relay/runner.go
@@ -247,6 +247,9 @@
 	defer cancel()
 	if err := rn.promoter.RecordServers(ctx, rn.group, c.Epoch, c.Servers); err != nil {
 		trace.Failure("RecordFailed", err, "Group", rn.group, "Epoch", c.Epoch, "Servers", c.Servers)
+		if errors.Is(err, ErrEpochOutdated) {
+			rn.update(lead.EpochOutdated{Epoch: c.Epoch})
+		}
 		return nil
 	}
 	trace.Event("ServersRecorded", "Group", rn.group, "Epoch", c.Epoch, "Servers", c.Servers)
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -47,6 +48,10 @@
 	epochs        map[ident.Group]uint64
 	calls         int
 	promoted      []ident.Endpoint
+	orders        []Order
+	era           int // how often the store has come back from its copy
+	copied        map[rowID]Row
+	copiedVersion uint64
 	evacuations   []Evacuation
 }
 
@@ -138,6 +143,42 @@
 	s.broadcast()
 }
 
+// Copy takes the copy from which ReturnFromCopy restores the store.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied, s.copiedVersion = maps.Clone(s.rows), s.version
+}
+
+// ReturnFromCopy restores the copy. What the system has written since is lost; the rows
+// of the tables in kept, which others write, are written again.
+func (s *Store) ReturnFromCopy(kept ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.rows
+	s.rows, s.version = maps.Clone(s.copied), s.copiedVersion
+	s.era++
+	for id, row := range lost {
+		if slices.Contains(kept, id.table) && row.Version != s.rows[id].Version {
+			s.change(row)
+		}
+	}
+	s.broadcast()
+}
+
+// Order is a promotion that was accepted.
+type Order struct {
+	Holder string
+	Token  uint64 // fencing token
+}
+
+// Orders returns the promotions that were accepted.
+func (s *Store) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders)
+}
+
 // Calls returns the number of calls received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -160,6 +201,9 @@
 	if s.hiddenTable != "" && r.URL.Query().Get("table") == s.hiddenTable {
 		status = http.StatusServiceUnavailable
 	}
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
 	stalled := s.stalledTable != "" && r.URL.Query().Get("table") == s.stalledTable
 	s.mu.Unlock()
 	if stalled {
@@ -220,7 +264,10 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		a, compacted, status, changed := s.changesAfter(q.Get("table"), after), after < s.oldest, s.status, s.changed
+		a, compacted, status, changed := s.changesAfter(q.Get("table"), after), after < s.oldest || after > s.version, s.status, s.changed
+		if s.era > 0 {
+			w.Header().Set("Store-Era", strconv.Itoa(s.era))
+		}
 		s.mu.Unlock()
 		switch {
 		case status != 0:
@@ -314,6 +361,7 @@
 	if !outdated {
 		s.epochs[call.Service] = epoch
 		s.promoted = append(s.promoted, call.ID)
+		s.orders = append(s.orders, Order{Holder: r.Header.Get("X-Marjoramrudder-Duty-Holder"), Token: epoch})
 	}
 	s.mu.Unlock()
 	if g == nil || outdated || !g.isRunning(call.ID) {
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -55,10 +55,27 @@
 // 1.
 type Version uint64
 
-// Revision is the number of a state of the endpoint directory. It increases
-// with each change.
+// Era counts how often the platform's store has come back from an older copy. What
+// was written after the copy is lost, and the store gives the same versions out again.
+type Era uint32
+
+// eraShift is the number of bits below the era in a Revision or an Epoch.
+const eraShift = 40
+
+// Revision is the number of a state of the endpoint directory or of another table of
+// the platform's store. It increases with each change: its upper bits are the era, the
+// lower ones the version that the store gave out in it.
 type Revision uint64
 
+// Revision returns the revision of a version that the store gave out in the era.
+func (e Era) Revision(version uint64) Revision { return Revision(e)<<eraShift | Revision(version) }
+
+// Era returns the era of the store in which the revision was given out.
+func (r Revision) Era() Era { return Era(r >> eraShift) }
+
+// Version returns the version of the store within the era.
+func (r Revision) Version() uint64 { return uint64(r & (1<<eraShift - 1)) }
+
 // Change identifies an attempt to accept a document, so that its author can
 // recognise the write after a lost answer.
 type Change string
@@ -72,9 +89,18 @@
 // Part is the number of a part of a client account's quota, starting at 0.
 type Part uint32
 
-// Epoch counts the successive holders of a lease.
+// Epoch counts the successive holders of a lease. Its upper bits are the era of the
+// store in which it was acquired, so that no epoch is given out twice.
 type Epoch uint64
 
+// NextEpoch returns an epoch of the era that is above the last one.
+func (e Era) NextEpoch(last Epoch) Epoch {
+	return Epoch(max(e, last.Era()))<<eraShift | (last+1)&(1<<eraShift-1)
+}
+
+// Era returns the era of the store in which the epoch was acquired.
+func (e Epoch) Era() Era { return Era(e >> eraShift) }
+
 // Tokens is a number of admissions. Tokens are not divisible.
 type Tokens int64
 
