--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,5 @@
 	$(GO) test -run '^$$' -fuzz FuzzConfigDecoder -fuzztime 30s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzParseStatement -fuzztime 30s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzAnswer -fuzztime 30s ./platform
+	$(GO) test -run '^$$' -fuzz FuzzPage -fuzztime 30s ./platform
+	$(GO) test -run '^$$' -fuzz FuzzServerEntry -fuzztime 30s ./platform
