Check the key of an open transaction also when its route is gone

The transaction went on and was committed more than 6 s after the acknowledgement.

Cause: the route is looked up before the key, and the exception that lets an open transaction survive the removal of its route left the key out.

Change: the key is checked at each statement, against the route on which the transaction began. A key that is another account's by now ends it as well.

Result: the scripts revoked_in_transaction and reassigned_in_transaction run the commit without the change, and close the session with it.

--- a/internal/engine/catalog.go
+++ b/internal/engine/catalog.go
@@ -111,12 +111,21 @@
 	if !ok {
 		return Route{}, "", NoRoute
 	}
-	account, ok := c.AccountOf(key)
-	if ok {
-		return r, account, NoReason
+	account, reason := c.authenticate(r, key)
+	if reason != NoReason {
+		return Route{}, "", reason
 	}
-	if r.Open {
-		return r, anonymousAccount, NoReason
+	return r, account, NoReason
+}
+
+// authenticate returns the account of a key on a route.
+func (c *Catalog) authenticate(r Route, key string) (ident.Account, Reason) {
+	account, ok := c.AccountOf(key)
+	switch {
+	case ok:
+		return account, NoReason
+	case r.Open:
+		return anonymousAccount, NoReason
 	}
-	return Route{}, "", BadKey
+	return "", BadKey
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -68,8 +68,11 @@
 	}
 	route, account, reason := c.Admit(s.route, s.key)
 	if reason == NoRoute && s.state == InTx {
-		route, reason = s.current, NoReason // an open transaction survives the removal of its route
-		account = s.account
+		route = s.current // an open transaction survives the removal of its route, but not that of its key
+		account, reason = c.authenticate(route, s.key)
+	}
+	if reason == NoReason && s.state == InTx && account != s.account {
+		reason = BadKey // the key is another account's by now
 	}
 	if reason != NoReason {
 		return s.closeRejected(reason)
--- a/internal/engine/session_test.go
+++ b/internal/engine/session_test.go
@@ -48,6 +48,12 @@
 	case "revoke":
 		next := testCatalog()
 		next.Version, next.Accounts = 2, map[ident.Account]Account{}
+		if d.HasArg("route") {
+			delete(next.Routes, "orders")
+		}
+		if d.HasArg("reassigned") {
+			next.Accounts["farm"] = Account{Name: "farm", Keys: []string{"k1"}}
+		}
 		next.BuildKeyIndex()
 		s.catalog = next
 		return ""
