--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -66,7 +66,7 @@
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
-		UTF8:             cbor.UTF8RejectInvalid,
+		UTF8:             cbor.UTF8DecodeInvalid,
 		MaxNestedLevels:  maxNesting,
 		MaxArrayElements: maxArrayElements,
 		MaxMapPairs:      maxMapPairs,
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/engine"
 	"github.com/marjoramrudder/marjoramrudder/internal/event"
 	"github.com/marjoramrudder/marjoramrudder/internal/sched"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
@@ -130,3 +131,15 @@
 		}
 	})
 }
+
+// A row of a server that is not UTF-8 must cross the link unchanged. It closed the link,
+// with the calls of all sessions on it.
+func TestTextThatIsNotUTF8CrossesUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	sent := Answer{Number: 1, Answer: engine.Answer{Outcome: engine.Answered, Rows: []string{"\xff\xfe", "plain"}, Signature: "r\xc3"}}
+	raw, err := Encode(sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	received, err := Decode(raw)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(Equal(sent))
+}
