Count a seal with the term that the replica reports

Cause: the answer to a seal counted with the term that was asked for, also when the replica reported that it was not sealed (seen by the review in logs). Such a replica may still receive from the old primary, so that a commit is acknowledged that the promotion drops. No lost commit is known.

Result: the script seal_not_held promotes at the answer without a seal before, and after the one with it now.

--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -102,8 +102,9 @@
 	IsPrimary bool
 	Term      ident.Term
 	Received  ident.LogPosition
-	// SealedTerm is the term that the endpoint was sealed with, or zero for a
-	// Probe.
+	// Sealed is set for the answer to a Seal, and SealedTerm is then the term that the
+	// endpoint reports to be sealed with, zero if it is not sealed.
+	Sealed     bool
 	SealedTerm ident.Term
 }
 
--- a/internal/lead/observe.go
+++ b/internal/lead/observe.go
@@ -93,7 +93,7 @@
 	}
 	s.lastResult, s.answeredAt = m, now
 	el.recordTerm(now, max(m.Term, m.Received.Term))
-	if m.SealedTerm != 0 {
+	if m.Sealed {
 		s.sealedTerm, s.sealedAt = m.SealedTerm, m.SentAt
 	}
 	if !m.IsPrimary {
--- a/internal/lead/script_test.go
+++ b/internal/lead/script_test.go
@@ -110,7 +110,7 @@
 	case "result":
 		return s.send(ProbeResult{
 			Endpoint: name(), SentAt: s.now, Failed: d.HasArg("failed"), Refused: d.HasArg("refused"), IsPrimary: d.HasArg("primary"),
-			Term: ident.Term(term), Received: position, SealedTerm: ident.Term(sealed),
+			Term: ident.Term(term), Received: position, Sealed: d.HasArg("sealed"), SealedTerm: ident.Term(sealed),
 		})
 	case "progress":
 		return s.send(PeerProgress{From: ident.Instance(d.CmdArgs[0].Key), Term: ident.Term(term), PromotionPending: d.HasArg("pending")})
--- a/internal/lead/sim_test.go
+++ b/internal/lead/sim_test.go
@@ -384,7 +384,7 @@
 	if seal != 0 && !v.isPrimary {
 		v.sealedTerm = max(v.sealedTerm, seal)
 	}
-	m := ProbeResult{Endpoint: id, SentAt: sentAt, IsPrimary: v.isPrimary, Term: v.term, Received: v.received(), SealedTerm: seal}
+	m := ProbeResult{Endpoint: id, SentAt: sentAt, IsPrimary: v.isPrimary, Term: v.term, Received: v.received(), Sealed: seal != 0, SealedTerm: v.sealedTerm}
 	if s.chance(8) {
 		s.schedule(200*time.Millisecond, func() { answer(ProbeResult{Endpoint: id, SentAt: sentAt, Failed: true}) })
 		return // the server is sealed but its answer is lost
--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -72,7 +72,10 @@
 		refused := errors.Is(err, errControlRefused)
 		m := lead.ProbeResult{
 			Endpoint: id, SentAt: sentAt, Failed: err != nil && !refused, Refused: refused, IsPrimary: report.IsPrimary,
-			Term: report.Term, Received: report.Received, SealedTerm: sealed,
+			Term: report.Term, Received: report.Received, Sealed: sealed != 0,
+		}
+		if m.Sealed {
+			m.SealedTerm = report.SealedTerm
 		}
 		if err != nil {
 			trace.Failure("ControlFailed", err, "Group", rn.group, "Endpoint", id, "Sealing", sealed)
