Take SIGHUP before the settings are read

Cause: a process that had not asked for SIGHUP yet was ended by it (seen by the review in the source). A change of the settings file in the first moments of a process may send one.

Change: the signal is asked for before the settings are read. What arrives meanwhile makes the process read them once more. The time from the start of the process to this point remains; no test covers it.

--- a/cmd/marjoramrudder/platform.go
+++ b/cmd/marjoramrudder/platform.go
@@ -20,15 +20,16 @@
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE` of the platform", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, TakesFile: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			// First, because the signal would end the process.
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
 			settings, err := platform.LoadSettings(c.String("config"))
 			if err != nil {
 				return usagef("%v", err)
 			}
 			sink := trace.Install(os.Stdout, string(settings.Instance))
 			defer func() { _ = sink.Close() }()
-			reload := make(chan os.Signal, 1)
-			signal.Notify(reload, syscall.SIGHUP)
-			defer signal.Stop(reload)
 			return platform.Serve(ctx, settings, reload, func() (*platform.Settings, error) {
 				return platform.LoadSettings(c.String("config"))
 			})
