Compare the servers with the record only after a change

The owner's elector compared them with each message, which sorts the names of the servers for each statement. A flag is set where one side changes.

--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -146,11 +146,11 @@
 	case EpochAcquired:
 		el.epochAcquired(now, m)
 	case ServersRecorded:
-		el.recorded = m.Servers
+		el.setRecorded(m.Servers)
 	case EpochOutdated:
 		el.epochOutdated(now, m)
 	case RecordLost:
-		el.recorded = nil
+		el.setRecorded(nil)
 	case Promoted:
 		el.promotionResult(now, m)
 	}
@@ -209,6 +209,7 @@
 		if s == nil {
 			s = &server{}
 			el.servers[e.ID] = s
+			el.unchecked = true
 			added++
 		}
 		if s.StartedAt != e.StartedAt {
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -28,6 +28,7 @@
 	// if they were there before this instance first wrote it.
 	recorded    []ident.Endpoint
 	found       bool
+	unchecked   bool      // the servers that count may differ from those recorded
 	requestedAt time.Time // time of the latest RecordServers
 	listedSince time.Time // when the directory first listed a server
 	listedAt    time.Time // when the directory last listed a further server
@@ -40,7 +41,7 @@
 // forget makes a server that has left the directory not count any more.
 func (el *Elector) forget(id ident.Endpoint) {
 	delete(el.servers, id)
-	el.forgotten[id] = true
+	el.forgotten[id], el.unchecked = true, true
 }
 
 // knownServers returns the names of the servers that count, sorted.
@@ -52,7 +53,7 @@
 // know. They have left the directory, or are not listed yet.
 func (el *Elector) addRecorded(now time.Time, m EpochAcquired) {
 	el.found = el.found || len(m.Recorded) > 0
-	el.recorded = slices.Compact(slices.Sorted(slices.Values(slices.Concat(m.Recorded, m.Added))))
+	el.setRecorded(slices.Compact(slices.Sorted(slices.Values(slices.Concat(m.Recorded, m.Added)))))
 	for _, id := range m.Recorded {
 		if el.servers[id] == nil && !el.forgotten[id] {
 			el.servers[id] = &server{Endpoint: Endpoint{ID: id}, departedAt: now}
@@ -60,15 +61,19 @@
 	}
 }
 
+// setRecorded takes in what the record lists, nil if that is not known any more.
+func (el *Elector) setRecorded(all []ident.Endpoint) { el.recorded, el.unchecked = all, true }
+
 // updateRecord requests that the record lists exactly the servers that count. Only
 // the owner of a group with a primary does so, because the primary has to be one of
 // them.
 func (el *Elector) updateRecord(now time.Time) {
-	if el.state != Steady || el.servers[el.primary] == nil || el.epoch == 0 || now.Sub(el.requestedAt) < recordPause {
+	if !el.unchecked || el.state != Steady || el.servers[el.primary] == nil || el.epoch == 0 || now.Sub(el.requestedAt) < recordPause {
 		return
 	}
 	known := el.knownServers()
 	if slices.Equal(known, el.recorded) {
+		el.unchecked = false
 		return
 	}
 	el.requestedAt = now
