Bind the position of a session's last write to its group

Cause: a session kept one position. After its route had moved to another group, its reads asked that group for a position of the former one's log, which it may never have, so that they were refused as lagging (seen by the review in the source).

Change: one position for each group.

Result: the script route_moves asks the new group for position 7 before, for none now, and for 7 again once the route is back.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -31,7 +31,9 @@
 
 	variables map[string]string
 	prepared  map[string]StatementTemplate
-	lastWrite ident.LogPosition
+	// lastWrites are the positions of the session's latest commits, each in the log of
+	// its group. A position says nothing about the log of another group.
+	lastWrites map[ident.Group]ident.LogPosition
 
 	state          TxState
 	beginStatement Statement // the caller's BEGIN, until the transaction is bound to an endpoint
@@ -45,7 +47,7 @@
 func NewSession(id ident.Session, route ident.Route, key string) *Session {
 	return &Session{
 		id: id, route: route, key: key,
-		variables: make(map[string]string), prepared: make(map[string]StatementTemplate),
+		variables: make(map[string]string), prepared: make(map[string]StatementTemplate), lastWrites: make(map[ident.Group]ident.LogPosition),
 	}
 }
 
@@ -158,7 +160,7 @@
 		Timeout: s.current.Timeout, Target: s.current.Target, Priority: s.current.Priority,
 	}
 	if s.current.Freshness == OwnWrites {
-		call.LastWrite = s.lastWrite
+		call.LastWrite = s.lastWrites[call.Group]
 	}
 	if s.state == Idle {
 		call.PrimaryOnly = call.PrimaryOnly || statement.Writes()
@@ -177,7 +179,7 @@
 // transaction to roll back, or zero.
 func (s *Session) Finish(call *Call, a *Answer, tx TxID) (rollback TxID) {
 	if a.OK() && (call.Statement.Op == Commit || call.Phase == Single && call.Statement.Writes()) {
-		s.lastWrite = a.Position
+		s.lastWrites[call.Group] = a.Position
 	}
 	if call.Phase == Single {
 		a.State = Idle
--- a/internal/engine/session_test.go
+++ b/internal/engine/session_test.go
@@ -57,6 +57,14 @@
 		next.BuildKeyIndex()
 		s.catalog = next
 		return ""
+	case "moveroute":
+		next := testCatalog()
+		name := ident.Route(d.CmdArgs[0].Key)
+		moved := next.Routes[name]
+		moved.Group = ident.Group(d.CmdArgs[1].Key)
+		next.Routes[name] = moved
+		s.catalog = next
+		return ""
 	case "removeroute":
 		next := testCatalog()
 		delete(next.Routes, "orders")
