Count a record only once a group with a primary has written it

An epoch adds the servers that its instance knows to the record. Before the first group with a primary has written it, these may be a few of them, and an instance that acquired a second epoch took its own first list for a record.

The elector's record has a field of its own, and two pieces of test code that stood twice stand once.

--- a/internal/lead/advance.go
+++ b/internal/lead/advance.go
@@ -226,7 +226,7 @@
 	}
 	el.target = target.ID
 	el.promotion.resend()
-	el.emit(PromotionDecided{Endpoint: el.target, Sealed: confirmed, Needed: el.quorum(), Servers: el.knownServers(), Recorded: el.recorded})
+	el.emit(PromotionDecided{Endpoint: el.target, Sealed: confirmed, Needed: el.quorum(), Servers: el.knownServers(), Recorded: el.record.servers})
 	el.setState(now, Promoting, "enough replicas are sealed")
 	el.awaitPromotion(now)
 }
--- a/internal/lead/elector.go
+++ b/internal/lead/elector.go
@@ -80,7 +80,10 @@
 	primary        ident.Endpoint
 	term           ident.Term
 	servers        map[ident.Endpoint]*server
-	record
+	forgotten      map[ident.Endpoint]bool // servers that do not count any more
+	listedSince    time.Time               // when the directory first listed a server
+	listedAt       time.Time               // when the directory last listed a further server
+	record         groupRecord
 
 	acked            ident.LogPosition
 	newestTerm       ident.Term // newest term that any endpoint is known to have been the primary of
@@ -114,7 +117,7 @@
 
 // New returns an elector without endpoints.
 func New() *Elector {
-	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), record: newRecord(), promotingPeers: make(map[ident.Instance]time.Time), syncReplicas: 1}
+	return &Elector{state: Searching, servers: make(map[ident.Endpoint]*server), forgotten: make(map[ident.Endpoint]bool), promotingPeers: make(map[ident.Instance]time.Time), syncReplicas: 1}
 }
 
 // Update applies one message at the given time and returns the commands to
@@ -209,7 +212,7 @@
 		if s == nil {
 			s = &server{}
 			el.servers[e.ID] = s
-			el.unchecked = true
+			el.record.unchecked = true
 			added++
 		}
 		if s.StartedAt != e.StartedAt {
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -119,8 +119,8 @@
 
 // EpochAcquired is the answer to AcquireEpoch. Epoch is zero if the request
 // failed. SentAt is when the request was sent. Recorded are the servers in the
-// group's record before the request, nil if there was none, and Added those of the
-// request.
+// group's record before the request, nil if it was never written by RecordServers, and
+// Added those of the request.
 type EpochAcquired struct {
 	Epoch    ident.Epoch
 	Recorded []ident.Endpoint
--- a/internal/lead/record.go
+++ b/internal/lead/record.go
@@ -22,26 +22,22 @@
 	entryReturnTime = 3 * time.Second
 )
 
-// record is what the elector knows of the group's record.
-type record struct {
-	// recorded are the servers in the record when it was last written. found is set
-	// if they were there before this instance first wrote it.
-	recorded    []ident.Endpoint
+// groupRecord is what the elector knows of the group's record.
+type groupRecord struct {
+	// servers are those in the record when it was last written, nil if that is not
+	// known. found is set once a record was read that a group with a primary had
+	// written.
+	servers     []ident.Endpoint
 	found       bool
-	unchecked   bool      // the servers that count may differ from those recorded
+	unchecked   bool      // the servers that count may differ from those in the record
 	requestedAt time.Time // time of the latest RecordServers
-	listedSince time.Time // when the directory first listed a server
-	listedAt    time.Time // when the directory last listed a further server
-	// forgotten are the servers that do not count any more.
-	forgotten map[ident.Endpoint]bool
 }
 
-func newRecord() record { return record{forgotten: make(map[ident.Endpoint]bool)} }
-
 // forget makes a server that has left the directory not count any more.
 func (el *Elector) forget(id ident.Endpoint) {
 	delete(el.servers, id)
-	el.forgotten[id], el.unchecked = true, true
+	el.forgotten[id] = true
+	el.record.unchecked = true
 }
 
 // knownServers returns the names of the servers that count, sorted.
@@ -50,9 +46,14 @@
 }
 
 // addRecorded makes the servers of the record count that this instance does not
-// know. They have left the directory, or are not listed yet.
+// know. They have left the directory, or are not listed yet. A group without a record
+// gets one as soon as it has a primary.
 func (el *Elector) addRecorded(now time.Time, m EpochAcquired) {
-	el.found = el.found || len(m.Recorded) > 0
+	if len(m.Recorded) == 0 {
+		el.setRecorded(nil)
+		return
+	}
+	el.record.found = true
 	el.setRecorded(slices.Compact(slices.Sorted(slices.Values(slices.Concat(m.Recorded, m.Added)))))
 	for _, id := range m.Recorded {
 		if el.servers[id] == nil && !el.forgotten[id] {
@@ -62,21 +63,23 @@
 }
 
 // setRecorded takes in what the record lists, nil if that is not known any more.
-func (el *Elector) setRecorded(all []ident.Endpoint) { el.recorded, el.unchecked = all, true }
+func (el *Elector) setRecorded(all []ident.Endpoint) {
+	el.record.servers, el.record.unchecked = all, true
+}
 
 // updateRecord requests that the record lists exactly the servers that count. Only
 // the owner of a group with a primary does so, because the primary has to be one of
 // them.
 func (el *Elector) updateRecord(now time.Time) {
-	if !el.unchecked || el.state != Steady || el.servers[el.primary] == nil || el.epoch == 0 || now.Sub(el.requestedAt) < recordPause {
+	if !el.record.unchecked || el.state != Steady || el.servers[el.primary] == nil || el.epoch == 0 || now.Sub(el.record.requestedAt) < recordPause {
 		return
 	}
 	known := el.knownServers()
-	if slices.Equal(known, el.recorded) {
-		el.unchecked = false
+	if slices.Equal(known, el.record.servers) {
+		el.record.unchecked = false
 		return
 	}
-	el.requestedAt = now
+	el.record.requestedAt = now
 	el.emit(RecordServers{Epoch: el.epoch, Servers: known})
 }
 
@@ -84,14 +87,14 @@
 // missing from those that count: the record lists them, or all that are alive had
 // the time to be listed.
 func (el *Elector) serversKnown(now time.Time) bool {
-	return el.found || !el.listedSince.IsZero() && now.Sub(el.listedSince) >= entryReturnTime
+	return el.record.found || !el.listedSince.IsZero() && now.Sub(el.listedSince) >= entryReturnTime
 }
 
 // primaryCounted reports whether the servers that count include the latest primary.
 // The record includes it, also if this instance does not know which one it is.
 func (el *Elector) primaryCounted() bool {
 	if el.primary == "" {
-		return el.found && len(el.forgotten) == 0
+		return el.record.found && len(el.forgotten) == 0
 	}
 	return el.servers[el.primary] != nil
 }
--- a/internal/relay/endpoint.go
+++ b/internal/relay/endpoint.go
@@ -90,7 +90,8 @@
 type Promoter interface {
 	// AcquireEpoch returns an epoch above all earlier ones. Only the holder of
 	// the highest epoch may promote in the group. It adds servers to the group's
-	// record and returns those that were in it before.
+	// record and returns those that were in it before, nil if RecordServers has never
+	// written it.
 	AcquireEpoch(ctx context.Context, g ident.Group, servers []ident.Endpoint) (epoch ident.Epoch, recorded []ident.Endpoint, err error)
 	// RecordServers replaces the servers in the group's record, provided that the
 	// epoch is the highest one. It returns ErrEpochOutdated otherwise.
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -102,17 +102,23 @@
 	})
 }
 
+// sendInBackground runs a call and returns once it has been sent.
+func sendInBackground(r *Router) <-chan engine.Answer {
+	answered := make(chan engine.Answer, 1)
+	r.tasks.Go(func(context.Context) error {
+		a, _ := r.Run(context.Background(), &engine.Call{Group: "db", Phase: engine.Single, Timeout: time.Second}, TxLocation{})
+		answered <- a
+		return nil
+	})
+	synctest.Wait()
+	return answered
+}
+
 // An answer from an instance that the call was not sent to is ignored, and the
 // right one is still delivered.
 func TestAnswerOfAnotherInstanceIsIgnored(t *testing.T) {
 	routed(t, func(g Gomega, r *Router, o *otherOwner) {
-		answered := make(chan engine.Answer, 1)
-		r.tasks.Go(func(context.Context) error {
-			a, _ := r.Run(context.Background(), &engine.Call{Group: "db", Phase: engine.Single, Timeout: time.Second}, TxLocation{})
-			answered <- a
-			return nil
-		})
-		synctest.Wait()
+		answered := sendInBackground(r)
 		right := engine.Answer{Outcome: engine.Answered, Signature: "right"}
 		r.ReceiveAnswer(processOf("stranger"), peer.Answer{Number: o.sent[0].Number, Answer: engine.Answer{Outcome: engine.Answered}})
 		r.ReceiveAnswer(processOf("other"), peer.Answer{Number: o.sent[0].Number, Answer: right})
@@ -182,13 +188,7 @@
 // runs.
 func TestAnswerOfFormerProcessIsIgnored(t *testing.T) {
 	routed(t, func(g Gomega, r *Router, o *otherOwner) {
-		answered := make(chan engine.Answer, 1)
-		r.tasks.Go(func(context.Context) error {
-			a, _ := r.Run(context.Background(), &engine.Call{Group: "db", Phase: engine.Single, Timeout: time.Second}, TxLocation{})
-			answered <- a
-			return nil
-		})
-		synctest.Wait()
+		answered := sendInBackground(r)
 		right := engine.Answer{Outcome: engine.Answered, Signature: "right"}
 		r.ReceiveAnswer(ident.Process{Instance: "other", Incarnation: 7}, peer.Answer{Number: o.sent[0].Number, Answer: engine.Answer{Outcome: engine.Answered}})
 		r.ReceiveAnswer(processOf("other"), peer.Answer{Number: o.sent[0].Number, Answer: right})
