Judge in the soak what the servers saw, and strike instances in series

internal/stand/audit keeps what the servers ran on each connection and what the callers sent and were told, and judges UNASKED, PINNED, MIXED, TWICE, REFUSED, STALE, LOST and ONE, while a run goes on and at its end. Each rule has histories in testdata that break it, and some that don't. The emulated servers record each statement, and free the place of a connection that ends while its commit waits for a replica: before, such connections filled a primary for good.

Workers run transactions of up to 12 statements with pauses up to 2.8 s, roll-backs, callers that leave, session values and prepared names that collide, long idle sessions, and whole operations again after a promise.

--- a/cmd/stand/lines.go
+++ b/cmd/stand/lines.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/lines"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
@@ -48,6 +49,7 @@
 			&cli.IntFlag{Name: "accounts", Value: 4, Usage: "number of client accounts"},
 			&cli.FloatFlag{Name: "rate", Value: 100, Usage: "quota of each account in operations a second"},
 			&cli.IntFlag{Name: "sessions", Value: 8, Usage: "callers of each account"},
+			&cli.IntFlag{Name: "workers", Value: 16, Usage: "callers of each account that run transactions with pauses, session values and prepared statements"},
 			&cli.DurationFlag{Name: "pause", Value: 100 * time.Millisecond, Usage: "mean pause between a caller's statements"},
 			&cli.FloatFlag{Name: "writes", Value: 0.2, Usage: "fraction of a caller's steps that write"},
 			&cli.FloatFlag{Name: "transactions", Value: 0.3, Usage: "fraction of the writes that are transactions"},
@@ -57,6 +59,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "duration of the load"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
 			&cli.Uint64Flag{Name: "faults", Usage: "`SEED` of random faults, 0 for none; the process id of instance n1 is read from DIR/pids/n1"},
+			&cli.BoolFlag{Name: "series", Usage: "with --faults: instances are struck in series around their restarts, in place of single faults"},
 			&cli.BoolFlag{Name: "changes", Usage: "change the configuration all the time, from a few routes to several thousand, and check that it is in force in time"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "AT:KIND[:TARGET], as in 5s:crash:g1-a or 3s:storedown; AT counts from the start"},
 			&cli.IntFlag{Name: "network", Value: 1, Usage: "instance I listens on 127.0.NETWORK.I, so that several deployments run side by side"},
@@ -75,9 +78,10 @@
 		}
 		faults = append(faults, f)
 	}
+	journal := audit.NewJournal()
 	d, err := lines.Open(ctx, lines.DeploymentConfig{
 		Groups: c.Int("groups"), Instances: c.Int("instances"), Accounts: c.Int("accounts"), Rate: c.Float("rate"), RouteTimeout: c.Duration("route-timeout"),
-		Dir: c.String("dir"), BasePort: c.Int("port"), Network: c.Int("network"), Faults: faults, Seed: c.Uint64("faults"), Signals: true, Length: c.Duration("duration"), Changes: c.Bool("changes"),
+		Dir: c.String("dir"), BasePort: c.Int("port"), Network: c.Int("network"), Faults: faults, Seed: c.Uint64("faults"), Signals: true, Length: c.Duration("duration"), Changes: c.Bool("changes"), Series: c.Bool("series"), Journal: journal,
 		Group: emul.GroupConfig{
 			Servers: c.Int("servers"), Slots: c.Int("slots"), MaxConns: c.Int("connections"), Sync: 1,
 			Work: c.Duration("work"), Lag: c.Duration("lag"), PromoteTime: c.Duration("promote-time"), DataCentres: dataCentres(c.Int("data-centres")),
@@ -90,7 +94,7 @@
 	for _, f := range d.Faults() {
 		fmt.Println("fault", f)
 	}
-	report, err := runLinesLoad(ctx, c, d)
+	report, err := runLinesLoad(ctx, c, d, journal)
 	if err != nil {
 		return errors.CombineErrors(err, d.Close())
 	}
@@ -105,7 +109,9 @@
 	fmt.Print(evacuations)
 	config := d.CheckConfig()
 	fmt.Print(config)
-	if report.Violations()+d.Lost()+stops.Violations()+evacuations.Violations()+config.Violations() > 0 {
+	rules := d.CheckRecord()
+	fmt.Print(rules)
+	if report.Violations()+d.Lost()+stops.Violations()+evacuations.Violations()+config.Violations()+rules.Violations() > 0 {
 		err = errViolations
 	}
 	return errors.CombineErrors(err, d.Close())
@@ -121,7 +127,7 @@
 }
 
 // runLinesLoad waits until the instances are ready and runs the load.
-func runLinesLoad(ctx context.Context, c *cli.Command, d *lines.Deployment) (*lines.Report, error) {
+func runLinesLoad(ctx context.Context, c *cli.Command, d *lines.Deployment, journal *audit.Journal) (*lines.Report, error) {
 	var fronts []string
 	for i := range c.Int("instances") {
 		fmt.Printf("waiting for: marjoramrudder platform --config %s/n%d.json\n", c.String("dir"), i+1)
@@ -130,10 +136,9 @@
 		}
 		fronts = append(fronts, d.Front(i))
 	}
-	routes := d.Routes()
 	return lines.Load(ctx, lines.LoadConfig{
-		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: routes, Keys: d.Keys(),
-		Sessions: c.Int("sessions"), Pause: c.Duration("pause"), Writes: c.Float("writes"), Transactions: c.Float("transactions"), Timeout: c.Duration("caller-timeout"), Held: c.Int("held"),
+		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: d.Routes(), Mixed: d.AllRoutes(), Keys: d.Keys(),
+		Sessions: c.Int("sessions"), Workers: c.Int("workers"), Journal: journal, Pause: c.Duration("pause"), Writes: c.Float("writes"), Transactions: c.Float("transactions"), Timeout: c.Duration("caller-timeout"), Held: c.Int("held"),
 		Duration: c.Duration("duration"), Seed: c.Uint64("seed"),
 	})
 }
--- a/internal/stand/emul/config.go
+++ b/internal/stand/emul/config.go
@@ -58,6 +58,9 @@
 // configTime is the time within which a configuration has to be in force.
 const configTime = 5 * time.Second
 
+// MaxStaleness is the limit of routes that are not Current.
+const MaxStaleness = 1500 * time.Millisecond
+
 // idleTx is the idle timeout of a transaction in milliseconds.
 const idleTx = 3000
 
@@ -75,7 +78,7 @@
 	for _, r := range c.Routes {
 		routes = append(routes, map[string]any{
 			"name": r.Name, "host": r.Name, "route_type": r.Kind, "service": r.Group,
-			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": 1500,
+			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 200, "priority": 1, "max_attempts": 2, "max_staleness_ms": MaxStaleness.Milliseconds(),
 		})
 	}
 	for _, a := range c.Accounts {
@@ -98,10 +101,20 @@
 	}
 	return encode(map[string]any{
 		"service": s.group.config.Name, "address": address, "zone": cmp.Or(s.dataCentre, dc), "version": "v1", "slots": s.group.config.Slots,
-		"state": state, "cold_left_ms": s.coldLeft().Milliseconds(), "db_role": role, "sequence": 1, "born": 1000,
+		"state": state, "cold_left_ms": s.coldLeft().Milliseconds(), "db_role": role, "sequence": 1, "born": firstStart + s.startedAgain(),
 	})
 }
 
+// firstStart is when all servers have started at first, in Unix milliseconds.
+const firstStart = 1000
+
+// startedAgain returns how often the server has started again with an empty log.
+func (s *Server) startedAgain() int64 {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.starts
+}
+
 // Settings is the content of an instance's settings file.
 type Settings struct {
 	Instance           ident.Instance
--- a/internal/stand/emul/conn.go
+++ b/internal/stand/emul/conn.go
@@ -6,8 +6,10 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -21,7 +23,16 @@
 	requiresPrimary bool   // the transaction was begun for writes
 	writes          []Entry
 	variables       map[string]string
-	prepared        map[string]bool
+	prepared        map[string]shape
+	id              audit.ConnID
+	tx              audit.TxID // of the record, zero outside a transaction
+	released        sync.Once
+}
+
+// shape is what a prepared statement does.
+type shape struct {
+	access string // READ or WRITE
+	text   string
 }
 
 // failure is an error answer. An empty code closes the connection instead.
@@ -29,26 +40,48 @@
 
 // Serve handles one connection until it closes.
 func (s *Server) Serve(conn net.Conn) {
-	c := &lineConn{server: s, conn: conn, in: bufio.NewReader(conn), state: "I", variables: map[string]string{}, prepared: map[string]bool{}}
+	c := &lineConn{server: s, conn: conn, in: bufio.NewReader(conn), state: "I", variables: map[string]string{}, prepared: map[string]shape{}, id: s.group.config.Record.NextConn()}
 	defer func() { _ = conn.Close() }()
 	if !c.handshake() {
 		return
 	}
-	defer s.set(func() {
-		s.conns--
-		delete(s.closers, c)
-	})
+	defer c.release()
+	lines := make(chan string)
+	s.group.serving.Go(func() { c.read(lines) })
+	for line := range lines {
+		if strings.HasPrefix(line, "TERMINATE") || !c.query(strings.TrimRight(line, "\r\n")) {
+			break
+		}
+	}
+	_ = conn.Close()
+	for range lines { // until read has ended
+	}
+}
+
+// read reads lines until the connection ends. The connection does not count any more
+// then, also while its last statement waits for a replica.
+func (c *lineConn) read(lines chan<- string) {
+	defer close(lines)
+	defer c.release()
 	for {
 		line, err := c.in.ReadString('\n')
-		if err != nil || strings.HasPrefix(line, "TERMINATE") {
-			return
-		}
-		if !c.query(strings.TrimRight(line, "\r\n")) {
+		if err != nil {
 			return
 		}
+		lines <- line
 	}
 }
 
+// release frees the connection's place at the server.
+func (c *lineConn) release() {
+	c.released.Do(func() {
+		c.server.set(func() {
+			c.server.conns--
+			delete(c.server.closers, c)
+		})
+	})
+}
+
 // handshake handles the startup line. It reports whether the connection was
 // accepted.
 func (c *lineConn) handshake() bool {
@@ -108,7 +141,9 @@
 	c.server.receive(id)
 	c.server.recordArrival(id, text)
 	c.awaitResponsive()
-	rows, signature, f := c.run(id, text)
+	step := c.newStep(id, text)
+	rows, signature, f := c.run(id, text, &step)
+	c.record(step, rows, signature, f)
 	if f == nil && c.losesAnswer(text) {
 		return false
 	}
@@ -153,7 +188,7 @@
 func (c *lineConn) send(line string) { _, _ = c.conn.Write([]byte(line + "\r\n")) }
 
 // run executes one statement.
-func (c *lineConn) run(id, text string) (rows []string, signature string, f *failure) {
+func (c *lineConn) run(id, text string, step *audit.Step) (rows []string, signature string, f *failure) {
 	word, rest, _ := strings.Cut(text, " ")
 	if word == "AFTER" {
 		position, statement, _ := strings.Cut(rest, " ")
@@ -170,19 +205,20 @@
 	}
 	switch word {
 	case "READ", "WRITE", "EXECUTE", "COMMIT":
-		return c.work(id, text, word, rest)
+		return c.work(id, text, word, rest, step)
 	case "BEGIN":
 		return c.begin(rest)
 	case "ROLLBACK":
-		c.state, c.writes = "I", nil
+		c.endTx()
 	case "SET":
 		name, value, _ := strings.Cut(rest, " ")
 		c.variables[name] = value
 	case "PREPARE":
-		f := strings.Fields(rest)
-		c.prepared[f[0]] = f[1] == "WRITE"
+		name, statement, _ := strings.Cut(rest, " ")
+		access, text, _ := strings.Cut(statement, " ")
+		c.prepared[name] = shape{access: access, text: text}
 	case "RESET":
-		c.variables, c.prepared = map[string]string{}, map[string]bool{}
+		c.variables, c.prepared = map[string]string{}, map[string]shape{}
 	default:
 		return c.control(word, rest)
 	}
@@ -203,12 +239,12 @@
 	if rest == "" && !c.server.IsPrimary() {
 		return nil, "", &failure{"READONLY", string(c.server.id)}
 	}
-	c.state, c.requiresPrimary, c.writes = "T", rest == "", nil
+	c.state, c.requiresPrimary, c.writes, c.tx = "T", rest == "", nil, c.server.group.config.Record.NextTx()
 	return nil, "-", nil
 }
 
 // work executes a statement that occupies a slot.
-func (c *lineConn) work(id, text, word, rest string) ([]string, string, *failure) {
+func (c *lineConn) work(id, text, word, rest string, step *audit.Step) ([]string, string, *failure) {
 	s := c.server
 	s.slots <- struct{}{}
 	began := time.Now()
@@ -220,20 +256,22 @@
 	write := word == "WRITE"
 	if word == "EXECUTE" {
 		name, args, _ := strings.Cut(rest, " ")
-		w, ok := c.prepared[name]
+		p, ok := c.prepared[name]
 		if !ok {
 			return nil, "", &failure{"NOSTMT", name}
 		}
-		write, rest = w, args
+		write, rest = p.access == "WRITE", args
+		step.Shape = p.access + " " + p.text
 	}
-	signature := "r-" + string(s.id) + "-" + id
+	signature := fmt.Sprintf("r-%s-%s-%d", s.id, id, c.id)
 	if word == "COMMIT" {
-		return c.commit(signature)
+		return c.commit(signature, step)
 	}
 	item, data, _ := strings.Cut(rest, " ")
 	if !write {
 		s.group.mu.Lock()
 		value, _ := s.read(item)
+		step.Applied = s.lastApplied()
 		s.group.mu.Unlock()
 		for _, w := range c.writes {
 			if w.Item == item {
@@ -246,28 +284,37 @@
 		return nil, "", &failure{"READONLY", string(s.id)}
 	}
 	if c.state == "T" {
-		c.writes = append(c.writes, Entry{Item: item, Data: data})
+		c.writes = append(c.writes, Entry{Item: item, Data: data, request: id})
 		return nil, signature, nil
 	}
-	if !s.group.commit(s, []Entry{{Item: item, Data: data}}) {
+	committed, ok := s.group.commit(s, []Entry{{Item: item, Data: data, request: id}})
+	if !ok {
 		return nil, "", &failure{}
 	}
+	step.Committed = writesOf(committed)
 	return nil, signature, nil
 }
 
-func (c *lineConn) commit(signature string) ([]string, string, *failure) {
-	if c.state != "T" {
-		c.state, c.writes = "I", nil
+func (c *lineConn) commit(signature string, step *audit.Step) ([]string, string, *failure) {
+	open, writes := c.state == "T", c.writes
+	c.endTx()
+	if !open {
 		return nil, "", &failure{"ABORTED", "nothing to commit"}
 	}
-	writes := c.writes
-	c.state, c.writes = "I", nil
-	if len(writes) > 0 && !c.server.group.commit(c.server, writes) {
+	if len(writes) == 0 {
+		return nil, signature, nil
+	}
+	committed, ok := c.server.group.commit(c.server, writes)
+	if !ok {
 		return nil, "", &failure{}
 	}
+	step.Committed = writesOf(committed)
 	return nil, signature, nil
 }
 
+// endTx ends the open transaction, if there is one.
+func (c *lineConn) endTx() { c.state, c.writes, c.tx = "I", nil, 0 }
+
 // control executes a control statement and returns the status row.
 func (c *lineConn) control(word, rest string) ([]string, string, *failure) {
 	s := c.server
--- a/internal/stand/emul/group.go
+++ b/internal/stand/emul/group.go
@@ -6,9 +6,11 @@
 package emul
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
@@ -32,6 +34,8 @@
 	// cold, ColdTime how long it is cold after a restart. Zero means no limit.
 	ColdRate float64
 	ColdTime time.Duration
+	// Record receives each statement that the servers answer, unless it is nil.
+	Record *audit.Record
 }
 
 // Entry is one write in a server's log.
@@ -40,6 +44,7 @@
 	Item      string
 	Data      string
 	appliedAt time.Time // when a replica applies it
+	request   string    // of the statement that wrote it
 }
 
 // Group is a primary and its replicas.
@@ -86,6 +91,9 @@
 	return out
 }
 
+// Has reports whether a server belongs to the group.
+func (g *Group) Has(id ident.Endpoint) bool { return g.servers[id] != nil }
+
 // Primary returns the current primary, or nil if it is down.
 func (g *Group) Primary() *Server {
 	g.mu.Lock()
@@ -197,12 +205,13 @@
 }
 
 // commit appends entries to the primary's log and waits until enough replicas
-// have them. It returns false if the server is demoted or stops meanwhile.
-func (g *Group) commit(s *Server, writes []Entry) bool {
+// have them. It returns the entries, and false if the server is demoted or stops
+// meanwhile.
+func (g *Group) commit(s *Server, writes []Entry) ([]Entry, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !s.isPrimary || s.down {
-		return false
+		return nil, false
 	}
 	for _, e := range writes {
 		e.Position = ident.LogPosition{Term: s.term, Position: ident.Position(len(s.log) + 1)}
@@ -211,11 +220,12 @@
 	end := len(s.log)
 	for {
 		if !s.isPrimary || s.down {
-			return false
+			return nil, false
 		}
 		if g.replicate(s) >= g.config.Sync {
-			g.acked = append(g.acked, s.log[end-len(writes):end]...)
-			return true
+			committed := slices.Clone(s.log[end-len(writes) : end])
+			g.acked = append(g.acked, committed...)
+			return committed, true
 		}
 		changed := g.changed
 		g.mu.Unlock()
--- a/internal/stand/emul/server.go
+++ b/internal/stand/emul/server.go
@@ -20,6 +20,7 @@
 	term           ident.Term
 	sealedTerm     ident.Term // lower terms are refused; zero if not sealed
 	log            []Entry
+	starts         int64 // with an empty log, after the first one
 	down           bool
 	unresponsive   bool // neither answers nor closes connections
 	replicationCut bool // receives no log entries from the primary
@@ -93,6 +94,17 @@
 	})
 }
 
+// RestartEmpty restarts a crashed server under its name, as a replica that knows
+// nothing of before.
+func (s *Server) RestartEmpty() {
+	s.set(func() {
+		s.down, s.unresponsive, s.isPrimary = false, false, false
+		s.sealedTerm, s.log, s.term = 0, nil, 0
+		s.starts++
+		s.beginCold(true)
+	})
+}
+
 // SetUnresponsive makes the server stop or resume answering. Connections stay
 // open.
 func (s *Server) SetUnresponsive(unresponsive bool) { s.set(func() { s.unresponsive = unresponsive }) }
@@ -175,6 +187,16 @@
 	return ident.LogPosition{Term: s.term, Position: ident.Position(n)}
 }
 
+// lastApplied returns the position of the last entry that reads see, in the term in
+// which it was written. The caller holds the group's mutex.
+func (s *Server) lastApplied() ident.LogPosition {
+	n := s.applied().Position
+	if n == 0 {
+		return ident.LogPosition{}
+	}
+	return s.log[n-1].Position
+}
+
 // read returns the newest applied data of an item. The caller holds the group's
 // mutex.
 func (s *Server) read(item string) (string, bool) {
--- a/internal/stand/emul/store.go
+++ b/internal/stand/emul/store.go
@@ -170,6 +170,7 @@
 type Order struct {
 	Holder string
 	Token  uint64 // fencing token
+	group  ident.Group
 }
 
 // Orders returns the promotions that were accepted.
@@ -361,7 +362,7 @@
 	if !outdated {
 		s.epochs[call.Service] = epoch
 		s.promoted = append(s.promoted, call.ID)
-		s.orders = append(s.orders, Order{Holder: r.Header.Get("X-Marjoramrudder-Duty-Holder"), Token: epoch})
+		s.orders = append(s.orders, Order{Holder: r.Header.Get("X-Marjoramrudder-Duty-Holder"), Token: epoch, group: call.Service})
 	}
 	s.mu.Unlock()
 	if g == nil || outdated || !g.isRunning(call.ID) {
--- a/internal/stand/lines/cut_test.go
+++ b/internal/stand/lines/cut_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/datadriven"
 	. "github.com/onsi/gomega"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 )
@@ -135,10 +136,10 @@
 // judgeOne sends a statement to a front and returns the report on its stop.
 func judgeOne(ctx context.Context, front string, atServer bool) string {
 	l := &load{config: LoadConfig{
-		Dial: (&net.Dialer{}).DialContext, Fronts: []string{front}, Routes: []string{"own1"}, Keys: []string{"key1"}, Timeout: 500 * time.Millisecond,
+		Dial: (&net.Dialer{}).DialContext, Fronts: []string{front}, Routes: []Route{{Name: "own1"}}, Journal: audit.NewJournal(), Keys: []string{"key1"}, Timeout: 500 * time.Millisecond,
 	}}
 	l.report.NotRun, l.report.Latency = map[string]int{}, newLatency()
-	c := l.newCaller(0, 0, "key1")
+	c := l.newCaller(0, 0)
 	defer c.close()
 	h := newHistory()
 	h.Stops = []Event{{Front: front, At: time.Now()}}
--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/procs"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
@@ -57,6 +58,12 @@
 	Length  time.Duration
 	// Changes is set if the configuration changes, in steps that Seed selects.
 	Changes bool
+	// Series is set if Seed selects series of faults around restarts, in place of
+	// single faults of instances.
+	Series bool
+	// Journal has the statements of the callers. With one, what the servers run is
+	// recorded and judged.
+	Journal *audit.Journal
 }
 
 // Deployment is the emulated platform of a deployment: servers, row store and
@@ -67,20 +74,23 @@
 	groups    []*emul.Group
 	http      *http.Server
 	tasks     *tasks.Group
-	published map[ident.Endpoint]string // last published entry of each server
-	links     map[ident.Endpoint]*link  // to the servers; the one to the store has an empty name
+	links     map[ident.Endpoint]*link // to the servers; the one to the store has an empty name
 	listeners []net.Listener
 	procs     procs.Set
 	mu        sync.Mutex
 	stops     []*Stop
 	kills     []Event
 	changes   *configWatch // nil without changes
+	record    *audit.Record
+	entriesMu sync.Mutex
+	entries   entries
+	outages   int // in which entries have lapsed
 }
 
 // Open starts the platform, publishes the configuration and writes the settings
 // files.
 func Open(ctx context.Context, c DeploymentConfig) (*Deployment, error) {
-	d := &Deployment{config: c, tasks: tasks.New(ctx), published: map[ident.Endpoint]string{}, links: map[ident.Endpoint]*link{}}
+	d := &Deployment{config: c, tasks: tasks.New(ctx), entries: entries{published: map[ident.Endpoint]string{}}, links: map[ident.Endpoint]*link{}}
 	if err := d.open(); err != nil {
 		return nil, errors.CombineErrors(err, d.Close())
 	}
@@ -88,6 +98,9 @@
 }
 
 func (d *Deployment) open() error {
+	if d.config.Journal != nil {
+		d.record = audit.NewRecord()
+	}
 	for i := range d.config.Groups {
 		if err := d.openGroup(ident.Group(fmt.Sprintf("g%d", i+1))); err != nil {
 			return err
@@ -104,7 +117,7 @@
 	d.http = &http.Server{Handler: d.store, ReadHeaderTimeout: headerTimeout}
 	d.tasks.Go(func(context.Context) error { return errors.Wrap(d.http.Serve(l), "serve store") })
 	d.configure(0)
-	d.publish()
+	d.publishEntries()
 	d.tasks.Go(d.publishLoop)
 	d.procs = procs.NewSet(d.config.Dir)
 	for _, f := range d.Faults() {
@@ -113,6 +126,9 @@
 	if d.config.Changes {
 		d.watchConfig()
 	}
+	if d.record != nil {
+		d.tasks.Go(d.auditLoop)
+	}
 	return d.writeSettings()
 }
 
@@ -126,6 +142,9 @@
 	if c.Signals {
 		instances = c.Instances
 	}
+	if c.Series {
+		return append(slices.Clone(c.Faults), NewSeries(c.Seed, d.groups, instances, c.Length)...)
+	}
 	return append(slices.Clone(c.Faults), NewPlan(c.Seed, d.groups, instances, c.Length)...)
 }
 
@@ -140,7 +159,7 @@
 
 func (d *Deployment) openGroup(name ident.Group) error {
 	c := d.config.Group
-	c.Name = name
+	c.Name, c.Record = name, d.record
 	g := emul.NewGroup(c)
 	d.groups = append(d.groups, g)
 	for _, s := range g.Servers() {
@@ -210,16 +229,35 @@
 	return out
 }
 
-// Routes returns the names of the routes whose reads see the session's own
-// writes.
-func (d *Deployment) Routes() []string {
-	var out []string
-	for i := range d.groups {
-		out = append(out, fmt.Sprintf("own%d", i+1))
+// Routes returns the routes whose reads see the session's own writes.
+func (d *Deployment) Routes() []Route {
+	return slices.DeleteFunc(d.AllRoutes(), func(r Route) bool { return r.Freshness != audit.OwnWrites })
+}
+
+// AllRoutes returns three routes to each group, one of each kind.
+func (d *Deployment) AllRoutes() []Route {
+	var out []Route
+	for i, g := range d.groups {
+		for _, k := range routeKinds {
+			out = append(out, Route{Name: ident.Route(fmt.Sprintf("%s%d", k.prefix, i+1)), Group: g.Name(), Freshness: k.freshness})
+		}
 	}
 	return out
 }
 
+// routeKind is a kind of routes: the start of their names, and the kind in the
+// configuration.
+type routeKind struct {
+	freshness audit.Freshness
+	prefix    string
+	kind      string
+}
+
+var routeKinds = []routeKind{{audit.Current, "now", emul.Current}, {audit.Bounded, "soon", emul.Bounded}, {audit.OwnWrites, "own", emul.OwnWrites}}
+
+// accountName returns the name of the account with an index, from 0.
+func accountName(i int) ident.Account { return ident.Account(fmt.Sprintf("account%d", i+1)) }
+
 func (d *Deployment) routeTimeout() time.Duration {
 	return cmp.Or(d.config.RouteTimeout, emul.DefaultRouteTimeout)
 }
@@ -239,37 +277,21 @@
 // zero. The routes are in addition to the usual ones.
 func (d *Deployment) configure(version int, routes ...ident.Route) {
 	c := emul.Config{Version: version + 1, Groups: d.groups, RouteTimeout: d.routeTimeout()}
-	for i, g := range d.groups {
-		for kind, name := range map[string]string{emul.Current: "now", emul.Bounded: "soon", emul.OwnWrites: "own"} {
-			c.Routes = append(c.Routes, emul.Route{Name: ident.Route(fmt.Sprintf("%s%d", name, i+1)), Kind: kind, Group: g.Name()})
-		}
+	for _, r := range d.AllRoutes() {
+		c.Routes = append(c.Routes, emul.Route{Name: r.Name, Kind: routeKinds[r.Freshness-1].kind, Group: r.Group})
 	}
 	for _, name := range routes {
 		c.Routes = append(c.Routes, emul.Route{Name: name, Kind: emul.Bounded, Group: d.groups[0].Name()})
 	}
 	for i, key := range d.Keys() {
-		c.Accounts = append(c.Accounts, emul.Account{Name: ident.Account(fmt.Sprintf("account%d", i+1)), Rate: d.config.Rate, Keys: []string{key}})
+		c.Accounts = append(c.Accounts, emul.Account{Name: accountName(i), Rate: d.config.Rate, Keys: []string{key}})
 	}
 	d.store.Put(emul.ConfigTable, emul.ConfigKey, c.Text())
 }
 
-// publish writes the server entries that have changed.
-func (d *Deployment) publish() {
-	for _, g := range d.groups {
-		for _, s := range g.Servers() {
-			text := s.Entry(d.links[s.ID()].Address(), dataCentre)
-			if d.published[s.ID()] == string(text) {
-				continue
-			}
-			d.published[s.ID()] = string(text)
-			d.store.Put(emul.ServerTable, string(s.ID()), text)
-		}
-	}
-}
-
 func (d *Deployment) publishLoop(ctx context.Context) error {
 	for tasks.Pause(ctx, publishInterval) {
-		d.publish()
+		d.publishEntries()
 	}
 	return nil
 }
--- a/internal/stand/lines/fault.go
+++ b/internal/stand/lines/fault.go
@@ -22,12 +22,14 @@
 	Instance ident.Instance // of a fault of an instance
 	// DataCentre is that of an evacuation.
 	DataCentre ident.DataCentre
+	// Group is that whose primary fails.
+	Group ident.Group
 }
 
 // String formats the fault as ParseFault reads it.
 func (f Fault) String() string {
 	text := f.At.Round(time.Millisecond).String() + ":" + f.Kind
-	if target := string(f.Server) + string(f.Instance) + string(f.DataCentre); target != "" {
+	if target := string(f.Server) + string(f.Instance) + string(f.DataCentre) + string(f.Group); target != "" {
 		text += ":" + target
 	}
 	return text
@@ -36,7 +38,7 @@
 // concernsStore reports whether the fault is one of the store or of the connections to
 // it.
 func (f Fault) concernsStore() bool {
-	return f.Kind == "storedown" || f.Kind == "storeup" || linkFaults[f.Kind] != nil && f.Server == ""
+	return storeFaults[f.Kind] != nil || linkFaults[f.Kind] != nil && f.Server == ""
 }
 
 // linkFaults maps the kinds of faults of the connections to a server or, without
@@ -49,6 +51,15 @@
 	"reset":  (*link).Reset,
 }
 
+// storeFaults maps the kinds of faults of the store to the functions that apply them.
+var storeFaults = map[string]func(*Deployment){
+	"storedown": func(d *Deployment) { d.store.Fail(http.StatusServiceUnavailable) },
+	"storeup":   (*Deployment).storeUp,
+	"lapse":     (*Deployment).lapse,
+	"copy":      func(d *Deployment) { d.store.Copy() },
+	"return":    (*Deployment).returnFromCopy,
+}
+
 // instanceFaults maps the kinds of faults of instances to signals.
 var instanceFaults = map[string]syscall.Signal{
 	"kill": syscall.SIGKILL, "stop": syscall.SIGTERM, "reload": syscall.SIGHUP, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT,
@@ -59,6 +70,7 @@
 var serverFaults = map[string]func(*emul.Server){
 	"crash":   (*emul.Server).Crash,
 	"restart": (*emul.Server).Restart,
+	"wipe":    (*emul.Server).RestartEmpty,
 	"drain":   (*emul.Server).Drain,
 	"dark":    func(s *emul.Server) { s.SetUnresponsive(true) },
 	"deaf":    func(s *emul.Server) { s.SetReplicationCut(true) },
@@ -83,7 +95,7 @@
 		return Fault{}, errors.Wrapf(err, "fault %q", text)
 	}
 	out, target := Fault{At: at, Kind: f[1]}, strings.Join(f[2:], "")
-	store := out.Kind == "storedown" || out.Kind == "storeup"
+	store := storeFaults[out.Kind] != nil
 	switch {
 	case linkFaults[out.Kind] != nil:
 		out.Server = ident.Endpoint(target)
@@ -94,6 +106,8 @@
 		out.Server = ident.Endpoint(target)
 	case instanceFaults[out.Kind] != 0:
 		out.Instance = ident.Instance(target)
+	case out.Kind == failKind:
+		out.Group = ident.Group(target)
 	case out.Kind == evacuateKind, out.Kind == withdrawKind:
 		out.DataCentre = ident.DataCentre(target)
 	default:
@@ -107,17 +121,17 @@
 	if !tasks.Pause(ctx, f.At) {
 		return nil
 	}
-	switch f.Kind {
-	case "storedown":
-		d.store.Fail(http.StatusServiceUnavailable)
+	if apply := storeFaults[f.Kind]; apply != nil {
+		apply(d)
 		return nil
-	case "storeup":
-		d.store.Fail(0)
-		return nil
-	case evacuateKind, withdrawKind:
+	}
+	if f.Kind == evacuateKind || f.Kind == withdrawKind {
 		d.applyEvacuation(f)
 		return nil
 	}
+	if f.Kind == failKind {
+		return d.failPrimary(ctx, f)
+	}
 	if f.Instance != "" {
 		return d.signal(ctx, f)
 	}
@@ -139,3 +153,26 @@
 	}
 	return errors.Newf("fault at %s: no server %s", f.At, f.Server)
 }
+
+const (
+	// failKind is a crash of whichever server is the primary of a group by then. It
+	// starts again after failTime.
+	failKind = "fail"
+	failTime = 1500 * time.Millisecond
+)
+
+// failPrimary lets the primary of a group crash and start again.
+func (d *Deployment) failPrimary(ctx context.Context, f Fault) error {
+	for _, g := range d.groups {
+		if g.Name() != f.Group {
+			continue
+		}
+		if s := g.Primary(); s != nil {
+			s.Crash()
+			tasks.Pause(ctx, failTime)
+			s.Restart()
+		}
+		return nil
+	}
+	return errors.Newf("fault at %s: no group %s", f.At, f.Group)
+}
--- a/internal/stand/lines/held.go
+++ b/internal/stand/lines/held.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 // heldPause is the time until a held connection that ended is opened again.
@@ -13,8 +14,8 @@
 
 // heldStarts are what held connections send before they go silent: nothing, part
 // of a login, part of a statement.
-func heldStarts(route, key string) []string {
-	login := "STARTUP " + route + " " + key
+func heldStarts(route ident.Route, key string) []string {
+	login := "STARTUP " + string(route) + " " + key
 	return []string{"", login[:len(login)-1], login + "\r\nQUERY held READ it"}
 }
 
@@ -23,7 +24,7 @@
 	for i, front := range l.config.Fronts {
 		for range l.config.Held {
 			route, key := l.config.Routes[i%len(l.config.Routes)], l.config.Keys[i%len(l.config.Keys)]
-			for _, start := range heldStarts(route, key) {
+			for _, start := range heldStarts(route.Name, key) {
 				group.Go(func(ctx context.Context) error {
 					l.hold(ctx, front, start)
 					return nil
--- a/internal/stand/lines/load.go
+++ b/internal/stand/lines/load.go
@@ -10,12 +10,12 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
 )
@@ -26,8 +26,14 @@
 	Fronts []string // addresses of the instances
 	// Routes are routes whose reads see the session's own writes. Each caller
 	// uses one of them.
-	Routes []string
-	Keys   []string // one for each account
+	Routes []Route
+	// Mixed are the routes of the workers.
+	Mixed []Route
+	Keys  []string // one for each account
+	// Workers is the number of workers of each account.
+	Workers int
+	// Journal receives the statements of all callers.
+	Journal *audit.Journal
 	// Sessions is the number of callers for each key, Pause their mean pause
 	// between statements.
 	Sessions int
@@ -46,6 +52,11 @@
 	Seed     uint64
 }
 
+// account returns the account with an index, from 0.
+func (c *LoadConfig) account(i int) Account {
+	return Account{Name: accountName(i), Key: c.Keys[i]}
+}
+
 // Report is the result of a load.
 type Report struct {
 	Answered int
@@ -95,21 +106,29 @@
 // load collects the results of all callers.
 type load struct {
 	config LoadConfig
-	ids    atomic.Uint64
 	mu     sync.Mutex
 	report Report
 }
 
 // Load runs callers for the configured duration and returns their report.
 func Load(ctx context.Context, c LoadConfig) (*Report, error) {
+	if c.Journal == nil {
+		c.Journal = audit.NewJournal()
+	}
 	l := &load{config: c, report: Report{NotRun: map[string]int{}, Latency: newLatency()}}
 	loadCtx, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
 	group := tasks.New(ctx)
-	for i, key := range c.Keys {
+	for i := range c.Keys {
 		for j := range c.Sessions {
 			group.Go(func(ctx context.Context) error {
-				l.newCaller(i, j, key).run(loadCtx, ctx)
+				l.newCaller(i, j).run(loadCtx, ctx)
+				return nil
+			})
+		}
+		for j := range c.Workers {
+			group.Go(func(context.Context) error {
+				l.newWorker(i, j).run(loadCtx)
 				return nil
 			})
 		}
@@ -126,15 +145,15 @@
 // caller then goes on with a new item and reads the old one at the end.
 type caller struct {
 	load    *load
-	key     string
-	route   string
+	account Account
+	route   Route
 	name    string // of its first item, the prefix of the others
 	item    string
 	retired []retiredItem
 	random  *rand.Rand
-	client  *emul.Client
-	front   string // address of the instance that client is connected to
-	request string // ID of the latest statement
+	session *session // nil while there is none
+	front   string   // address of the instance of the latest session
+	request string   // ID of the latest statement
 	next    int
 	acked   int          // the last acknowledged number
 	floor   int          // the lowest number that a read in this session may return
@@ -147,10 +166,10 @@
 	acked int
 }
 
-func (l *load) newCaller(account, n int, key string) *caller {
+func (l *load) newCaller(account, n int) *caller {
 	name := fmt.Sprintf("load-%d-%d", account, n)
 	return &caller{
-		load: l, key: key, route: l.config.Routes[n%len(l.config.Routes)], name: name, item: name,
+		load: l, account: l.config.account(account), route: l.config.Routes[n%len(l.config.Routes)], name: name, item: name,
 		random:  rand.New(rand.NewPCG(l.config.Seed, uint64(account*1000+n))),
 		refused: make(map[int]bool),
 	}
@@ -177,9 +196,9 @@
 }
 
 func (c *caller) close() {
-	if c.client != nil {
-		_ = c.client.Close()
-		c.client = nil
+	if c.session != nil {
+		c.session.close()
+		c.session = nil
 	}
 }
 
@@ -188,15 +207,12 @@
 func (c *caller) query(ctx context.Context, text string) (emul.Reply, bool) {
 	ctx, cancel := context.WithTimeout(ctx, c.load.config.Timeout)
 	defer cancel()
-	if c.client == nil && !c.login(ctx) {
+	if c.session == nil && !c.login(ctx) {
 		return emul.Reply{Code: noSession}, true
 	}
-	began := time.Now()
-	c.request = strconv.FormatUint(c.load.ids.Add(1), 16)
-	r, err := c.client.Query(ctx, c.request, text)
-	c.load.count(r, err, time.Since(began))
+	r, err := c.session.query(ctx, text)
+	c.request = c.session.request
 	if err != nil {
-		c.load.recordClosed(c.request, c.front, err)
 		c.close()
 	}
 	return r, err == nil
@@ -205,16 +221,9 @@
 func (c *caller) login(ctx context.Context) bool {
 	l := c.load.config
 	c.front = l.Fronts[c.random.IntN(len(l.Fronts))]
-	client, r, err := emul.Login(ctx, l.Dial, c.front, c.route, c.key)
-	if err != nil || !r.OK() {
-		if client != nil {
-			_ = client.Close()
-		}
-		c.load.count(emul.Reply{Code: noSession}, nil, 0)
-		return false
-	}
-	c.client, c.floor = client, 0
-	return true
+	c.session = c.load.openSession(ctx, c.front, c.route, c.account)
+	c.floor = 0
+	return c.session != nil
 }
 
 func (l *load) count(r emul.Reply, err error, took time.Duration) {
