--- a/cmd/stand/lines.go
+++ b/cmd/stand/lines.go
@@ -137,7 +137,7 @@
 		fronts = append(fronts, d.Front(i))
 	}
 	return lines.Load(ctx, lines.LoadConfig{
-		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: d.Routes(), Mixed: d.AllRoutes(), Keys: d.Keys(),
+		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: d.Routes(), Mixed: d.WorkerRoutes(), Keys: d.Keys(),
 		Sessions: c.Int("sessions"), Workers: c.Int("workers"), Journal: journal, Pause: c.Duration("pause"), Writes: c.Float("writes"), Transactions: c.Float("transactions"), Timeout: c.Duration("caller-timeout"), Held: c.Int("held"),
 		Duration: c.Duration("duration"), Seed: c.Uint64("seed"),
 	})
--- a/internal/stand/audit/attempt.go
+++ b/internal/stand/audit/attempt.go
@@ -31,7 +31,6 @@
 	ID        SessionID
 	Front     string // address of the instance
 	Account   ident.Account
-	Group     ident.Group
 	Freshness Freshness
 }
 
--- a/internal/stand/audit/check_test.go
+++ b/internal/stand/audit/check_test.go
@@ -97,7 +97,7 @@
 	switch words[0] {
 	case "caller":
 		h.Attempts = append(h.Attempts, audit.Attempt{
-			Session:   audit.Session{ID: audit.SessionID(f.number("session")), Front: "n1", Account: "shop", Group: "db", Freshness: freshness[f["route"]]},
+			Session:   audit.Session{ID: audit.SessionID(f.number("session")), Front: "n1", Account: "shop", Freshness: freshness[f["route"]]},
 			Operation: audit.OperationID(f.number("operation")), InTx: inTx, Request: f["id"], Text: text, Values: f["values"], Shape: f["shape"],
 			Began: f.time("sent"), Sent: f.time("sent"), Ended: f.time("ended"), Lost: f["lost"] != "", Code: f["code"], Rows: f.rows(), Receipt: f["receipt"],
 		})
--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -245,6 +245,15 @@
 	return out
 }
 
+// movedRoute leads to another group in each version of the configuration.
+const movedRoute ident.Route = "moved"
+
+// WorkerRoutes returns the routes of the workers: those of AllRoutes, and the one that
+// moves between the groups.
+func (d *Deployment) WorkerRoutes() []Route {
+	return append(d.AllRoutes(), Route{Name: movedRoute, Freshness: audit.OwnWrites})
+}
+
 // routeKind is a kind of routes: the start of their names, and the kind in the
 // configuration.
 type routeKind struct {
@@ -280,6 +289,7 @@
 	for _, r := range d.AllRoutes() {
 		c.Routes = append(c.Routes, emul.Route{Name: r.Name, Kind: routeKinds[r.Freshness-1].kind, Group: r.Group})
 	}
+	c.Routes = append(c.Routes, emul.Route{Name: movedRoute, Kind: emul.OwnWrites, Group: d.groups[version%len(d.groups)].Name()})
 	for _, name := range routes {
 		c.Routes = append(c.Routes, emul.Route{Name: name, Kind: emul.Bounded, Group: d.groups[0].Name()})
 	}
--- a/internal/stand/lines/series.go
+++ b/internal/stand/lines/series.go
@@ -33,6 +33,8 @@
 	// serverQuiet is how long before and after a server starts empty nothing else
 	// happens to its group.
 	serverQuiet = 6 * time.Second
+	// failQuiet is the same for a primary that fails.
+	failQuiet = 2500 * time.Millisecond
 )
 
 // strikes are the kinds of faults of a series, as often as each is drawn.
@@ -135,7 +137,7 @@
 		p.outage(at, "storeup", true)
 	case 2:
 		p.outage(at, "storeup", false)
-	case 3:
+	case 3, 6:
 		p.drill(at)
 	case 4, 5:
 		p.wipe(at)
@@ -152,10 +154,9 @@
 	p.add(Fault{At: copied, Kind: "copy"})
 	p.outage(at, "return", false)
 	g := p.groups[p.random.IntN(len(p.groups))]
-	for _, f := range []Fault{{At: copied + strikeSpread}, {At: at + maxOutage + p.between(0, maxCopyAge)}} {
-		f.Kind, f.Group = failKind, g.Name()
-		if f.At+serverQuiet < p.end && p.quiet(g, f.At-serverQuiet, f.At+serverQuiet) {
-			p.add(f)
+	for _, at := range []time.Duration{copied + strikeSpread, at + maxOutage + p.between(0, failQuiet)} {
+		if at+failQuiet < p.end && p.quiet(g, at-failQuiet, at+failQuiet) {
+			p.add(Fault{At: at, Kind: failKind, Group: g.Name()})
 		}
 	}
 }
--- a/internal/stand/lines/series_run_test.go
+++ b/internal/stand/lines/series_run_test.go
@@ -41,7 +41,7 @@
 	journal := audit.NewJournal()
 	d, err := lines.Open(t.Context(), lines.DeploymentConfig{
 		Groups: 2, Instances: 3, Accounts: 4, Rate: 1000, Dir: dir, BasePort: basePort, Network: reserveNetwork(t),
-		Group: smallGroup, Seed: seriesSeed, Series: true, Signals: true, Length: seriesLength, Journal: journal,
+		Group: smallGroup, Seed: seriesSeed, Series: true, Signals: true, Length: seriesLength, Changes: true, Journal: journal,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { g.Expect(d.Close()).To(Succeed()) }()
@@ -59,7 +59,7 @@
 	}
 
 	r, err := lines.Load(t.Context(), lines.LoadConfig{
-		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: d.Routes(), Mixed: d.AllRoutes(), Keys: d.Keys(), Journal: journal,
+		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: d.Routes(), Mixed: d.WorkerRoutes(), Keys: d.Keys(), Journal: journal,
 		Sessions: 4, Workers: 8, Pause: 50 * time.Millisecond, Writes: 0.3, Transactions: 0.3, Timeout: 8 * time.Second, Duration: seriesLength, Seed: 1,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/stand/lines/session.go
+++ b/internal/stand/lines/session.go
@@ -36,7 +36,7 @@
 	}
 	return &session{
 		load: l, client: client, values: make(map[string]string), prepared: make(map[string]string),
-		info: audit.Session{ID: l.config.Journal.NextSession(), Front: front, Account: account.Name, Group: route.Group, Freshness: route.Freshness},
+		info: audit.Session{ID: l.config.Journal.NextSession(), Front: front, Account: account.Name, Freshness: route.Freshness},
 	}
 }
 
