--- a/internal/stand/audit/attempt.go
+++ b/internal/stand/audit/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -60,17 +61,20 @@
 func (a *Attempt) succeeded() bool { return !a.Ended.IsZero() && !a.Lost && a.Code == "" }
 
 // promised reports whether the answer promises that nothing is kept.
-func (a *Attempt) promised() bool {
-	if a.Ended.IsZero() || a.Lost {
-		return false
-	}
-	switch a.Code {
+func (a *Attempt) promised() bool { return !a.Ended.IsZero() && !a.Lost && IsPromise(a.Code) }
+
+// IsPromise reports whether an error code promises that nothing of the operation is kept.
+func IsPromise(code string) bool {
+	switch code {
 	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGHOST", "TOOMANY":
 		return true
 	}
 	return false
 }
 
+// IsBegin reports whether a statement opens a transaction.
+func IsBegin(text string) bool { return text == "BEGIN" || strings.HasPrefix(text, "BEGIN ") }
+
 // Journal collects the attempts of all callers.
 type Journal struct {
 	mu            sync.Mutex
--- a/internal/stand/audit/transactions.go
+++ b/internal/stand/audit/transactions.go
@@ -85,7 +85,7 @@
 		}
 		var first *Step
 		for _, t := range all {
-			if strings.HasPrefix(t.Text, "BEGIN") {
+			if IsBegin(t.Text) {
 				continue // repeated with the first statement
 			}
 			if first == nil {
--- a/internal/stand/emul/client.go
+++ b/internal/stand/emul/client.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 )
 
 // Dial opens a connection to an address.
@@ -36,13 +38,7 @@
 
 // PromisesNotRun reports whether the error guarantees that the statement had no
 // effect.
-func (r Reply) PromisesNotRun() bool {
-	switch r.Code {
-	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGHOST", "TOOMANY":
-		return true
-	}
-	return false
-}
+func (r Reply) PromisesNotRun() bool { return audit.IsPromise(r.Code) }
 
 // Client is a caller with one session over one connection.
 type Client struct {
--- a/internal/stand/lines/series_run_test.go
+++ b/internal/stand/lines/series_run_test.go
@@ -23,7 +23,7 @@
 const (
 	// seriesSeed and seriesLength select a plan in which owners of groups are killed
 	// again and again. Where transactions are named by a number alone, statements run
-	// in those of other sessions.
+	// in those of other sessions. The variable SERIES_SEED selects another one.
 	seriesSeed   = 505
 	seriesLength = 40 * time.Second
 	// restartPause is the time after which an instance that has ended starts again.
@@ -32,16 +32,27 @@
 
 // TestRulesDuringSeries runs instances as processes that are struck in series, and judges
 // what the servers ran. It guards against statements in another session's transaction.
+// The variable SERIES_PROGRAM names another build of the program to run, for example that
+// of an earlier commit.
 func TestRulesDuringSeries(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
 	dir := t.TempDir()
-	program := buildProgram(t, dir)
+	program := os.Getenv("SERIES_PROGRAM")
+	if program == "" {
+		program = buildProgram(t, dir)
+	}
+	seed := uint64(seriesSeed)
+	if text := os.Getenv("SERIES_SEED"); text != "" {
+		var err error
+		seed, err = strconv.ParseUint(text, 10, 64)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
 	g.Expect(os.Mkdir(filepath.Join(dir, "pids"), 0o700)).To(Succeed())
 	journal := audit.NewJournal()
 	d, err := lines.Open(t.Context(), lines.DeploymentConfig{
 		Groups: 2, Instances: 3, Accounts: 4, Rate: 1000, Dir: dir, BasePort: basePort, Network: reserveNetwork(t),
-		Group: smallGroup, Seed: seriesSeed, Series: true, Signals: true, Length: seriesLength, Changes: true, Journal: journal,
+		Group: smallGroup, Seed: seed, Series: true, Signals: true, Length: seriesLength, Changes: true, Journal: journal,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { g.Expect(d.Close()).To(Succeed()) }()
--- a/internal/stand/lines/session.go
+++ b/internal/stand/lines/session.go
@@ -49,7 +49,7 @@
 	if !s.inTx {
 		s.operation, s.began = s.load.config.Journal.NextOperation(), now
 	}
-	s.inTx = s.inTx || isBegin(text)
+	s.inTx = s.inTx || audit.IsBegin(text)
 	attempt := s.load.config.Journal.Begin(audit.Attempt{
 		Session: s.info, Operation: s.operation, InTx: s.inTx, Began: s.began, Text: text,
 		Values: audit.FormatValues(s.values), Shape: s.shapeOf(text), Sent: now,
@@ -72,8 +72,6 @@
 	return r, nil
 }
 
-func isBegin(text string) bool { return text == "BEGIN" || strings.HasPrefix(text, "BEGIN ") }
-
 // shapeOf returns what the prepared name of a statement stands for, if it has one.
 func (s *session) shapeOf(text string) string {
 	f := strings.Fields(text)
--- a/internal/stand/lines/worker.go
+++ b/internal/stand/lines/worker.go
@@ -6,10 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/emul"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
-	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
@@ -32,19 +30,6 @@
 	settingShare    = 8
 )
 
-// Account is a client account and one of its keys.
-type Account struct {
-	Name ident.Account
-	Key  string
-}
-
-// Route is a route and what it promises its reads.
-type Route struct {
-	Name      ident.Route
-	Group     ident.Group
-	Freshness audit.Freshness
-}
-
 // worker runs operations the way the users' callers do: transactions with pauses,
 // roll-backs, callers that leave, session values and prepared names that collide with
 // those of others, and operations that are tried again as a whole, through another
