--- a/internal/stand/lines/deployment.go
+++ b/internal/stand/lines/deployment.go
@@ -30,6 +30,9 @@
 	dataCentre = "z1"
 	// grace is the time that an instance has for a graceful stop.
 	grace = 6 * time.Second
+	// instanceServices is how many addresses an instance has: for callers, for the
+	// readiness check and for other instances.
+	instanceServices = 3
 	// host is the address on which the platform listens.
 	host = "127.0.0.1"
 )
@@ -313,6 +316,9 @@
 
 func (d *Deployment) writeSettings() error {
 	for i := range d.config.Instances {
+		if err := d.checkAddresses(i); err != nil {
+			return err
+		}
 		path := filepath.Join(d.config.Dir, fmt.Sprintf("n%d.json", i+1))
 		if err := os.WriteFile(path, d.settings(i).Text(), 0o600); err != nil {
 			return errors.Wrap(err, "write settings")
@@ -320,3 +326,18 @@
 	}
 	return nil
 }
+
+// checkAddresses returns an error if an address of an instance is taken, for example by
+// another run.
+func (d *Deployment) checkAddresses(i int) error {
+	for service := range instanceServices {
+		l, err := net.Listen("tcp", d.address(i, service))
+		if err != nil {
+			return errors.Wrapf(err, "address of %s", instanceName(i))
+		}
+		if err := l.Close(); err != nil {
+			return errors.Wrap(err, "release address")
+		}
+	}
+	return nil
+}
--- a/internal/stand/lines/series.go
+++ b/internal/stand/lines/series.go
@@ -33,8 +33,8 @@
 	// serverQuiet is how long before and after a server starts empty nothing else
 	// happens to its group.
 	serverQuiet = 6 * time.Second
-	// failQuiet is the same for a primary that fails.
-	failQuiet = 2500 * time.Millisecond
+	// drillTime is how long a drill takes, with the promotion at its end.
+	drillTime = 9 * time.Second
 )
 
 // strikes are the kinds of faults of a series, as often as each is drawn.
@@ -83,7 +83,7 @@
 
 // series adds one series that begins at a time, and returns when it ends.
 func (p *seriesPlanner) series(at time.Duration) time.Duration {
-	p.beside(at)
+	at = p.beside(at)
 	targets := p.targets()
 	gap := restartTime + p.between(minStrikeGap, maxStrikeGap)
 	count := 3 + p.random.IntN(10)
@@ -130,35 +130,58 @@
 	return end + minStrikeGap
 }
 
-// beside adds a fault of the store or of a server around the start of a series.
-func (p *seriesPlanner) beside(at time.Duration) {
-	switch p.random.IntN(8) {
+// beside adds a fault of the store or of a server around the start of a series, or a
+// drill before it. It returns when the series may begin.
+func (p *seriesPlanner) beside(at time.Duration) time.Duration {
+	switch p.random.IntN(10) {
 	case 0, 1:
 		p.outage(at, "storeup", true)
 	case 2:
 		p.outage(at, "storeup", false)
-	case 3, 6:
-		p.drill(at)
+	case 3:
+		p.copied(at)
 	case 4, 5:
 		p.wipe(at)
+	case 6, 7, 8:
+		return p.drill(at)
 	}
+	return at
 }
 
-// drill makes the store come back from an older copy. The primary of a group fails
-// before and after, so that it is replaced with what the store knew each time.
-func (p *seriesPlanner) drill(at time.Duration) {
-	copied := at - p.between(minOutage, maxCopyAge)
-	if copied < quietStart {
-		return
+// copied makes the store come back from an older copy beside a series.
+func (p *seriesPlanner) copied(at time.Duration) {
+	if taken := at - p.between(minOutage, maxCopyAge); taken >= quietStart {
+		p.add(Fault{At: taken, Kind: "copy"})
+		p.outage(at, "return", false)
 	}
-	p.add(Fault{At: copied, Kind: "copy"})
-	p.outage(at, "return", false)
-	g := p.groups[p.random.IntN(len(p.groups))]
-	for _, at := range []time.Duration{copied + strikeSpread, at + maxOutage + p.between(0, failQuiet)} {
-		if at+failQuiet < p.end && p.quiet(g, at-failQuiet, at+failQuiet) {
-			p.add(Fault{At: at, Kind: failKind, Group: g.Name()})
-		}
+}
+
+// drill makes the store come back from an older copy, and returns when it is over. An
+// instance is frozen, so that another one owns its groups and replaces a primary that
+// fails, with what the store knew before the return; then the instance starts again and
+// replaces one with what the store knows afterwards.
+func (p *seriesPlanner) drill(at time.Duration) time.Duration {
+	owner := instanceName(p.random.IntN(p.instances))
+	end := at + drillTime
+	i := slices.IndexFunc(p.groups, func(g *emul.Group) bool { return p.quiet(g, at, end) })
+	if end >= p.end || i < 0 {
+		return at
+	}
+	g := p.groups[i]
+	for _, step := range []Fault{
+		{At: 0, Kind: "copy"},
+		{At: 100 * time.Millisecond, Kind: "freeze", Instance: owner},
+		{At: 1700 * time.Millisecond, Kind: failKind, Group: g.Name()},
+		{At: 3400 * time.Millisecond, Kind: "thaw", Instance: owner},
+		{At: 3600 * time.Millisecond, Kind: "storedown"},
+		{At: 4200 * time.Millisecond, Kind: "return"},
+		{At: 4400 * time.Millisecond, Kind: "kill", Instance: owner},
+		{At: 6500 * time.Millisecond, Kind: failKind, Group: g.Name()},
+	} {
+		step.At += at
+		p.add(step)
 	}
+	return end
 }
 
 // outage makes the store unavailable. The entries of the servers may lapse meanwhile.
--- a/internal/stand/lines/series_run_test.go
+++ b/internal/stand/lines/series_run_test.go
@@ -18,19 +18,35 @@
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/lines"
 	"github.com/marjoramrudder/marjoramrudder/internal/tasks"
+	"github.com/marjoramrudder/marjoramrudder/pkg/ident"
 )
 
 const (
-	// seriesSeed and seriesLength select a plan in which owners of groups are killed
-	// again and again. Where transactions are named by a number alone, statements run
-	// in those of other sessions. The variable SERIES_SEED selects another one.
-	seriesSeed   = 505
+	// seriesSeed selects faults of servers and of the store over seriesLength. The
+	// variable SERIES_SEED selects others.
+	seriesSeed   = 601
 	seriesLength = 40 * time.Second
+	// Each instance in turn is killed seriesKills times, killGap apart. Most of its
+	// groups' transactions at the others stay open over such a restart, and the next
+	// process gives the same numbers to new ones.
+	seriesStart = 4 * time.Second
+	seriesKills = 6
+	killGap     = 1300 * time.Millisecond
 	// restartPause is the time after which an instance that has ended starts again.
 	restartPause = 300 * time.Millisecond
 )
 
-// TestRulesDuringSeries runs instances as processes that are struck in series, and judges
+// killInTurns returns the kills of the instances n1, n2 and so on.
+func killInTurns(instances int) []lines.Fault {
+	var all []lines.Fault
+	for i := range instances * seriesKills {
+		n := ident.Instance("n" + strconv.Itoa(i/seriesKills+1))
+		all = append(all, lines.Fault{At: seriesStart + time.Duration(i)*killGap, Kind: "kill", Instance: n})
+	}
+	return all
+}
+
+// TestRulesDuringSeries runs instances as processes that are killed in series, and judges
 // what the servers ran. It guards against statements in another session's transaction.
 // The variable SERIES_PROGRAM names another build of the program to run, for example that
 // of an earlier commit.
@@ -52,7 +68,7 @@
 	journal := audit.NewJournal()
 	d, err := lines.Open(t.Context(), lines.DeploymentConfig{
 		Groups: 2, Instances: 3, Accounts: 4, Rate: 1000, Dir: dir, BasePort: basePort, Network: reserveNetwork(t),
-		Group: smallGroup, Seed: seed, Series: true, Signals: true, Length: seriesLength, Changes: true, Journal: journal,
+		Group: smallGroup, Seed: seed, Faults: killInTurns(3), Length: seriesLength, Changes: true, Journal: journal,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { g.Expect(d.Close()).To(Succeed()) }()
@@ -71,7 +87,7 @@
 
 	r, err := lines.Load(t.Context(), lines.LoadConfig{
 		Dial: (&net.Dialer{}).DialContext, Fronts: fronts, Routes: d.Routes(), Mixed: d.WorkerRoutes(), Keys: d.Keys(), Journal: journal,
-		Sessions: 4, Workers: 8, Pause: 50 * time.Millisecond, Writes: 0.3, Transactions: 0.3, Timeout: 8 * time.Second, Duration: seriesLength, Seed: 1,
+		Sessions: 4, Workers: 24, Pause: 50 * time.Millisecond, Writes: 0.3, Transactions: 0.3, Timeout: 8 * time.Second, Duration: seriesLength, Seed: 1,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Log(r)
--- a/scripts/lines.sh
+++ b/scripts/lines.sh
@@ -23,7 +23,7 @@
 SET_PROXIES="" SET_OTHERS=$tool
 for n in $(seq "$instances"); do
   while [ ! -s "$SET_DIR/n$n.json" ]; do
-    kill -0 "$tool" || exit 1
+    kill -0 "$tool" 2>/dev/null || exit 1
     sleep 0.1
   done
   run_process "n$n" marjoramrudder platform --config "$SET_DIR/n$n.json" &
