--- a/scripts/set.sh
+++ b/scripts/set.sh
@@ -3,6 +3,7 @@
 # until the deployment is stopped. Its process id is in $SET_DIR/pids/NAME.
 
 SET_BIN=${SET_BIN:-bin}
+SET_PROXIES="" SET_OTHERS="" # process ids of the supervisors
 
 # run_process NAME PROGRAM ARGS... runs one process and restarts it when it
 # ends. Endpoints are restarted with --rejoin.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -13,8 +13,8 @@
 trap finish_soak EXIT
 trap 'exit 130' INT TERM
 
-bin/stand layout --profile "$profile" --dir "$SET_DIR" || exit 1
+"$SET_BIN/stand" layout --profile "$profile" --dir "$SET_DIR" || exit 1
 start_set
 put_document soak || exit 1
 sleep 2 # wait until the instances' parts of the quotas are filled
-bin/stand soak --dir "$SET_DIR" --seed "$seed" --duration "$duration" --json "$SET_DIR/report.json"
+"$SET_BIN/stand" soak --dir "$SET_DIR" --seed "$seed" --duration "$duration" --json "$SET_DIR/report.json"
