Try an operation again in a session like the one before

A worker drew another operation for each try. It keeps the operation, the route, the session values and the prepared statements now, and only the instance, the request ids and the data of its writes change.

--- a/internal/stand/lines/session.go
+++ b/internal/stand/lines/session.go
@@ -17,6 +17,7 @@
 	info     audit.Session
 	values   map[string]string // acknowledged
 	prepared map[string]string // acknowledged: "READ q2" by name
+	settings []string          // the statements that changed values and prepared
 	// operation is the current one. It ends with its transaction.
 	operation audit.OperationID
 	inTx      bool
@@ -88,8 +89,10 @@
 	switch word {
 	case "SET":
 		s.values[name] = value
+		s.settings = append(s.settings, text)
 	case "PREPARE":
 		s.prepared[name] = value
+		s.settings = append(s.settings, text)
 	case "CLOSE":
 		delete(s.prepared, name)
 	}
--- a/internal/stand/lines/worker.go
+++ b/internal/stand/lines/worker.go
@@ -39,8 +39,9 @@
 	random  *rand.Rand
 	account Account
 	idle    bool
+	route   Route    // of the latest session
 	session *session // nil while there is none
-	tries   int      // of all operations
+	sent    int      // statements of all operations, for data that is never the same
 }
 
 func (l *load) newWorker(account, n int) *worker {
@@ -76,38 +77,49 @@
 	}
 }
 
-// operate runs one operation. It is tried again as a whole in a new session if a
-// promise says that nothing of it is kept.
+// operate runs one operation. It is tried again as a whole, in a new session like the
+// one before, if a promise says that nothing of it is kept.
 func (w *worker) operate(ctx context.Context) {
-	if w.session != nil && w.random.IntN(settingShare) == 0 && !w.set(ctx) {
+	if w.session != nil && w.random.IntN(settingShare) == 0 && !w.set(ctx, drawSetting(w.random)) {
 		return
 	}
+	if w.session == nil && !w.loginAnew(ctx) {
+		return
+	}
+	o, settings := drawOperation(w.random, w.session.prepared), w.session.settings
 	for range operationTries {
-		if w.session == nil && !w.login(ctx) {
-			return
-		}
-		if !w.try(ctx, drawOperation(w.random, w.session.prepared)) {
+		if !w.try(ctx, o) {
 			return
 		}
 		w.close()
-		if !tasks.Pause(ctx, time.Duration(w.random.ExpFloat64()*float64(retryPause))) {
+		pause := time.Duration(w.random.ExpFloat64() * float64(retryPause))
+		if !tasks.Pause(ctx, pause) || !w.login(ctx, settings) {
 			return
 		}
 	}
 }
 
-// login opens a session through any instance and changes it a few times.
-func (w *worker) login(ctx context.Context) bool {
+// loginAnew opens a session on any route and changes it a few times.
+func (w *worker) loginAnew(ctx context.Context) bool {
+	w.route = w.load.config.Mixed[w.random.IntN(len(w.load.config.Mixed))]
+	var settings []string
+	for range w.random.IntN(sessionSettings + 1) {
+		settings = append(settings, drawSetting(w.random))
+	}
+	return w.login(ctx, settings)
+}
+
+// login opens a session through any instance and changes it by the statements.
+func (w *worker) login(ctx context.Context, settings []string) bool {
 	c := w.load.config
-	front, route := c.Fronts[w.random.IntN(len(c.Fronts))], c.Mixed[w.random.IntN(len(c.Mixed))]
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	w.session = w.load.openSession(ctx, front, route, w.account)
+	w.session = w.load.openSession(ctx, c.Fronts[w.random.IntN(len(c.Fronts))], w.route, w.account)
 	if w.session == nil {
 		return false
 	}
-	for range w.random.IntN(sessionSettings + 1) {
-		if !w.set(ctx) {
+	for _, text := range settings {
+		if !w.set(ctx, text) {
 			return false
 		}
 	}
@@ -115,8 +127,8 @@
 }
 
 // set changes the session. It is closed after an error.
-func (w *worker) set(ctx context.Context) bool {
-	_, ok := w.query(ctx, drawSetting(w.random))
+func (w *worker) set(ctx context.Context, text string) bool {
+	_, ok := w.query(ctx, text)
 	if !ok {
 		w.close()
 	}
@@ -148,8 +160,8 @@
 		if !tasks.Pause(ctx, s.pause) {
 			return false
 		}
-		w.tries++
-		data := fmt.Sprintf("%s-%d-%d", w.account.Name, w.session.info.ID, w.tries)
+		w.sent++
+		data := fmt.Sprintf("%s-%d-%d", w.account.Name, w.session.info.ID, w.sent)
 		if r, ok := w.query(ctx, s.text(data)); !ok {
 			again = r.PromisesNotRun()
 			if w.session != nil && w.session.inTx {
