--- a/internal/stand/lines/series.go
+++ b/internal/stand/lines/series.go
@@ -48,6 +48,7 @@
 	instances int
 	end       time.Duration
 	faults    []Fault
+	stopped   map[ident.Instance]time.Duration // when each was last stopped
 }
 
 // NewSeries returns the faults of servers and of the store that NewPlan draws, and
@@ -60,7 +61,7 @@
 	isEvacuation := func(f Fault) bool { return f.DataCentre != "" }
 	p := &seriesPlanner{
 		random: rand.New(rand.NewPCG(seed^seriesStream, uint64(length))), groups: groups, instances: instances,
-		end: length - quietEnd, faults: slices.DeleteFunc(NewPlan(seed, groups, 0, length), isEvacuation),
+		end: length - quietEnd, faults: slices.DeleteFunc(NewPlan(seed, groups, 0, length), isEvacuation), stopped: make(map[ident.Instance]time.Duration),
 	}
 	for at := quietStart; instances > 0 && at < p.end; at += p.between(0, 2*meanSeriesPause) {
 		at = p.series(at)
@@ -116,9 +117,16 @@
 	return all
 }
 
-// strike adds one fault of an instance and returns when it is over.
+// strike adds one fault of an instance and returns when it is over. An instance that is
+// stopping is killed in place of being frozen: frozen, it could not end in time.
 func (p *seriesPlanner) strike(at time.Duration, n ident.Instance) time.Duration {
 	kind := strikes[p.random.IntN(len(strikes))]
+	if kind == "freeze" && p.stopping(n, at) {
+		kind = "kill"
+	}
+	if kind == "stop" {
+		p.stopped[n] = at
+	}
 	p.add(Fault{At: at, Kind: kind, Instance: n})
 	if kind != "freeze" {
 		return at
@@ -130,6 +138,12 @@
 	return end + minStrikeGap
 }
 
+// stopping reports whether an instance may be in a graceful stop.
+func (p *seriesPlanner) stopping(n ident.Instance, at time.Duration) bool {
+	stopped, ok := p.stopped[n]
+	return ok && at < stopped+grace
+}
+
 // beside adds a fault of the store or of a server around the start of a series, or a
 // drill before it. It returns when the series may begin.
 func (p *seriesPlanner) beside(at time.Duration) time.Duration {
@@ -164,7 +178,7 @@
 	owner := instanceName(p.random.IntN(p.instances))
 	end := at + drillTime
 	i := slices.IndexFunc(p.groups, func(g *emul.Group) bool { return p.quiet(g, at, end) })
-	if end >= p.end || i < 0 {
+	if end >= p.end || i < 0 || p.stopping(owner, at) {
 		return at
 	}
 	g := p.groups[i]
