--- a/internal/stand/audit/transactions.go
+++ b/internal/stand/audit/transactions.go
@@ -79,9 +79,11 @@
 // first statement was answered. A first read whose answer was late or lost may have run
 // on others as well, after a BEGIN there: nothing of the transaction depends on it.
 func (a *auditor) checkOperations() {
-	for _, all := range a.operations {
-		if !all[0].InTx {
-			continue
+	for i := range a.history.Attempts {
+		t := &a.history.Attempts[i]
+		all := a.operations[t.Operation]
+		if !t.InTx || t != all[0] {
+			continue // judged with the first statement of its transaction
 		}
 		var first *Step
 		for _, t := range all {
--- a/internal/stand/emul/conn.go
+++ b/internal/stand/emul/conn.go
@@ -189,14 +189,11 @@
 
 // run executes one statement.
 func (c *lineConn) run(id, text string, step *audit.Step) (rows []string, signature string, f *failure) {
-	word, rest, _ := strings.Cut(text, " ")
-	if word == "AFTER" {
-		position, statement, _ := strings.Cut(rest, " ")
-		if !c.hasApplied(position) {
-			return nil, "", &failure{"LAGGING", string(c.server.id)}
-		}
-		word, rest, _ = strings.Cut(statement, " ")
+	position, statement := splitFloor(text)
+	if position != "" && !c.hasApplied(position) {
+		return nil, "", &failure{"LAGGING", string(c.server.id)}
 	}
+	word, rest, _ := strings.Cut(statement, " ")
 	if c.state == "E" && word != "ROLLBACK" && word != "COMMIT" {
 		return nil, "", &failure{"MALFORMED", "failed transaction"}
 	}
@@ -225,6 +222,17 @@
 	return nil, "-", nil
 }
 
+// splitFloor returns the floor of a statement, empty if it has none, and the statement
+// without it.
+func splitFloor(text string) (position, statement string) {
+	rest, ok := strings.CutPrefix(text, "AFTER ")
+	if !ok {
+		return "", text
+	}
+	position, statement, _ = strings.Cut(rest, " ")
+	return position, statement
+}
+
 func (c *lineConn) hasApplied(position string) bool {
 	term, number, _ := strings.Cut(position, ".")
 	t, _ := strconv.ParseInt(term, 10, 64)
--- a/internal/stand/emul/record.go
+++ b/internal/stand/emul/record.go
@@ -1,7 +1,6 @@
 package emul
 
 import (
-	"strings"
 	"time"
 
 	"github.com/marjoramrudder/marjoramrudder/internal/stand/audit"
@@ -10,21 +9,16 @@
 
 // newStep returns the record of a statement that is about to run.
 func (c *lineConn) newStep(id, text string) audit.Step {
-	if c.server.group.config.Record == nil {
-		return audit.Step{}
-	}
+	_, statement := splitFloor(text)
 	return audit.Step{
 		Group: c.server.group.config.Name, Server: c.server.id, Conn: c.id, Account: ident.Account(c.account),
-		Tx: c.tx, Request: id, Text: withoutFloor(text), Values: audit.FormatValues(c.variables),
+		Tx: c.tx, Request: id, Text: statement, Values: audit.FormatValues(c.variables),
 	}
 }
 
 // record adds a statement and its result to the record. The statement that opens a
 // transaction belongs to it.
 func (c *lineConn) record(s audit.Step, rows []string, receipt string, f *failure) {
-	if c.server.group.config.Record == nil {
-		return
-	}
 	if s.Tx == 0 {
 		s.Tx = c.tx
 	}
@@ -38,13 +32,6 @@
 	c.server.group.config.Record.Add(s)
 }
 
-func withoutFloor(text string) string {
-	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
-		_, text, _ = strings.Cut(rest, " ")
-	}
-	return text
-}
-
 // writesOf returns the entries of a log as the record names them.
 func writesOf(entries []Entry) []audit.Write {
 	var out []audit.Write
@@ -63,26 +50,27 @@
 	for _, e := range g.acked {
 		acked[e.Position] = true
 	}
-	var out []audit.LogEntry
+	var kept []Entry
 	for _, s := range g.servers {
 		if !s.isPrimary || s.down {
 			continue
 		}
-		for _, w := range writesOf(s.log) {
-			if all || acked[w.Position] {
-				out = append(out, audit.LogEntry{Group: g.config.Name, Write: w})
+		for _, e := range s.log {
+			if all || acked[e.Position] {
+				kept = append(kept, e)
 			}
 		}
 	}
-	return out
+	return g.logEntries(kept)
 }
 
 // Dropped returns the acknowledged commits that a promotion dropped.
-func (g *Group) Dropped() []audit.LogEntry {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (g *Group) Dropped() []audit.LogEntry { return g.logEntries(g.Lost()) }
+
+// logEntries returns entries of the group's logs as the record names them.
+func (g *Group) logEntries(entries []Entry) []audit.LogEntry {
 	var out []audit.LogEntry
-	for _, w := range writesOf(g.lost) {
+	for _, w := range writesOf(entries) {
 		out = append(out, audit.LogEntry{Group: g.config.Name, Write: w})
 	}
 	return out
